--- /dev/null
+++ b/internal/catalogue/meta.go
@@ -0,0 +1,11 @@
+package catalogue
+
+// Meta is the part that every entry has.
+type Meta struct {
+	// Owner is the operator group that may change the entry.
+	Owner string `toml:"owner"`
+	// Class is the operators' classification, for example "standard" or "large".
+	Class string `toml:"class"`
+	// Revision is the catalogue revision of the entry's last change; zero in files.
+	Revision Revision `toml:"-"`
+}
--- a/internal/problem/code.go
+++ b/internal/problem/code.go
@@ -42,7 +42,7 @@
 // specs lists the status and title of every code.
 var specs = map[Code]codeSpec{
 	KeyMissing:            {http.StatusUnauthorized, "The request carries no key"},
-	KeyInvalid:            {http.StatusUnauthorized, "The key is unknown or withdrawn"},
+	KeyInvalid:            {http.StatusUnauthorized, "The key is unknown or revoked"},
 	KeysStale:             {http.StatusServiceUnavailable, "The daemon cannot confirm that keys are current"},
 	RouteUnknown:          {http.StatusNotFound, "No route matches the request"},
 	RouteForbidden:        {http.StatusForbidden, "The route is not open to this customer"},
