--- /dev/null
+++ b/internal/settings/defaults.go
@@ -0,0 +1,35 @@
+package settings
+
+import "time"
+
+// Default returns the settings that hold where a file is silent.
+func Default() Settings {
+	return Settings{
+		Platform: Platform{
+			Timeout:               2 * time.Second,
+			PollInterval:          2 * time.Second,
+			ClaimCommitsPerSecond: 0.4,
+		},
+		Peers: Peers{
+			Timeout:        time.Second,
+			GossipInterval: time.Second,
+		},
+		Timeouts: Timeouts{
+			ReadHeader: 5 * time.Second,
+			Idle:       60 * time.Second,
+			DrainGrace: 2 * time.Second,
+			Drain:      30 * time.Second,
+		},
+		Limits: Limits{
+			MaxHeaderBytes: 32 << 10,
+			MaxAnswerBytes: 64 << 10,
+			RetryFraction:  0.2,
+		},
+		Tickets: Tickets{
+			Window:         time.Hour,
+			MaxClaims:      200_000,
+			MaxStoredBytes: 16 << 20,
+		},
+		Log: Log{Level: "info"},
+	}
+}
--- /dev/null
+++ b/internal/settings/limits.go
@@ -0,0 +1,11 @@
+package settings
+
+// Limits bounds what one daemon accepts.
+type Limits struct {
+	// MaxHeaderBytes bounds a request's header in bytes. Default 32768.
+	MaxHeaderBytes int `toml:"max_header_bytes"`
+	// MaxAnswerBytes bounds a recorded answer of a non-idempotent request in bytes. Default 65536.
+	MaxAnswerBytes int `toml:"max_answer_bytes"`
+	// RetryFraction bounds retries as a part of requests, between 0 and 1. Default 0.2.
+	RetryFraction float64 `toml:"retry_fraction"`
+}
--- /dev/null
+++ b/internal/tomlfile/positions.go
@@ -0,0 +1,89 @@
+package tomlfile
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/pelletier/go-toml/v2/unstable"
+)
+
+// Positions maps dotted keys to line numbers. Elements of array tables are
+// written with their index, for example "operators[0].name".
+type Positions struct {
+	lines map[string]int
+}
+
+// Line returns the line of a key, or of its nearest enclosing table; zero when unknown.
+func (p Positions) Line(key string) int {
+	for key != "" {
+		if line, ok := p.lines[key]; ok {
+			return line
+		}
+		cut := strings.LastIndexAny(key, ".[")
+		if cut < 0 {
+			return 0
+		}
+		key = key[:cut]
+	}
+	return 0
+}
+
+// locate reads the positions of all keys of a syntactically valid document.
+func locate(document []byte) Positions {
+	positions := Positions{lines: make(map[string]int)}
+	counts := make(map[string]int)
+	prefix := ""
+	parser := &unstable.Parser{}
+	parser.Reset(document)
+	for parser.NextExpression() {
+		node := parser.Expression()
+		name, line := keyOf(parser, node)
+		switch node.Kind {
+		case unstable.Table:
+			prefix = resolve(counts, name)
+			positions.lines[prefix] = line
+		case unstable.ArrayTable:
+			parent := resolve(counts, name)
+			prefix = fmt.Sprintf("%s[%d]", parent, counts[parent])
+			counts[parent]++
+			positions.lines[prefix] = line
+		case unstable.KeyValue:
+			positions.lines[join(prefix, strings.Join(name, "."))] = line
+		}
+	}
+	return positions
+}
+
+// keyOf returns the parts of an expression's key and the line that it starts on.
+func keyOf(parser *unstable.Parser, node *unstable.Node) ([]string, int) {
+	var parts []string
+	line := 0
+	for it := node.Key(); it.Next(); {
+		part := it.Node()
+		if line == 0 {
+			line = parser.Shape(part.Raw).Start.Line
+		}
+		parts = append(parts, string(part.Data))
+	}
+	return parts, line
+}
+
+// resolve joins key parts and indexes every enclosing array table with its latest element.
+func resolve(counts map[string]int, parts []string) string {
+	path := ""
+	for i, part := range parts {
+		path = join(path, part)
+		if n := counts[path]; n > 0 && i < len(parts)-1 {
+			path = fmt.Sprintf("%s[%d]", path, n-1)
+		}
+	}
+	return path
+}
+
+// join appends a part to a dotted key.
+func join(prefix, part string) string {
+	if prefix == "" {
+		return part
+	}
+	return prefix + "." + part
+}
