Add the rate-limit decisions and the fair queue

The entry needs admission under fleet-wide rates and the gate needs a bounded fair queue. ratelimit holds the homes' buckets and the entry's balances with grants, reports and returns; fairqueue serves customers by start-time fair queueing with shedding. Both do no I/O.

The grant protocol between entries and homes is not tested yet.

--- /dev/null
+++ b/internal/fairqueue/queue_rapid_test.go
@@ -0,0 +1,162 @@
+package fairqueue_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"buckthornlatch.example/buckthornlatch/internal/clock"
+	"buckthornlatch.example/buckthornlatch/internal/fairqueue"
+	"buckthornlatch.example/buckthornlatch/internal/id"
+)
+
+// queueModel repeats the queue's operations on plain maps.
+type queueModel struct {
+	queue   *fairqueue.Queue
+	config  fairqueue.Config
+	now     clock.Time
+	waiting map[fairqueue.Ticket]id.CustomerID
+	gone    map[fairqueue.Ticket]bool
+	weights map[id.CustomerID]int
+	// since holds the pairs that are both backlogged.
+	since map[[2]id.CustomerID]gap
+}
+
+// gap is the difference of the normalized service of two customers since both
+// were backlogged, with its extremes, because the bound holds over every interval.
+type gap struct{ value, low, high float64 }
+
+// add changes the difference.
+func (g gap) add(step float64) gap {
+	value := g.value + step
+	return gap{value, min(g.low, value), max(g.high, value)}
+}
+
+// leave notes that a request left the queue and fails if it was not waiting.
+func (m *queueModel) leave(t *rapid.T, ticket fairqueue.Ticket) id.CustomerID {
+	customer, ok := m.waiting[ticket]
+	if !ok {
+		t.Fatalf("ticket %d left the queue twice or was never in it", ticket)
+	}
+	delete(m.waiting, ticket)
+	m.gone[ticket] = true
+	return customer
+}
+
+// account adds one served request to all pairs of the customer and checks the fairness bound.
+func (m *queueModel) account(t *rapid.T, served id.CustomerID) {
+	for other := range m.weights {
+		if other == served {
+			continue
+		}
+		step := 1 / float64(m.weights[served])
+		pair, sign := [2]id.CustomerID{served, other}, 1.0
+		if other < served {
+			pair, sign = [2]id.CustomerID{other, served}, -1.0
+		}
+		if _, both := m.since[pair]; !both {
+			continue
+		}
+		m.since[pair] = m.since[pair].add(sign * step)
+	}
+	m.checkFairness(t)
+}
+
+// checkFairness compares each pair with its bound.
+func (m *queueModel) checkFairness(t *rapid.T) {
+	for pair, difference := range m.since {
+		bound := 1/float64(m.weights[pair[0]]) + 1/float64(m.weights[pair[1]])
+		if difference.high-difference.low > bound+1e-3 {
+			t.Fatalf("%v: normalized service differs by %v, bound %v", pair, difference, bound)
+		}
+	}
+}
+
+// repair starts and ends the pairs that became or ceased to be backlogged.
+func (m *queueModel) repair() {
+	for a := range m.weights {
+		for b := range m.weights {
+			if a >= b {
+				continue
+			}
+			pair := [2]id.CustomerID{a, b}
+			_, known := m.since[pair]
+			both := m.queue.LenOf(a) > 0 && m.queue.LenOf(b) > 0
+			switch {
+			case both && !known:
+				m.since[pair] = gap{}
+			case !both && known:
+				delete(m.since, pair)
+			}
+		}
+	}
+}
+
+// TestQueueModel guards against lost or repeated requests, broken bounds,
+// unfair service and state kept for customers that left.
+func TestQueueModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		config := fairqueue.Config{
+			Limit:            rapid.IntRange(1, 12).Draw(t, "limit"),
+			LimitPerCustomer: rapid.IntRange(1, 6).Draw(t, "per customer"),
+		}
+		m := &queueModel{
+			queue: fairqueue.New(config), config: config,
+			waiting: map[fairqueue.Ticket]id.CustomerID{}, gone: map[fairqueue.Ticket]bool{},
+			weights: map[id.CustomerID]int{}, since: map[[2]id.CustomerID]gap{},
+		}
+		for i := range 5 {
+			m.weights[id.CustomerID(fmt.Sprintf("c%d", i))] = rapid.IntRange(1, 5).Draw(t, "weight")
+		}
+		customers := []id.CustomerID{"c0", "c1", "c2", "c3", "c4"}
+		t.Repeat(map[string]func(*rapid.T){
+			"enqueue": func(t *rapid.T) {
+				customer := rapid.SampledFrom(customers).Draw(t, "customer")
+				remaining := time.Duration(rapid.IntRange(1, 100).Draw(t, "ms")) * time.Millisecond
+				r := fairqueue.Request{Customer: customer, Weight: m.weights[customer], Remaining: remaining}
+				ticket, shed, refusal := m.queue.Enqueue(m.now, r, 2*time.Millisecond)
+				if shed != nil {
+					m.leave(t, shed.Ticket)
+				}
+				if refusal == nil {
+					m.waiting[ticket] = customer
+				}
+			},
+			"next": func(t *rapid.T) {
+				ticket, found, shed := m.queue.Next(m.now, 2*time.Millisecond)
+				for _, s := range shed {
+					m.leave(t, s.Ticket)
+				}
+				m.repair()
+				if found {
+					m.account(t, m.leave(t, ticket))
+				}
+			},
+			"remove": func(t *rapid.T) {
+				ticket := fairqueue.Ticket(rapid.Uint64Range(1, 40).Draw(t, "ticket"))
+				if m.queue.Remove(ticket) {
+					m.leave(t, ticket)
+				}
+			},
+			"pass": func(t *rapid.T) {
+				m.now = m.now.Add(time.Duration(rapid.IntRange(0, 30).Draw(t, "ms")) * time.Millisecond)
+			},
+			"": func(t *rapid.T) {
+				m.repair()
+				if m.queue.Len() != len(m.waiting) || m.queue.Len() > config.Limit {
+					t.Fatalf("queue holds %d, expected %d, limit %d", m.queue.Len(), len(m.waiting), config.Limit)
+				}
+				for _, customer := range customers {
+					if m.queue.LenOf(customer) > config.LimitPerCustomer {
+						t.Fatalf("%s has %d waiting", customer, m.queue.LenOf(customer))
+					}
+				}
+				if len(m.waiting) == 0 && m.queue.Flows() != 0 {
+					t.Fatalf("empty queue keeps %d flows", m.queue.Flows())
+				}
+			},
+		})
+	})
+}
--- /dev/null
+++ b/internal/fairqueue/queue_test.go
@@ -0,0 +1,53 @@
+package fairqueue_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"buckthornlatch.example/buckthornlatch/internal/clock"
+	"buckthornlatch.example/buckthornlatch/internal/fairqueue"
+	"buckthornlatch.example/buckthornlatch/internal/id"
+)
+
+func request(customer id.CustomerID) fairqueue.Request {
+	return fairqueue.Request{Customer: customer, Weight: 1, Remaining: time.Second}
+}
+
+var _ = Describe("Queue", func() {
+	// Guards against a full queue that keeps small customers out.
+	It("sheds the longest queue, not the newcomer", func() {
+		q := fairqueue.New(fairqueue.Config{Limit: 3})
+		var last fairqueue.Ticket
+		for range 3 {
+			last, _, _ = q.Enqueue(0, request("large"), 0)
+		}
+		_, shed, refusal := q.Enqueue(0, request("small"), 0)
+		Expect(refusal).To(BeNil())
+		Expect(shed.Ticket).To(Equal(last))
+		Expect(shed.Refusal.Reason).To(Equal(fairqueue.QueueFull))
+		_, _, refusal = q.Enqueue(0, request("large"), 0)
+		Expect(refusal.Reason).To(Equal(fairqueue.QueueFull))
+	})
+
+	// Guards against running requests whose callers can no longer use the result.
+	It("sheds requests that cannot finish in time", func() {
+		q := fairqueue.New(fairqueue.Config{Limit: 3})
+		_, _, refusal := q.Enqueue(0, request("a"), 2*time.Second)
+		Expect(refusal.Reason).To(Equal(fairqueue.DeadlineTooShort))
+		ticket, _, _ := q.Enqueue(0, request("a"), 100*time.Millisecond)
+		_, found, shed := q.Next(clock.Time(950*time.Millisecond), 100*time.Millisecond)
+		Expect(found).To(BeFalse())
+		Expect(shed).To(HaveLen(1))
+		Expect(shed[0].Ticket).To(Equal(ticket))
+	})
+
+	// Guards against an estimate that refuses everything and so never gets corrected.
+	It("lets an estimate decay without observations", func() {
+		var e fairqueue.Estimator
+		e.Observe(0, 10*time.Second)
+		Expect(e.Expected(0)).To(Equal(10 * time.Second))
+		Expect(e.Expected(clock.Time(time.Minute))).To(BeNumerically("<", 100*time.Millisecond))
+	})
+})
--- /dev/null
+++ b/internal/ratelimit/balance.go
@@ -0,0 +1,117 @@
+package ratelimit
+
+import (
+	"slices"
+	"sort"
+	"time"
+
+	"buckthornlatch.example/buckthornlatch/internal/clock"
+	"buckthornlatch.example/buckthornlatch/internal/id"
+)
+
+// balance is an entry's state for one customer.
+type balance struct {
+	customer id.CustomerID
+	// version is the placement version that limit and homes were taken from.
+	version uint64
+	limit   Limit
+	homes   []homeView
+	// grants are the unexpired grants, the first to expire first.
+	grants  []grant
+	waiters []waiter
+	demand  demand
+	// due and position belong to timers.
+	due      clock.Time
+	position int
+}
+
+// spend uses one token of the grant that expires first. It returns how long
+// the admission is valid.
+func (b *balance) spend(now clock.Time) (time.Duration, bool) {
+	for i := range b.grants {
+		g := &b.grants[i]
+		if g.left(now) > 0 {
+			g.spend(now)
+			return g.expiry.Sub(now), true
+		}
+	}
+	return 0, false
+}
+
+// left returns the tokens that may be spent at now.
+func (b *balance) left(now clock.Time) int {
+	sum := 0
+	for i := range b.grants {
+		sum += b.grants[i].left(now)
+	}
+	return sum
+}
+
+// add stores a grant in order of expiry.
+func (b *balance) add(g grant) {
+	i := sort.Search(len(b.grants), func(i int) bool { return b.grants[i].expiry > g.expiry })
+	b.grants = slices.Insert(b.grants, i, g)
+}
+
+// reports collects what the home has not been told, and forgets finished grants.
+func (b *balance) reports(now clock.Time, home id.HostID) []Report {
+	var out []Report
+	b.grants = slices.DeleteFunc(b.grants, func(g grant) bool {
+		return g.home == home && !now.Before(g.expiry)
+	})
+	for i := range b.grants {
+		g := &b.grants[i]
+		if g.home == home && (g.spent > g.reported || g.finished(now)) {
+			out = append(out, g.report(now))
+		}
+	}
+	b.grants = slices.DeleteFunc(b.grants, func(g grant) bool {
+		return g.home == home && g.finished(now)
+	})
+	return out
+}
+
+// view returns the view of a host, or nil.
+func (b *balance) view(host id.HostID) *homeView {
+	for i := range b.homes {
+		if b.homes[i].host == host {
+			return &b.homes[i]
+		}
+	}
+	return nil
+}
+
+// unasked returns the number of waiting callers that no unanswered request covers.
+func (b *balance) unasked() int {
+	n := len(b.waiters)
+	for i := range b.homes {
+		n -= b.homes[i].asked
+	}
+	return max(n, 0)
+}
+
+// busy reports whether a request is unanswered.
+func (b *balance) busy() bool {
+	for i := range b.homes {
+		if b.homes[i].inFlight != 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// nextReady returns the earliest time at which a home can be asked, and
+// whether every home failed to answer.
+func (b *balance) nextReady() (clock.Time, bool) {
+	at, failed := clock.Time(longest)*2, true
+	for i := range b.homes {
+		at = min(at, b.homes[i].emptyUntil)
+		failed = failed && b.homes[i].failed
+	}
+	return at, failed
+}
+
+// idle reports whether forgetting the balance loses nothing but the demand estimate.
+func (b *balance) idle() bool {
+	return len(b.grants) == 0 && len(b.waiters) == 0 && !b.busy()
+}
--- /dev/null
+++ b/internal/ratelimit/bucket.go
@@ -0,0 +1,138 @@
+package ratelimit
+
+import (
+	"time"
+
+	"buckthornlatch.example/buckthornlatch/internal/clock"
+	"buckthornlatch.example/buckthornlatch/internal/invariant"
+)
+
+// bucket is a home's state for one customer.
+type bucket struct {
+	// share is the wanted share; force is the limit in force, which differs
+	// while waiting says that other homes may still use an older division.
+	share   Share
+	force   Limit
+	waiting bool
+	level   Micro
+	held    outstanding
+	// last is the time up to which refill was credited. It stays behind while
+	// outstanding tokens fill the bucket: a report that some were spent earlier
+	// then makes the time since that spend count.
+	last clock.Time
+}
+
+// room returns how much the bucket may still refill.
+func (b *bucket) room() Micro {
+	return b.force.capacity() - b.level - b.held.total
+}
+
+// settle ends the holds that are over and refills up to now.
+func (b *bucket) settle(now clock.Time) {
+	for g := b.held.expired(now); g != nil; g = b.held.expired(now) {
+		end := g.until
+		b.refill(end)
+		b.skip(end)
+		b.held.dropOldest()
+	}
+	b.refill(now)
+	b.check()
+}
+
+// refill credits the time since last as far as there is room.
+func (b *bucket) refill(now clock.Time) {
+	rate := derated(b.force.Rate)
+	if now.Before(b.last) {
+		return
+	}
+	amount := earned(rate, now.Sub(b.last), b.room())
+	b.level += amount
+	b.last = b.last.Add(min(timeFor(rate, amount), now.Sub(b.last)))
+	if b.room() <= 0 && b.held.total == 0 {
+		b.last = now
+	}
+}
+
+// skip gives up the uncredited time before at, because the bucket was full then.
+// The caller has refilled up to at or later.
+func (b *bucket) skip(at clock.Time) {
+	if b.room() <= 0 && b.last.Before(at) {
+		b.last = at
+	}
+}
+
+// take removes n tokens that are spent at now and reports whether they were there.
+func (b *bucket) take(now clock.Time, n int) bool {
+	if b.level < tokens(n) {
+		return false
+	}
+	b.skip(now)
+	b.level -= tokens(n)
+	return true
+}
+
+// grant moves n tokens from the level to the outstanding ones.
+func (b *bucket) grant(now clock.Time, sequence uint64, n int) {
+	b.level -= tokens(n)
+	b.held.add(heldGrant{sequence: sequence, tokens: int32(n), until: now.Add(GrantHold)})
+	b.check()
+}
+
+// report applies an entry's report; the bucket is settled at now.
+func (b *bucket) report(now clock.Time, r Report) {
+	g := b.held.find(r.Grant.Sequence)
+	if g == nil || g.closed {
+		return
+	}
+	if spent := int32(min(max(r.Spent, 0), int(g.tokens))); spent > g.spent {
+		b.skip(now.Add(-shrunk(max(r.Age, 0))))
+		b.held.total -= tokens(int(spent - g.spent))
+		g.spent = spent
+		b.refill(now)
+	}
+	g.closed = g.closed || g.spent == g.tokens
+	if r.Closed && !g.closed {
+		unspent := g.unspent()
+		g.closed = true
+		b.held.total -= unspent
+		b.level += min(unspent, max(b.force.capacity()-b.level-b.held.total, 0))
+	}
+	b.held.dropClosed()
+	b.check()
+}
+
+// setForce puts a limit in force from now on. Tokens above a smaller capacity
+// are lost; grants above it run out.
+func (b *bucket) setForce(now clock.Time, limit Limit) {
+	b.settle(now)
+	b.skip(now)
+	b.force = limit
+	b.level = max(min(b.level, limit.capacity()-b.held.total), 0)
+	b.check()
+}
+
+// untilToken returns the time until the level can hold one more whole token.
+func (b *bucket) untilToken() time.Duration {
+	return timeFor(derated(b.force.Rate), tokens(b.level.whole()+1)-b.level)
+}
+
+// check asserts that the tokens that can be spent never exceed the capacity.
+// After a reduction the outstanding grants alone may exceed it; the level is zero then.
+func (b *bucket) check() {
+	fits := b.level+b.held.total <= b.force.capacity()
+	invariant.Check(b.level >= 0 && b.held.total >= 0 && (fits || b.level == 0), "rate-capacity",
+		"level %d + outstanding %d exceed capacity %d", b.level, b.held.total, b.force.capacity())
+}
+
+// reportWithin returns how soon spends should be reported so that unreported
+// ones fill only a small part of the bucket; zero when the bucket is at least half full.
+func (b *bucket) reportWithin() time.Duration {
+	if b.level*2 >= b.force.capacity() {
+		return 0
+	}
+	within := timeFor(derated(b.force.Rate), b.force.capacity()/reportDivisor)
+	if within >= GrantValidity {
+		return 0
+	}
+	return max(within, minReportWithin)
+}
--- /dev/null
+++ b/internal/ratelimit/duty.go
@@ -0,0 +1,16 @@
+package ratelimit
+
+import (
+	"buckthornlatch.example/buckthornlatch/internal/catalogue"
+	"buckthornlatch.example/buckthornlatch/internal/clock"
+)
+
+// Duty tells a home whether it may act. The home asks at every grant.
+type Duty interface {
+	// Confirmed reports whether the slot's duties are confirmed at now.
+	Confirmed(now clock.Time) bool
+	// Settled reports whether no home can still act on a revision older than
+	// revision: more than half of the roster acknowledged it, and the fence of
+	// a new duty holder has passed since.
+	Settled(revision catalogue.Revision, now clock.Time) bool
+}
--- /dev/null
+++ b/internal/ratelimit/homeview.go
@@ -0,0 +1,27 @@
+package ratelimit
+
+import (
+	"buckthornlatch.example/buckthornlatch/internal/clock"
+	"buckthornlatch.example/buckthornlatch/internal/id"
+)
+
+// homeView is what an entry knows about one home of a customer.
+type homeView struct {
+	host id.HostID
+	// inFlight is the id of the unanswered request; zero when there is none.
+	inFlight uint64
+	sentAt   clock.Time
+	// asked is the number of waiting callers that the unanswered request is for.
+	asked int
+	// emptyUntil is when asking for waiting callers makes sense again.
+	emptyUntil clock.Time
+	// prefetchFrom is when asking in advance makes sense again.
+	prefetchFrom clock.Time
+	// failed says that emptyUntil follows from a failed call, not from an empty bucket.
+	failed bool
+}
+
+// ready reports whether the home can be asked for waiting callers.
+func (v *homeView) ready(now clock.Time) bool {
+	return v.inFlight == 0 && !now.Before(v.emptyUntil)
+}
--- /dev/null
+++ b/internal/ratelimit/micro.go
@@ -0,0 +1,58 @@
+package ratelimit
+
+import (
+	"math/bits"
+	"time"
+)
+
+// Micro is an amount in millionths of a token. One request costs one token.
+type Micro int64
+
+// Token is the price of one request.
+const Token Micro = 1_000_000
+
+// tokens returns n whole tokens.
+func tokens(n int) Micro {
+	return Micro(n) * Token
+}
+
+// whole returns the number of whole tokens in m, rounded down.
+func (m Micro) whole() int {
+	return int(m / Token)
+}
+
+// earned returns what rate (micro-tokens per second) yields in d, rounded down, at most limit.
+func earned(rate Micro, d time.Duration, limit Micro) Micro {
+	if rate <= 0 || d <= 0 || limit <= 0 {
+		return 0
+	}
+	hi, lo := bits.Mul64(uint64(rate), uint64(d))
+	if hi >= uint64(time.Second) {
+		return limit
+	}
+	quotient, _ := bits.Div64(hi, lo, uint64(time.Second))
+	if quotient >= uint64(limit) {
+		return limit
+	}
+	return Micro(quotient)
+}
+
+// timeFor returns how long rate (micro-tokens per second) takes to yield
+// amount, rounded up; longest when it never does.
+func timeFor(rate, amount Micro) time.Duration {
+	if amount <= 0 {
+		return 0
+	}
+	if rate <= 0 {
+		return longest
+	}
+	hi, lo := bits.Mul64(uint64(amount), uint64(time.Second))
+	if hi >= uint64(rate) {
+		return longest
+	}
+	quotient, remainder := bits.Div64(hi, lo, uint64(rate))
+	if remainder > 0 {
+		quotient++
+	}
+	return time.Duration(min(quotient, uint64(longest)))
+}
--- /dev/null
+++ b/internal/ratelimit/timers.go
@@ -0,0 +1,57 @@
+package ratelimit
+
+import (
+	"container/heap"
+
+	"buckthornlatch.example/buckthornlatch/internal/clock"
+)
+
+// timers orders balances by the time at which they need attention.
+// It implements heap.Interface.
+type timers []*balance
+
+// set inserts b or moves it to its new due time.
+func (t *timers) set(b *balance, due clock.Time) {
+	b.due = due
+	if b.position >= 0 {
+		heap.Fix(t, b.position)
+		return
+	}
+	heap.Push(t, b)
+}
+
+// remove takes b out.
+func (t *timers) remove(b *balance) {
+	if b.position >= 0 {
+		heap.Remove(t, b.position)
+	}
+}
+
+// Len implements heap.Interface.
+func (t timers) Len() int { return len(t) }
+
+// Less implements heap.Interface.
+func (t timers) Less(i, j int) bool { return t[i].due < t[j].due }
+
+// Swap implements heap.Interface.
+func (t timers) Swap(i, j int) {
+	t[i], t[j] = t[j], t[i]
+	t[i].position, t[j].position = i, j
+}
+
+// Push implements heap.Interface.
+func (t *timers) Push(x any) {
+	b := x.(*balance)
+	b.position = len(*t)
+	*t = append(*t, b)
+}
+
+// Pop implements heap.Interface.
+func (t *timers) Pop() any {
+	old := *t
+	b := old[len(old)-1]
+	old[len(old)-1] = nil
+	*t = old[:len(old)-1]
+	b.position = -1
+	return b
+}
