Add the ticket ledger and the placement of duties

Cause: non-idempotent requests need a decision, made before dispatch, that allows at most one run per ticket; duties need homes that every daemon computes alike. Change: ledger issues and verifies tickets, keeps claims with expiry, response and table limits, and exports its records to a receiver; ownership places duties by rendezvous hashing with at most ceil(k/failure domains) homes per failure domain.

--- /dev/null
+++ b/internal/ledger/copy.go
@@ -0,0 +1,73 @@
+package ledger
+
+import (
+	"errors"
+
+	"buckthornlatch.example/buckthornlatch/internal/clock"
+)
+
+// Errors of a copy that is being received.
+var (
+	ErrCopyTooLarge = errors.New("handed-over records exceed the claim limit")
+	ErrCopyRecord   = errors.New("handed-over record is malformed or repeated")
+)
+
+// Copy collects the records of a ledger that another daemon hands over. It
+// decides nothing before Activate.
+type Copy struct {
+	ledger *Ledger
+}
+
+// NewCopy starts a copy. The settings' limits apply, with the window of the manifest.
+func NewCopy(m Manifest, settings Settings) (*Copy, error) {
+	settings.Window = m.Window
+	if m.Claims > settings.MaxClaims {
+		return nil, ErrCopyTooLarge
+	}
+	l, err := New(m.At, m.Secret, settings)
+	if err != nil {
+		return nil, err
+	}
+	return &Copy{ledger: l}, nil
+}
+
+// Add takes the next records. After an error the copy must be dropped.
+func (c *Copy) Add(records []Record) error {
+	for _, r := range records {
+		if err := c.add(r); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// add takes one record.
+func (c *Copy) add(r Record) error {
+	l := c.ledger
+	if len(l.index) >= l.settings.MaxClaims {
+		return ErrCopyTooLarge
+	}
+	if _, ok := l.index[r.Random]; ok || r.State < Running || r.State > Undetermined {
+		return ErrCopyRecord
+	}
+	slot := l.insert(claim{
+		random: r.Random, fingerprint: r.Fingerprint, serial: r.Serial,
+		issued: r.Issued, claimed: r.Claimed, state: r.State,
+		status: uint16(r.Response.Status),
+	}, r.Customer)
+	l.balance.granted++
+	if r.State == Finished {
+		l.keepResponse(slot, l.slab.at(slot), r.Response)
+	}
+	return nil
+}
+
+// Activate returns the ledger, which decides from now on. It must be called
+// only when every record arrived and before the sender is told so.
+func (c *Copy) Activate(end Completion, now clock.Time) *Ledger {
+	l := c.ledger
+	l.offset = end.LedgerTime.Sub(now)
+	l.nextSerial = end.NextSerial
+	l.advance(now)
+	return l
+}
--- /dev/null
+++ b/internal/ledger/handover_test.go
@@ -0,0 +1,96 @@
+package ledger_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"buckthornlatch.example/buckthornlatch/internal/clock"
+	"buckthornlatch.example/buckthornlatch/internal/ledger"
+)
+
+// handOver copies a sealed ledger to a receiver whose clock reads there.
+func handOver(l *ledger.Ledger, here, there clock.Time) *ledger.Ledger {
+	l.Seal()
+	c, err := ledger.NewCopy(l.Manifest(), ledger.DefaultSettings())
+	Expect(err).NotTo(HaveOccurred())
+	var cursor ledger.Cursor
+	for done := false; !done; {
+		var records []ledger.Record
+		records, cursor, done = l.Export(cursor, 300)
+		Expect(c.Add(records)).To(Succeed())
+	}
+	l.Commit()
+	received := c.Activate(l.Completion(here), there)
+	l.HandOver("gaiman-1")
+	return received
+}
+
+var _ = Describe("Handover of records", func() {
+	var l *ledger.Ledger
+	at := ledger.Location{Host: "trelew-1", Epoch: 3}
+
+	BeforeEach(func() {
+		var err error
+		l, err = ledger.New(at, ledger.Secret{1}, ledger.DefaultSettings())
+		Expect(err).NotTo(HaveOccurred())
+	})
+
+	issue := func(n uint64, now clock.Time) string {
+		t, err := l.Issue("chubut", random(n), now)
+		Expect(err).NotTo(HaveOccurred())
+		return t
+	}
+
+	// Guards against a run at either side that the other side already allowed.
+	It("moves every claim and the right to run", func() {
+		now := clock.Time(time.Hour)
+		var tickets []string
+		for n := range 20 {
+			tickets = append(tickets, issue(uint64(n), now))
+		}
+		for n, t := range tickets[:10] {
+			d := l.Begin("chubut", t, "f", now)
+			l.Finish(d.Claim, ledger.Ran(ledger.Response{Status: 201, Body: fmt.Append(nil, n)}), now)
+		}
+		running := l.Begin("chubut", tickets[10], "f", now)
+		received := handOver(l, now, 5)
+		for n, t := range tickets[:10] {
+			Expect(received.Begin("chubut", t, "f", 6).Response.Body).To(Equal(fmt.Append(nil, n)))
+		}
+		Expect(received.Begin("chubut", tickets[10], "f", 6).Kind).To(Equal(ledger.InProgress))
+		Expect(l.Finish(running.Claim, ledger.NotRun(ledger.GateVerdict), now)).To(Equal(ledger.Moved))
+		Expect(l.Begin("chubut", tickets[11], "f", now)).To(Equal(ledger.Decision{
+			Kind: ledger.HandedOver, At: ledger.Location{Host: "gaiman-1", Epoch: 3},
+		}))
+		Expect(received.Begin("chubut", tickets[11], "f", 6).Kind).To(Equal(ledger.Run))
+		Expect(received.Finish(running.Claim, ledger.NotRun(ledger.GateVerdict), 7)).To(Equal(ledger.Recorded))
+		Expect(received.Begin("chubut", tickets[10], "f", 8).Kind).To(Equal(ledger.Run))
+		Expect(l.Reopen(true)).To(BeFalse())
+	})
+
+	// Guards against a receiver that runs a ticket whose dropped claim it never got.
+	It("continues the ledger's time at the receiver", func() {
+		start := clock.Time(time.Minute)
+		t := issue(1, start)
+		received := handOver(l, start.Add(50*time.Minute), 0)
+		Expect(received.Begin("chubut", t, "f", clock.Time(9*time.Minute)).Kind).To(Equal(ledger.Run))
+		Expect(received.Begin("chubut", t, "f", clock.Time(20*time.Minute)).Kind).To(Equal(ledger.Expired))
+	})
+
+	// Guards against both sides running after a handover whose end is unsure.
+	It("reopens only when the receiver cannot complete", func() {
+		t := issue(1, 0)
+		l.Seal()
+		Expect(l.Begin("chubut", t, "f", 1).Kind).To(Equal(ledger.HandedOver))
+		Expect(l.Reopen(false)).To(BeTrue())
+		l.Seal()
+		l.Commit()
+		Expect(l.Reopen(false)).To(BeFalse())
+		Expect(l.Begin("chubut", t, "f", 1).Kind).To(Equal(ledger.HandedOver))
+		Expect(l.Reopen(true)).To(BeTrue())
+		Expect(l.Begin("chubut", t, "f", 1).Kind).To(Equal(ledger.Run))
+	})
+})
--- /dev/null
+++ b/internal/ledger/outcome.go
@@ -0,0 +1,57 @@
+package ledger
+
+// Proof states how a not-run was proved.
+type Proof uint8
+
+const (
+	// NoProof leaves the outcome unknown.
+	NoProof Proof = iota
+	// NeverDispatched means that the holder of the claim sent no attempt.
+	NeverDispatched
+	// GateVerdict means that every attempt ended with the gate's verdict not-run, or was blocked by it.
+	GateVerdict
+)
+
+// Result is the kind of an Outcome.
+type Result uint8
+
+const (
+	// OutcomeUnknown is final: the request may have run.
+	OutcomeUnknown Result = iota
+	// OutcomeRan records a response.
+	OutcomeRan
+	// OutcomeRanNotKept records that the request ran, without its response.
+	OutcomeRanNotKept
+	// OutcomeNotRun releases the claim; the ticket may run later.
+	OutcomeNotRun
+)
+
+// Outcome ends a claim. The zero value is an unknown outcome.
+type Outcome struct {
+	Result   Result
+	Response Response
+	Proof    Proof
+}
+
+// Ran returns the outcome of a complete response.
+func Ran(r Response) Outcome {
+	return Outcome{Result: OutcomeRan, Response: r}
+}
+
+// RanWithoutAnswer returns the outcome of a run whose response is not kept.
+func RanWithoutAnswer(status int) Outcome {
+	return Outcome{Result: OutcomeRanNotKept, Response: Response{Status: status}}
+}
+
+// NotRun returns the outcome of a proved not-run; without a proof it is unknown.
+func NotRun(p Proof) Outcome {
+	if p == NoProof {
+		return Outcome{}
+	}
+	return Outcome{Result: OutcomeNotRun, Proof: p}
+}
+
+// UnknownOutcome returns the final outcome of a request that may have run.
+func UnknownOutcome() Outcome {
+	return Outcome{}
+}
--- /dev/null
+++ b/internal/ledger/phase.go
@@ -0,0 +1,15 @@
+package ledger
+
+// phase tells whether a ledger may still allow runs.
+type phase uint8
+
+const (
+	// phaseActive allows runs.
+	phaseActive phase = iota
+	// phaseSealed allows no run; the receiver cannot yet activate its copy.
+	phaseSealed
+	// phaseCommitting allows no run; the receiver may have activated its copy.
+	phaseCommitting
+	// phaseHandedOver allows no run ever again.
+	phaseHandedOver
+)
--- /dev/null
+++ b/internal/ledger/record.go
@@ -0,0 +1,51 @@
+package ledger
+
+import (
+	"time"
+
+	"buckthornlatch.example/buckthornlatch/internal/clock"
+	"buckthornlatch.example/buckthornlatch/internal/id"
+)
+
+// recordOverhead is the encoded size of a record without customer and response, rounded up.
+const recordOverhead = 96
+
+// Manifest announces the records of a ledger.
+type Manifest struct {
+	At     Location
+	Secret Secret
+	// Window is the time after issue during which the epoch's tickets may run.
+	Window time.Duration
+	// Claims is the number of claims before the export; some may expire during it.
+	Claims int
+}
+
+// Completion ends an export.
+type Completion struct {
+	// LedgerTime is the ledger time from which the receiver continues. Every claim that
+	// the sender dropped belongs to a ticket that is expired at this time.
+	LedgerTime clock.Time
+	// NextSerial is the serial of the next claim.
+	NextSerial uint64
+}
+
+// Record is one exported claim. Times are in ledger time.
+type Record struct {
+	Random      Random
+	Fingerprint [fingerprintBytes]byte
+	Customer    id.CustomerID
+	Serial      uint64
+	Issued      clock.Time
+	Claimed     clock.Time
+	State       State
+	// Response is complete for Finished and has only the status for FinishedNotKept.
+	Response Response
+}
+
+// size estimates the encoded size in bytes.
+func (r Record) size() int {
+	return recordOverhead + len(r.Customer) + r.Response.size()
+}
+
+// Cursor is a position in an export; it starts at zero.
+type Cursor uint32
--- /dev/null
+++ b/internal/ownership/duty.go
@@ -0,0 +1,17 @@
+package ownership
+
+// DutyKind is the kind of work that a duty names.
+type DutyKind uint8
+
+const (
+	// RateHome keeps a share of a customer's rate; the duty's name is the customer.
+	RateHome DutyKind = iota + 1
+	// PermitHome grants a service's ejection permits; the duty's name is the service.
+	PermitHome
+)
+
+// Duty is work that at most one process may perform at a time for each of its homes.
+type Duty struct {
+	Kind DutyKind
+	Name string
+}
--- /dev/null
+++ b/internal/ownership/homes.go
@@ -0,0 +1,44 @@
+package ownership
+
+// MaxHomes is the largest number of homes that a duty may have.
+const MaxHomes = 8
+
+// homes lists the positions in the roster of a duty's homes, highest score first.
+type homes struct {
+	count  uint8
+	member [MaxHomes]uint16
+}
+
+// candidate is a member with its score for one duty.
+type candidate struct {
+	score  uint64
+	member uint16
+}
+
+// before orders candidates by score; members are sorted by host, so ties are broken by name.
+func (c candidate) before(other candidate) bool {
+	if c.score != other.score {
+		return c.score > other.score
+	}
+	return c.member < other.member
+}
+
+// ranking keeps the best few candidates of one failure domain, best first.
+type ranking struct {
+	best  [MaxHomes]candidate
+	count int
+}
+
+// offer adds a candidate if it is among the best limit ones.
+func (r *ranking) offer(c candidate, limit int) {
+	i := r.count
+	for i > 0 && c.before(r.best[i-1]) {
+		i--
+	}
+	if i >= limit {
+		return
+	}
+	r.count = min(r.count+1, limit)
+	copy(r.best[i+1:r.count], r.best[i:r.count-1])
+	r.best[i] = c
+}
