--- /dev/null
+++ b/internal/platform/memory.go
@@ -0,0 +1,73 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"sync"
+)
+
+// Memory is a table and object store in memory. The zero value is not usable; see NewMemory.
+type Memory struct {
+	mu       sync.Mutex
+	revision Revision
+	rows     map[string]Row
+	// keys holds every key ever written, sorted.
+	keys []string
+	// log holds every write in commit order; superseded writes are dropped now and then.
+	log []write
+	// superseded counts the log's writes that a later write of the same row replaced.
+	superseded int
+	objects    map[string][]byte
+}
+
+// write is one row write in the log.
+type write struct {
+	revision Revision
+	key      string
+}
+
+// NewMemory returns an empty table and object store.
+func NewMemory() *Memory {
+	return &Memory{rows: map[string]Row{}, objects: map[string][]byte{}}
+}
+
+// Table returns the table.
+func (m *Memory) Table() Table {
+	return memoryTable{m}
+}
+
+// Objects returns the object store.
+func (m *Memory) Objects() ObjectStore {
+	return memoryObjects{m}
+}
+
+// memoryTable implements Table.
+type memoryTable struct{ m *Memory }
+
+// memoryObjects implements ObjectStore.
+type memoryObjects struct{ m *Memory }
+
+// Put implements ObjectStore.
+func (o memoryObjects) Put(ctx context.Context, name string, data []byte) error {
+	if err := ctx.Err(); err != nil {
+		return &NotDoneError{Step: "put object", Err: err}
+	}
+	o.m.mu.Lock()
+	defer o.m.mu.Unlock()
+	o.m.objects[name] = bytes.Clone(data)
+	return nil
+}
+
+// Get implements ObjectStore.
+func (o memoryObjects) Get(ctx context.Context, name string) ([]byte, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, &NotDoneError{Step: "get object", Err: err}
+	}
+	o.m.mu.Lock()
+	defer o.m.mu.Unlock()
+	data, ok := o.m.objects[name]
+	if !ok {
+		return nil, ErrNoObject
+	}
+	return bytes.Clone(data), nil
+}
--- /dev/null
+++ b/internal/platform/notdone.go
@@ -0,0 +1,22 @@
+package platform
+
+import "fmt"
+
+// NotDoneError reports a call that certainly had no effect.
+type NotDoneError struct {
+	// Step is the call, for example "commit".
+	Step string
+	// Peer is the platform's address; empty for the in-memory engine.
+	Peer string
+	Err  error
+}
+
+// Error implements error.
+func (e *NotDoneError) Error() string {
+	return fmt.Sprintf("platform %s (peer %s): not done: %v", e.Step, e.Peer, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *NotDoneError) Unwrap() error {
+	return e.Err
+}
--- /dev/null
+++ b/internal/platform/revision.go
@@ -0,0 +1,4 @@
+package platform
+
+// Revision numbers the commits of the table; zero is the empty table.
+type Revision uint64
