--- /dev/null
+++ b/internal/catalogue/apply.go
@@ -0,0 +1,122 @@
+package catalogue
+
+import (
+	"fmt"
+
+	"buckthornlatch.example/buckthornlatch/internal/invariant"
+)
+
+// ApplyError reports a change that does not follow from the snapshot.
+type ApplyError struct {
+	// Revision is the revision of the refused change.
+	Revision Revision
+	// Ref names the offending entry; empty when the change as a whole is wrong.
+	Ref    Ref
+	Reason string
+}
+
+// Error implements error.
+func (e *ApplyError) Error() string {
+	if e.Ref == (Ref{}) {
+		return fmt.Sprintf("catalogue change %d: %s", e.Revision, e.Reason)
+	}
+	return fmt.Sprintf("catalogue change %d: %s: %s", e.Revision, e.Ref, e.Reason)
+}
+
+// Apply returns the snapshot after the change. The change's revision must be
+// the next one, and each edit must start from the entry that the snapshot
+// holds. Error: *ApplyError; the snapshot itself never changes.
+func (s *Snapshot) Apply(change *Change) (*Snapshot, error) {
+	if change.Revision != s.revision+1 {
+		reason := fmt.Sprintf("does not follow revision %d", s.revision)
+		return nil, &ApplyError{Revision: change.Revision, Reason: reason}
+	}
+	if reason, ref := s.refuse(change); reason != "" {
+		return nil, &ApplyError{Revision: change.Revision, Ref: ref, Reason: reason}
+	}
+	b := newBuilder(s)
+	for _, edit := range change.Edits {
+		if edit.After == nil {
+			b.remove(edit.Ref())
+			continue
+		}
+		b.set(edit.After.withRevision(change.Revision))
+	}
+	next := b.done(change.Revision)
+	if next.hashes.size != next.keys.size {
+		return nil, &ApplyError{Revision: change.Revision, Reason: "two keys have the same hash"}
+	}
+	assertSuccession(s, next, change)
+	return next, nil
+}
+
+// refuse returns why the change cannot be applied, or an empty reason.
+func (s *Snapshot) refuse(change *Change) (string, Ref) {
+	seen := make(map[Ref]bool, len(change.Edits))
+	for _, edit := range change.Edits {
+		if edit.Before == nil && edit.After == nil {
+			return "an edit without an entry", Ref{}
+		}
+		ref := edit.Ref()
+		if seen[ref] {
+			return "edited twice in one change", ref
+		}
+		seen[ref] = true
+		if reason := s.refuseEdit(edit, ref); reason != "" {
+			return reason, ref
+		}
+	}
+	return "", Ref{}
+}
+
+// refuseEdit returns why one edit cannot be applied, or an empty reason.
+func (s *Snapshot) refuseEdit(edit Edit, ref Ref) string {
+	current := s.Entry(ref)
+	switch {
+	case edit.Before == nil && current != nil:
+		return "already exists"
+	case edit.Before != nil && current == nil:
+		return "does not exist"
+	case edit.Before != nil && edit.Before.Ref() != ref:
+		return "before and after name different entries"
+	case edit.Before != nil && edit.Before.Common().Revision != current.Common().Revision:
+		return fmt.Sprintf("is at revision %d, not %d", current.Common().Revision, edit.Before.Common().Revision)
+	}
+	if key, ok := current.(*Key); ok {
+		return refuseKeyEdit(key, edit.After)
+	}
+	if key, ok := edit.After.(*Key); ok && s.KeyByHash(&key.Hash) != nil {
+		return "another key has the same hash"
+	}
+	return ""
+}
+
+// refuseKeyEdit returns why an existing key cannot become after. Keys stay as
+// rows with their hash and customer, so that no later entry can revive one.
+func refuseKeyEdit(key *Key, after Entry) string {
+	next, ok := after.(*Key)
+	switch {
+	case !ok:
+		return "keys cannot be deleted, only revoked"
+	case next.Hash != key.Hash || next.Customer != key.Customer:
+		return "the hash and customer of a key cannot change"
+	case key.Revoked && !next.Revoked:
+		return "a revoked key cannot become valid again"
+	}
+	return ""
+}
+
+// assertSuccession checks what must hold between consecutive snapshots.
+func assertSuccession(s, next *Snapshot, change *Change) {
+	invariant.Check(next.revision > s.revision, "catalogue-revision-monotonic",
+		"revision %d follows %d", next.revision, s.revision)
+	for _, edit := range change.Edits {
+		key, ok := edit.Before.(*Key)
+		if !ok {
+			continue
+		}
+		before, after := s.Key(key.ID), next.Key(key.ID)
+		invariant.Check(after != nil && (after.Revoked || !before.Revoked), "key-stays-revoked",
+			"key %s at revision %d", key.ID, next.revision)
+	}
+}
--- /dev/null
+++ b/internal/catalogue/file.go
@@ -0,0 +1,79 @@
+package catalogue
+
+import "slices"
+
+// File is the content of one or more catalogue files.
+type File struct {
+	Entries []FileEntry
+	// Deletes name the entries that the files delete.
+	Deletes []FileDelete
+}
+
+// FileEntry is an entry read from a file. The entry's revision is zero.
+type FileEntry struct {
+	Entry Entry
+	// Base is the revision on which the file's author based the entry; zero when not stated.
+	Base Revision
+	file string
+	at   section
+}
+
+// FileDelete is a deletion read from a file.
+type FileDelete struct {
+	Ref Ref
+	// Base is the revision on which the file's author based the deletion; zero when not stated.
+	Base Revision
+	file string
+	at   section
+}
+
+// Refs returns the names of all entries and deletions, in file order.
+func (f *File) Refs() []Ref {
+	refs := make([]Ref, 0, len(f.Entries)+len(f.Deletes))
+	for _, e := range f.Entries {
+		refs = append(refs, e.Entry.Ref())
+	}
+	for _, d := range f.Deletes {
+		refs = append(refs, d.Ref)
+	}
+	return refs
+}
+
+// Locate turns problems with the file's entries into file errors. A problem
+// with an entry that the file does not contain has line zero.
+func (f *File) Locate(problems []Problem) error {
+	var out FileErrors
+	for _, p := range problems {
+		out = append(out, f.locate(p))
+	}
+	return out.orNil()
+}
+
+// locate turns one problem into a file error.
+func (f *File) locate(p Problem) FileError {
+	at := slices.IndexFunc(f.Entries, func(e FileEntry) bool { return e.Entry.Ref() == p.Ref })
+	if at >= 0 {
+		e := f.Entries[at]
+		return FileError{File: e.file, Line: e.at.lineOf(p.Key), Key: string(p.Ref.Kind) + "." + p.Key, Reason: p.Reason}
+	}
+	file := "catalogue"
+	if len(f.Entries) > 0 {
+		file = f.Entries[0].file
+	} else if len(f.Deletes) > 0 {
+		file = f.Deletes[0].file
+	}
+	return FileError{File: file, Key: p.Ref.String() + "." + p.Key, Reason: p.Reason}
+}
+
+// CheckReferences checks the files' references among themselves and against
+// the base, usually the current catalogue or Empty. Error: FileErrors.
+func (f *File) CheckReferences(base *Snapshot) error {
+	b := newBuilder(base)
+	for _, e := range f.Entries {
+		b.set(e.Entry)
+	}
+	for _, d := range f.Deletes {
+		b.remove(d.Ref)
+	}
+	return f.Locate(b.done(base.revision).References(f.Refs()))
+}
--- /dev/null
+++ b/internal/catalogue/fileerror.go
@@ -0,0 +1,46 @@
+package catalogue
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// FileError is one mistake in a catalogue file.
+type FileError struct {
+	File string
+	// Line counts from 1; zero when the mistake has no line.
+	Line int
+	// Key is the offending key, for example "route.path_prefix".
+	Key    string
+	Reason string
+}
+
+// Error returns the form "file:line: key: reason".
+func (e FileError) Error() string {
+	return fmt.Sprintf("%s:%d: %s: %s", e.File, e.Line, e.Key, e.Reason)
+}
+
+// FileErrors are all mistakes found in catalogue files.
+type FileErrors []FileError
+
+// Error returns one line per mistake.
+func (e FileErrors) Error() string {
+	lines := make([]string, 0, len(e))
+	for _, one := range e {
+		lines = append(lines, one.Error())
+	}
+	return strings.Join(lines, "\n")
+}
+
+// orNil returns the errors in file order, or nil when there are none.
+func (e FileErrors) orNil() error {
+	if len(e) == 0 {
+		return nil
+	}
+	slices.SortStableFunc(e, func(a, b FileError) int {
+		return cmp.Or(strings.Compare(a.File, b.File), cmp.Compare(a.Line, b.Line))
+	})
+	return e
+}
--- /dev/null
+++ b/internal/catalogue/load_test.go
@@ -0,0 +1,152 @@
+package catalogue_test
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"buckthornlatch.example/buckthornlatch/internal/catalogue"
+)
+
+const validFile = `
+[[host]]
+id = "trelew-1"
+owner = "ops"
+failure_domain = "trelew"
+
+[[service]]
+name = "reservas"
+owner = "ops"
+request_timeout = "5s"
+
+[[customer]]
+id = "parks"
+owner = "sales"
+class = "large"
+rate_per_second = 50
+burst = 100
+
+[[route]]
+id = "book"
+owner = "ops"
+service = "reservas"
+path_prefix = "/bookings"
+methods = ["POST", "DELETE"]
+customers = ["parks"]
+revision = 7
+`
+
+var _ = Describe("Load", func() {
+	// Guards against wrong defaults and lists whose order makes equal entries differ.
+	It("reads entries with defaults", func() {
+		file, err := catalogue.Load("c.toml", []byte(validFile))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(file.CheckReferences(catalogue.Empty())).To(Succeed())
+		service := file.Entries[1].Entry.(*catalogue.Service)
+		Expect(service.ProgressTimeout).To(Equal(5 * time.Second))
+		Expect(service.MinHealthyFraction).To(Equal(catalogue.DefaultMinHealthyFraction))
+		route := file.Entries[3].Entry.(*catalogue.Route)
+		Expect(route.Methods).To(Equal([]string{"DELETE", "POST"}))
+		Expect(file.Entries[3].Base).To(Equal(catalogue.Revision(7)))
+	})
+
+	// Guards against reporting only the first mistake, or a mistake without its line.
+	It("reports every mistake with its line", func() {
+		_, err := catalogue.Load("c.toml", []byte(`colour = "red"
+
+[[host]]
+id = "Trelew 1"
+failure_domain = "trelew"
+
+[[service]]
+name = "s"
+owner = "ops"
+queue_limt = 5
+
+[[customer]]
+id = "parks"
+owner = "ops"
+rate_per_second = "fast"
+burst = 1
+
+[[route]]
+id = "r"
+owner = "ops"
+service = "s"
+path_prefix = "/a/../b"
+
+[[service]]
+name = "s"
+owner = "ops"
+`))
+		var mistakes catalogue.FileErrors
+		Expect(errors.As(err, &mistakes)).To(BeTrue())
+		got := map[string]int{}
+		for _, m := range mistakes {
+			Expect(m.File).To(Equal("c.toml"))
+			Expect(m.Reason).NotTo(BeEmpty())
+			got[m.Key] = m.Line
+		}
+		Expect(got).To(Equal(map[string]int{
+			"colour": 1, "host.id": 4, "host.owner": 3, "service.queue_limt": 10,
+			"customer.rate_per_second": 15, "route.path_prefix": 22, "route.customers": 18, "service": 24,
+		}))
+	})
+
+	// Guards against a syntax error without position.
+	It("reports the line of a syntax error", func() {
+		_, err := catalogue.Load("c.toml", []byte("[[host]]\nid = \n"))
+		var mistakes catalogue.FileErrors
+		Expect(errors.As(err, &mistakes)).To(BeTrue())
+		Expect(mistakes[0].Line).To(Equal(2))
+	})
+
+	// Guards against references that name nothing and routes that match the same requests.
+	It("checks references", func() {
+		file, err := catalogue.Load("c.toml", []byte(`
+[[route]]
+id = "a"
+owner = "ops"
+service = "none"
+path_prefix = "/x"
+open_to_all = true
+[[route]]
+id = "b"
+owner = "ops"
+service = "none"
+path_prefix = "/x"
+customers = ["nobody"]
+`))
+		Expect(err).NotTo(HaveOccurred())
+		var mistakes catalogue.FileErrors
+		Expect(errors.As(file.CheckReferences(catalogue.Empty()), &mistakes)).To(BeTrue())
+		var lines []int
+		for _, m := range mistakes {
+			lines = append(lines, m.Line)
+		}
+		Expect(lines).To(Equal([]int{5, 6, 11, 12, 13}))
+	})
+})
+
+// FuzzLoad guards against panics on any input, and against entries that pass
+// the file's checks but not their own.
+func FuzzLoad(f *testing.F) {
+	f.Add([]byte(validFile))
+	f.Add([]byte("[[delete]]\nkind = \"route\"\nid = \"a\"\n"))
+	f.Add([]byte("host = [{id = \"a\"}]\n[route]\nx = 1\n"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		file, err := catalogue.Load("f.toml", data)
+		if err != nil {
+			return
+		}
+		for _, e := range file.Entries {
+			if problems := catalogue.Validate(e.Entry); len(problems) > 0 {
+				t.Fatalf("accepted an invalid entry: %v", problems)
+			}
+		}
+		_ = file.CheckReferences(catalogue.Empty())
+	})
+}
--- a/internal/catalogue/meta.go
+++ b/internal/catalogue/meta.go
@@ -6,6 +6,6 @@
 	Owner string `toml:"owner"`
 	// Class is the operators' classification, for example "standard" or "large".
 	Class string `toml:"class"`
-	// Revision is the catalogue revision of the entry's last change; zero in files.
+	// Revision is the catalogue revision of the entry's last change; zero before it was accepted.
 	Revision Revision `toml:"-"`
 }
