Add membership records and the gossip exchange

Entries need the targets of other hosts before any other part can be wired. Every host publishes one record; daemons exchange digests and pull newer records over twirp. Heartbeats travel as ages, not counters, so that a paused relay cannot pass on an old heartbeat as news, and count for freshness only when the riders that came with them were accepted.

--- /dev/null
+++ b/internal/gossip/decode.go
@@ -0,0 +1,144 @@
+package gossip
+
+import (
+	"time"
+
+	"buckthornlatch.example/buckthornlatch/internal/catalogue"
+	"buckthornlatch.example/buckthornlatch/internal/id"
+	"buckthornlatch.example/buckthornlatch/internal/membership"
+	rpc "buckthornlatch.example/buckthornlatch/rpc/gossip"
+)
+
+// decodeRequest reads the wire form of a request.
+func decodeRequest(r *rpc.ExchangeRequest) membership.Request {
+	return membership.Request{
+		Sender: decodeSender(r.GetSender()),
+		Digest: decodeDigest(r.GetDigest()),
+		Riders: decodeRiders(r.GetRiders()),
+	}
+}
+
+// decodeResponse reads the wire form of a response.
+func decodeResponse(r *rpc.ExchangeResponse) membership.Response {
+	return membership.Response{
+		Sender:            decodeSender(r.GetSender()),
+		UnknownDictionary: r.GetUnknownDictionary(),
+		Digest:            decodeDigest(r.GetDigest()),
+		Riders:            decodeRiders(r.GetRiders()),
+		Records:           decodeUpdates(r.GetRecords()),
+		Wanted:            r.GetWanted(),
+		WantRiders:        r.GetWantRiders(),
+	}
+}
+
+// decodePush reads the wire form of a push.
+func decodePush(p *rpc.PushRequest) membership.Push {
+	return membership.Push{
+		Sender:  decodeSender(p.GetSender()),
+		Records: decodeUpdates(p.GetRecords()),
+		Digest:  decodeDigest(p.GetDigest()),
+		Riders:  decodeRiders(p.GetRiders()),
+	}
+}
+
+// decodeSender reads the wire form of a sender.
+func decodeSender(s *rpc.Sender) membership.Sender {
+	age := time.Duration(-1)
+	if s.GetPlatformReadAgeMsPlusOne() > 0 {
+		age = time.Duration(s.GetPlatformReadAgeMsPlusOne()-1) * time.Millisecond
+	}
+	return membership.Sender{
+		Host:                id.HostID(s.GetHost()),
+		Incarnation:         id.Incarnation(s.GetIncarnation()),
+		ClockMs:             s.GetClockMs(),
+		ReceiverClockMs:     s.GetReceiverClockMsPlusOne() - 1,
+		ReceiverIncarnation: id.Incarnation(s.GetReceiverIncarnation()),
+		PlatformReadAge:     age,
+	}
+}
+
+// decodeDigest reads the wire form of a digest.
+func decodeDigest(d *rpc.Digest) membership.Digest {
+	return membership.Digest{
+		Dictionary: d.GetDictionary(),
+		Keys:       d.GetKeys(),
+		Ages:       d.GetAges(),
+		Tags:       d.GetTags(),
+		Sequences:  d.GetSequences(),
+	}
+}
+
+// decodeRiders reads the wire form of the riders' states.
+func decodeRiders(riders []*rpc.RiderState) []membership.RiderState {
+	states := make([]membership.RiderState, 0, len(riders))
+	for _, r := range riders {
+		states = append(states, membership.RiderState{Name: r.GetName(), Summary: r.GetSummary(), Delta: r.GetDelta()})
+	}
+	return states
+}
+
+// decodeUpdates reads the wire form of records; records without a host are dropped.
+func decodeUpdates(records []*rpc.Record) []membership.Update {
+	updates := make([]membership.Update, 0, len(records))
+	for _, r := range records {
+		if r.GetHost() != "" {
+			updates = append(updates, membership.Update{Record: decodeRecord(r), StatusOnly: r.GetStatusOnly()})
+		}
+	}
+	return updates
+}
+
+// decodeRecord reads the wire form of a record.
+func decodeRecord(r *rpc.Record) *membership.Record {
+	return &membership.Record{
+		Host:            id.HostID(r.GetHost()),
+		FailureDomain:   id.FailureDomain(r.GetFailureDomain()),
+		Addresses:       membership.Addresses{Control: r.GetControlAddress(), Hop: r.GetHopAddress()},
+		Incarnation:     id.Incarnation(r.GetIncarnation()),
+		Sequence:        r.GetSequence(),
+		ContentSequence: r.GetContentSequence(),
+		Status: membership.Status{
+			Epoch:              id.Epoch(r.GetEpoch()),
+			CatalogueRevision:  catalogue.Revision(r.GetCatalogueRevision()),
+			RosterAcknowledged: catalogue.Revision(r.GetRosterAcknowledged()),
+			EpochsMark:         r.GetEpochsMark(),
+			RevocationsMark:    r.GetRevocationsMark(),
+		},
+		Targets:  decodeTargets(r.GetTargets()),
+		Suspects: decodeSuspects(r.GetSuspects()),
+	}
+}
+
+// decodeTargets reads the wire form of targets.
+func decodeTargets(targets []*rpc.Target) []membership.Target {
+	decoded := make([]membership.Target, 0, len(targets))
+	for _, t := range targets {
+		decoded = append(decoded, membership.Target{
+			Name:         t.GetName(),
+			Service:      id.ServiceName(t.GetService()),
+			State:        membership.TargetState(t.GetState()),
+			Slots:        int(t.GetSlots()),
+			Latency:      membership.CoarseLatency(t.GetLatency()),
+			ErrorPercent: uint8(t.GetErrorPercent()),
+			Suspected:    t.GetSuspected(),
+		})
+	}
+	return decoded
+}
+
+// decodeSuspects reads the wire form of evidence about crashing requests.
+func decodeSuspects(suspects []*rpc.Suspect) []membership.Suspect {
+	decoded := make([]membership.Suspect, 0, len(suspects))
+	for _, s := range suspects {
+		d := membership.Suspect{Fingerprint: s.GetFingerprint(), Completions: s.GetCompletions(), Running: s.GetRunning()}
+		for _, c := range s.GetCrashed() {
+			d.Crashed = append(d.Crashed, membership.CrashRef{
+				Target: id.TargetID{Host: id.HostID(c.GetHost()), Name: c.GetTarget()},
+				Number: c.GetNumber(),
+				Age:    time.Duration(c.GetAgeMs()) * time.Millisecond,
+			})
+		}
+		decoded = append(decoded, d)
+	}
+	return decoded
+}
--- /dev/null
+++ b/internal/gossip/loop.go
@@ -0,0 +1,81 @@
+package gossip
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"buckthornlatch.example/buckthornlatch/internal/membership"
+)
+
+// Run exchanges and pushes until ctx ends. It returns after its calls have ended.
+func (s *Service) Run(ctx context.Context) {
+	var group sync.WaitGroup
+	defer group.Wait()
+	group.Go(func() { s.pushLoop(ctx) })
+	ticker := time.NewTicker(s.config.Membership.Period)
+	defer ticker.Stop()
+	for round := 0; ; round++ {
+		// Each exchange has its own goroutine, so that a peer that does not answer delays no other.
+		group.Go(func() { s.round(ctx, round) })
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// round exchanges with one peer, and with a seed while no peer is known and now and then.
+func (s *Service) round(ctx context.Context, round int) {
+	s.mu.Lock()
+	now := s.config.Clock.Now()
+	gone := s.table.Forget(now)
+	peer := s.table.ChoosePeer(now)
+	seed := ""
+	if len(s.seeds) > 0 && (peer == nil || round%seedPeriods == 0) {
+		seed = s.seeds[s.random.IntN(len(s.seeds))]
+	}
+	s.mu.Unlock()
+	for _, host := range gone {
+		s.config.Log.Info().Str("host", string(host)).Msg("gossip: host forgotten")
+	}
+	if seed != "" {
+		s.exchange(ctx, "", seed)
+	}
+	if peer != nil {
+		s.exchange(ctx, peer.Host, peer.Addresses.Control)
+	}
+}
+
+// pushLoop pushes the own record whenever it changed.
+func (s *Service) pushLoop(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.pushes:
+		}
+		s.pushOnce(ctx)
+	}
+}
+
+// pushOnce sends the own record to a few peers at the same time.
+func (s *Service) pushOnce(ctx context.Context) {
+	s.mu.Lock()
+	peers := s.table.ChoosePushPeers(s.config.PushPeers, s.config.Clock.Now())
+	s.mu.Unlock()
+	var group sync.WaitGroup
+	for _, peer := range peers {
+		group.Go(func() { s.push(ctx, peer) })
+	}
+	group.Wait()
+}
+
+// push sends the own record to one peer.
+func (s *Service) push(ctx context.Context, peer *membership.Record) {
+	s.mu.Lock()
+	push := s.table.NewPush(peer.Host, s.config.Clock.Now())
+	s.mu.Unlock()
+	s.send(ctx, peer.Host, peer.Addresses.Control, push)
+}
--- /dev/null
+++ b/internal/gossip/service.go
@@ -0,0 +1,89 @@
+package gossip
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+
+	"buckthornlatch.example/buckthornlatch/internal/membership"
+	rpc "buckthornlatch.example/buckthornlatch/rpc/gossip"
+)
+
+// Service owns the membership table and talks to the peers. It is safe for concurrent use.
+type Service struct {
+	config Config
+
+	mu     sync.Mutex
+	table  *membership.Table
+	seeds  []string
+	random *rand.Rand
+	seen   uint64
+
+	// pushes asks the loop to push the own record; it holds at most one request.
+	pushes chan struct{}
+}
+
+// New returns a service whose table knows only its own host. It does no I/O before Run.
+func New(config Config) *Service {
+	config = config.withDefaults()
+	return &Service{
+		config: config,
+		table:  membership.NewTable(config.Membership, config.Clock.Now()),
+		seeds:  slices.Clone(config.Seeds),
+		random: rand.New(rand.NewPCG(config.Membership.Seed, 1)),
+		pushes: make(chan struct{}, 1),
+	}
+}
+
+// Handler returns the HTTP handler of the control messages, rooted at "/".
+func (s *Service) Handler() http.Handler {
+	return rpc.NewGossipServer(&server{service: s})
+}
+
+// View calls f with the table. f must not keep the table or call the service; records may be kept.
+func (s *Service) View(f func(t *membership.Table)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f(s.table)
+}
+
+// Update calls f with the table and pushes the own record to a few peers when its version changed.
+func (s *Service) Update(f func(t *membership.Table)) {
+	s.mu.Lock()
+	before := s.table.Self().Version()
+	f(s.table)
+	changed := s.table.Self().Version() != before
+	s.mu.Unlock()
+	if changed {
+		s.requestPush()
+	}
+	s.notify()
+}
+
+// SetSeeds replaces the seed addresses, for example by the host addresses that the platform lists.
+func (s *Service) SetSeeds(addresses []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.seeds = slices.Clone(addresses)
+}
+
+// requestPush wakes the loop's push part; requests that come together are served by one push.
+func (s *Service) requestPush() {
+	select {
+	case s.pushes <- struct{}{}:
+	default:
+	}
+}
+
+// notify calls OnChange when records changed since the last call.
+func (s *Service) notify() {
+	s.mu.Lock()
+	changes := s.table.Changes()
+	changed := changes != s.seen
+	s.seen = changes
+	s.mu.Unlock()
+	if changed && s.config.OnChange != nil {
+		s.config.OnChange()
+	}
+}
--- /dev/null
+++ b/internal/membership/epochs.go
@@ -0,0 +1,113 @@
+package membership
+
+import (
+	"encoding/binary"
+	"errors"
+	"hash/fnv"
+	"slices"
+
+	"buckthornlatch.example/buckthornlatch/internal/id"
+)
+
+// errEpochDelta reports a malformed delta of the highest epochs.
+var errEpochDelta = errors.New("malformed epoch delta")
+
+// Epochs holds the highest epoch known of every host slot, from the platform or from peers.
+// It is a Rider: whoever accepts a heartbeat also knows the epochs that its sender knew.
+type Epochs struct {
+	highest map[id.HostID]id.Epoch
+	mark    uint64
+}
+
+// NewEpochs returns an empty set.
+func NewEpochs() *Epochs {
+	return &Epochs{highest: make(map[id.HostID]id.Epoch)}
+}
+
+// Highest returns the highest epoch known of a host slot; zero when none is known.
+func (e *Epochs) Highest(host id.HostID) id.Epoch {
+	return e.highest[host]
+}
+
+// Raise records an epoch and reports whether it was new.
+func (e *Epochs) Raise(host id.HostID, epoch id.Epoch) bool {
+	old := e.highest[host]
+	if epoch <= old {
+		return false
+	}
+	e.highest[host] = epoch
+	e.mark ^= epochHash(host, old) ^ epochHash(host, epoch)
+	return true
+}
+
+// Mark returns a hash of the whole set, independent of the order of changes.
+func (e *Epochs) Mark() uint64 {
+	return e.mark
+}
+
+// Name implements Rider.
+func (e *Epochs) Name() string { return "epochs" }
+
+// Summary implements Rider.
+func (e *Epochs) Summary() []byte {
+	return binary.BigEndian.AppendUint64(nil, e.mark)
+}
+
+// Covers implements Rider. Only equal sets are known to cover each other.
+func (e *Epochs) Covers(summary []byte) bool {
+	return len(summary) == 8 && binary.BigEndian.Uint64(summary) == e.mark
+}
+
+// Delta implements Rider.
+func (e *Epochs) Delta(summary []byte) ([]byte, error) {
+	if e.Covers(summary) {
+		return nil, nil
+	}
+	var delta []byte
+	for _, host := range e.hosts() {
+		delta = binary.AppendUvarint(delta, uint64(len(host)))
+		delta = append(delta, host...)
+		delta = binary.AppendUvarint(delta, uint64(e.highest[host]))
+	}
+	return delta, nil
+}
+
+// Merge implements Rider.
+func (e *Epochs) Merge(delta []byte) error {
+	for len(delta) > 0 {
+		length, n := binary.Uvarint(delta)
+		if n <= 0 || uint64(len(delta)-n) < length {
+			return errEpochDelta
+		}
+		host := id.HostID(delta[n : n+int(length)])
+		delta = delta[n+int(length):]
+		epoch, n := binary.Uvarint(delta)
+		if n <= 0 {
+			return errEpochDelta
+		}
+		delta = delta[n:]
+		e.Raise(host, id.Epoch(epoch))
+	}
+	return nil
+}
+
+// hosts returns the known host slots in order.
+func (e *Epochs) hosts() []id.HostID {
+	hosts := make([]id.HostID, 0, len(e.highest))
+	for host := range e.highest {
+		hosts = append(hosts, host)
+	}
+	slices.Sort(hosts)
+	return hosts
+}
+
+// epochHash hashes one entry; an epoch of zero is no entry and hashes to zero.
+func epochHash(host id.HostID, epoch id.Epoch) uint64 {
+	if epoch == 0 {
+		return 0
+	}
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(host))
+	_, _ = h.Write(binary.BigEndian.AppendUint64([]byte{0}, uint64(epoch)))
+	return h.Sum64()
+}
--- /dev/null
+++ b/internal/membership/record.go
@@ -0,0 +1,72 @@
+package membership
+
+import (
+	"slices"
+
+	"buckthornlatch.example/buckthornlatch/internal/catalogue"
+	"buckthornlatch.example/buckthornlatch/internal/id"
+)
+
+// Addresses lists where a host can be reached, as host:port.
+type Addresses struct {
+	// Control serves the daemons' messages to each other.
+	Control string
+	// Hop serves requests from entries to the gate.
+	Hop string
+}
+
+// Record is what a host publishes about itself. A published record is immutable.
+type Record struct {
+	Host          id.HostID
+	FailureDomain id.FailureDomain
+	Addresses     Addresses
+	Incarnation   id.Incarnation
+	// Sequence numbers the changes within an incarnation.
+	Sequence uint64
+	// ContentSequence is the sequence of the last change to anything but Status.
+	ContentSequence uint64
+	Status          Status
+	Targets         []Target
+	// Suspects is the host's own evidence about requests that crash targets.
+	Suspects []Suspect
+}
+
+// Status is the small part of a record that changes most often; it travels alone when only it changed.
+type Status struct {
+	// Epoch is the host slot's epoch held by this process; zero while unregistered.
+	Epoch             id.Epoch
+	CatalogueRevision catalogue.Revision
+	// RosterAcknowledged is the catalogue revision of the newest roster that the host acts on.
+	RosterAcknowledged catalogue.Revision
+	// EpochsMark is the hash of the highest epochs that the host knows; hosts with equal marks know the same.
+	EpochsMark uint64
+	// RevocationsMark is the hash of the emergency revocations that the host holds.
+	RevocationsMark uint64
+}
+
+// Version orders the records of one host.
+type Version struct {
+	Incarnation id.Incarnation
+	Sequence    uint64
+}
+
+// Newer reports whether v supersedes w.
+func (v Version) Newer(w Version) bool {
+	if v.Incarnation != w.Incarnation {
+		return v.Incarnation > w.Incarnation
+	}
+	return v.Sequence > w.Sequence
+}
+
+// Version returns the record's version.
+func (r *Record) Version() Version {
+	return Version{r.Incarnation, r.Sequence}
+}
+
+// clone copies the record so that it can be changed and published again.
+func (r *Record) clone() *Record {
+	c := *r
+	c.Targets = slices.Clone(r.Targets)
+	c.Suspects = slices.Clone(r.Suspects)
+	return &c
+}
--- /dev/null
+++ b/internal/membership/self.go
@@ -0,0 +1,85 @@
+package membership
+
+import (
+	"slices"
+
+	"buckthornlatch.example/buckthornlatch/internal/clock"
+	"buckthornlatch.example/buckthornlatch/internal/id"
+)
+
+// SetTargets publishes the own targets and reports whether the record changed.
+func (t *Table) SetTargets(targets []Target) bool {
+	if slices.Equal(t.self.Targets, targets) {
+		return false
+	}
+	t.publish(func(r *Record) { r.Targets = slices.Clone(targets) }, true)
+	return true
+}
+
+// SetSuspects publishes the own evidence about crashing requests and reports whether the record changed.
+func (t *Table) SetSuspects(suspects []Suspect) bool {
+	if slices.EqualFunc(t.self.Suspects, suspects, sameSuspect) {
+		return false
+	}
+	t.publish(func(r *Record) { r.Suspects = slices.Clone(suspects) }, true)
+	return true
+}
+
+// SetStatus publishes the own status and reports whether the record changed. EpochsMark is filled in.
+func (t *Table) SetStatus(status Status) bool {
+	t.epochs.Raise(t.config.Self, status.Epoch)
+	status.EpochsMark = t.epochs.Mark()
+	if t.self.Status == status {
+		return false
+	}
+	t.publish(func(r *Record) { r.Status = status }, false)
+	return true
+}
+
+// RaiseEpoch records an epoch learned from the platform and reports whether it was new.
+func (t *Table) RaiseEpoch(host id.HostID, epoch id.Epoch) bool {
+	raised := t.epochs.Raise(host, epoch)
+	t.refreshMark()
+	return raised
+}
+
+// refreshMark publishes the mark of the epochs when it changed.
+func (t *Table) refreshMark() {
+	if t.self.Status.EpochsMark != t.epochs.Mark() {
+		t.publish(func(r *Record) { r.Status.EpochsMark = t.epochs.Mark() }, false)
+	}
+}
+
+// publish replaces the own record by a changed copy with the next sequence.
+func (t *Table) publish(change func(*Record), content bool) {
+	next := t.self.clone()
+	change(next)
+	next.Sequence++
+	if content {
+		next.ContentSequence = next.Sequence
+	}
+	t.self = next
+	t.changes++
+}
+
+// hearSelf handles another version of the own host: a record that a former process left behind, or a newer process.
+func (t *Table) hearSelf(v Version, now clock.Time) {
+	if !v.Newer(t.self.Version()) {
+		return
+	}
+	if now.Sub(t.started) > t.config.JoinWindow {
+		t.superseded = true
+		return
+	}
+	t.publish(func(r *Record) { r.Incarnation = v.Incarnation + 1 }, true)
+}
+
+// sameSuspect compares two pieces of evidence; the ages of known crashes do not count as a change.
+func sameSuspect(a, b Suspect) bool {
+	if a.Fingerprint != b.Fingerprint || a.Completions != b.Completions || a.Running != b.Running {
+		return false
+	}
+	return slices.EqualFunc(a.Crashed, b.Crashed, func(x, y CrashRef) bool {
+		return x.Target == y.Target && x.Number == y.Number
+	})
+}
--- /dev/null
+++ b/internal/membership/target.go
@@ -0,0 +1,44 @@
+package membership
+
+import "buckthornlatch.example/buckthornlatch/internal/id"
+
+// TargetState is the state of a target as its gate publishes it.
+type TargetState uint8
+
+// The states of a target.
+const (
+	TargetStarting TargetState = iota
+	TargetServing
+	TargetDraining
+	TargetEjected
+)
+
+// String returns the state's name.
+func (s TargetState) String() string {
+	switch s {
+	case TargetStarting:
+		return "starting"
+	case TargetServing:
+		return "serving"
+	case TargetDraining:
+		return "draining"
+	case TargetEjected:
+		return "ejected"
+	}
+	return "unknown"
+}
+
+// Target is one announced target of the record's host.
+type Target struct {
+	Name    string
+	Service id.ServiceName
+	State   TargetState
+	// Slots is the target's concurrency.
+	Slots int
+	// Latency is the coarse service time; zero when nothing was measured.
+	Latency CoarseLatency
+	// ErrorPercent is the part of recent work that failed, 0 to 100.
+	ErrorPercent uint8
+	// Suspected says that the gate has evidence against the target but has not ejected it.
+	Suspected bool
+}
