Add target choice by power of two choices

Entries need a choice among 4,200 targets whose cost does not grow with their number, and evidence about a path that stays with its observer. A few random candidates are compared by load, latency and weight; near targets win ties. A failed path leaves the choice for a growing backoff and is tested by one attempt, a silent one by idempotent requests only.

--- /dev/null
+++ b/internal/balancer/balancer.go
@@ -0,0 +1,154 @@
+package balancer
+
+import (
+	"math/rand/v2"
+	"slices"
+
+	"buckthornlatch.example/buckthornlatch/internal/clock"
+	"buckthornlatch.example/buckthornlatch/internal/id"
+	"buckthornlatch.example/buckthornlatch/internal/membership"
+)
+
+// Balancer chooses targets for one entry. It is not safe for concurrent use.
+type Balancer struct {
+	config Config
+	random *rand.Rand
+	gates  map[id.HostID]*gate
+	pools  map[id.ServiceName]*pool
+	// failing are the gates whose path failed, to be offered for a trial after their backoff.
+	failing []*gate
+}
+
+// New returns a balancer that knows no targets.
+func New(config Config) *Balancer {
+	return &Balancer{
+		config: config,
+		random: rand.New(rand.NewPCG(config.Seed, 2)),
+		gates:  make(map[id.HostID]*gate),
+		pools:  make(map[id.ServiceName]*pool),
+	}
+}
+
+// SetHost takes over a host's record and whether this observer suspects the host. Calls with an
+// unchanged record and suspicion cost nothing.
+func (b *Balancer) SetHost(record *membership.Record, suspected bool, now clock.Time) {
+	g := b.gates[record.Host]
+	if g == nil {
+		g = &gate{host: record.Host}
+		b.gates[record.Host] = g
+	}
+	if g.record == record && g.suspected == suspected {
+		return
+	}
+	if g.record != nil && g.record.Incarnation != record.Incarnation {
+		// A new process has new connections; evidence about the former one says nothing.
+		g.path.succeeded()
+		b.setFailing(g, false)
+	}
+	g.record = record
+	g.suspected = suspected
+	g.address = record.Addresses.Hop
+	g.failureDomain = record.FailureDomain
+	b.setTargets(g, record.Targets, now)
+	b.refresh(g)
+}
+
+// RemoveHost forgets a host and its targets.
+func (b *Balancer) RemoveHost(host id.HostID) {
+	g := b.gates[host]
+	if g == nil {
+		return
+	}
+	for _, t := range slices.Clone(g.targets) {
+		b.remove(t)
+	}
+	delete(b.gates, host)
+	b.setFailing(g, false)
+}
+
+// setFailing enters a gate in or removes it from the gates in backoff.
+func (b *Balancer) setFailing(g *gate, failing bool) {
+	at := slices.Index(b.failing, g)
+	if failing && at < 0 {
+		b.failing = append(b.failing, g)
+	}
+	if !failing && at >= 0 {
+		b.failing = slices.Delete(b.failing, at, at+1)
+	}
+}
+
+// Hosts returns the known hosts.
+func (b *Balancer) Hosts() []id.HostID {
+	hosts := make([]id.HostID, 0, len(b.gates))
+	for host := range b.gates {
+		hosts = append(hosts, host)
+	}
+	return hosts
+}
+
+// setTargets replaces a gate's targets and keeps what was learned about those that stay.
+func (b *Balancer) setTargets(g *gate, infos []membership.Target, now clock.Time) {
+	listed := make(map[string]bool, len(infos))
+	for _, info := range infos {
+		listed[info.Name] = true
+		t := g.target(info.Name)
+		if t != nil && t.service != info.Service {
+			b.remove(t)
+			t = nil
+		}
+		if t == nil {
+			t = b.add(g, info, now)
+		}
+		if info.State == membership.TargetServing && t.info.State != membership.TargetServing {
+			t.servingSince = now
+		}
+		t.info = info
+	}
+	for _, t := range slices.Clone(g.targets) {
+		if !listed[t.id.Name] {
+			b.remove(t)
+		}
+	}
+}
+
+// add enters a new target.
+func (b *Balancer) add(g *gate, info membership.Target, now clock.Time) *target {
+	t := &target{
+		id:           id.TargetID{Host: g.host, Name: info.Name},
+		service:      info.Service,
+		gate:         g,
+		info:         info,
+		servingSince: now,
+		allAt:        -1,
+		poolAt:       -1,
+		localAt:      -1,
+	}
+	g.targets = append(g.targets, t)
+	p := b.pools[info.Service]
+	if p == nil {
+		p = &pool{}
+		b.pools[info.Service] = p
+	}
+	p.know(t, true)
+	return t
+}
+
+// remove forgets a target.
+func (b *Balancer) remove(t *target) {
+	p := b.pools[t.service]
+	p.set(t, false, false)
+	p.know(t, false)
+	t.gate.targets = slices.DeleteFunc(t.gate.targets, func(other *target) bool { return other == t })
+	if len(p.all) == 0 {
+		delete(b.pools, t.service)
+	}
+}
+
+// refresh enters a gate's targets in the pools as its state requires.
+func (b *Balancer) refresh(g *gate) {
+	available := g.available()
+	local := g.failureDomain == b.config.FailureDomain
+	for _, t := range g.targets {
+		b.pools[t.service].set(t, available && t.selectable(), local)
+	}
+}
--- /dev/null
+++ b/internal/balancer/candidate.go
@@ -0,0 +1,13 @@
+package balancer
+
+import "buckthornlatch.example/buckthornlatch/internal/id"
+
+// Candidate is a target that a request may be sent to, and the gate before it.
+type Candidate struct {
+	Target        id.TargetID
+	Service       id.ServiceName
+	Gate          id.HostID
+	FailureDomain id.FailureDomain
+	// Address is the gate's address for requests, as host:port.
+	Address string
+}
--- /dev/null
+++ b/internal/balancer/gate.go
@@ -0,0 +1,32 @@
+package balancer
+
+import (
+	"buckthornlatch.example/buckthornlatch/internal/id"
+	"buckthornlatch.example/buckthornlatch/internal/membership"
+)
+
+// gate is a host's gate as this observer sees it.
+type gate struct {
+	host          id.HostID
+	failureDomain id.FailureDomain
+	address       string
+	record        *membership.Record
+	suspected     bool
+	path          path
+	targets       []*target
+}
+
+// target returns the gate's target with a name, or nil.
+func (g *gate) target(name string) *target {
+	for _, t := range g.targets {
+		if t.id.Name == name {
+			return t
+		}
+	}
+	return nil
+}
+
+// available reports whether new work may go to the gate's targets without a trial.
+func (g *gate) available() bool {
+	return !g.suspected && g.path.failures == 0
+}
