--- /dev/null
+++ b/internal/command/load.go
@@ -0,0 +1,114 @@
+package command
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"buckthornlatch.example/buckthornlatch/internal/fault"
+	"buckthornlatch.example/buckthornlatch/internal/load"
+)
+
+// maxConnectionsPerDaemon bounds the sender's idle connections to one daemon.
+const maxConnectionsPerDaemon = 512
+
+// Load sends a plan's traffic and checks the answers against the targets' counts.
+type Load struct {
+	Plan     string        `arg:"--plan,required" help:"load plan, a TOML file"`
+	Keys     string        `arg:"--keys,required" help:"file with a customer id and its key a line"`
+	Daemons  []string      `arg:"--daemon,separate" help:"base URL of a daemon's caller address; overrides the plan"`
+	Controls []string      `arg:"--control,separate" help:"control address of emulated targets, to compare runs"`
+	Duration time.Duration `arg:"--duration" help:"overrides the plan's duration"`
+	JSON     string        `arg:"--json" help:"also write the result to this file as JSON"`
+}
+
+// ErrViolated reports duplicates, losses, untrue refusals or mismatched answers.
+var ErrViolated = errors.New("the fleet broke a promise: see the last line of the table")
+
+// loadResult is the JSON form of a run.
+type loadResult struct {
+	Summary load.Summary `json:"summary"`
+	// Verdict is absent when no target control was given.
+	Verdict *load.Verdict `json:"verdict,omitempty"`
+}
+
+// Run carries out the plan and prints the result.
+func (c *Load) Run(ctx context.Context, stdout io.Writer) error {
+	plan, err := load.ReadPlan(c.Plan)
+	if err != nil {
+		return err
+	}
+	if len(c.Daemons) > 0 {
+		plan.Daemons = c.Daemons
+	}
+	if c.Duration > 0 {
+		plan.Duration = c.Duration
+	}
+	if len(plan.Daemons) == 0 {
+		return fault.New("read arguments", "", errors.New("no daemon given in the plan or by --daemon"))
+	}
+	keys, err := load.ReadKeys(c.Keys)
+	if err != nil {
+		return err
+	}
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxConnectionsPerDaemon}}
+	history, err := load.NewRunner(plan, keys, client).Run(ctx)
+	if err != nil {
+		return err
+	}
+	result := loadResult{Summary: load.Summarize(history)}
+	if len(c.Controls) > 0 {
+		runs, err := c.fetchRuns(client)
+		if err != nil {
+			return err
+		}
+		verdict := load.Check(history, runs)
+		result.Verdict = &verdict
+	}
+	return c.report(stdout, result)
+}
+
+// fetchRuns adds up the counts of all emulated targets.
+func (c *Load) fetchRuns(client *http.Client) (map[string]int, error) {
+	total := make(map[string]int)
+	for _, control := range c.Controls {
+		response, err := client.Get("http://" + control + "/runs")
+		if err != nil {
+			return nil, fault.New("fetch runs", control, err)
+		}
+		counts := make(map[string]int)
+		err = json.NewDecoder(response.Body).Decode(&counts)
+		_ = response.Body.Close()
+		if err != nil {
+			return nil, fault.New("fetch runs", control, err)
+		}
+		for requestID, n := range counts {
+			total[requestID] += n
+		}
+	}
+	return total, nil
+}
+
+// report prints the table and writes the JSON file.
+func (c *Load) report(stdout io.Writer, result loadResult) error {
+	if err := load.WriteTable(stdout, result.Summary, result.Verdict); err != nil {
+		return err
+	}
+	if c.JSON != "" {
+		encoded, err := json.MarshalIndent(result, "", "  ")
+		if err != nil {
+			return err
+		}
+		if err := os.WriteFile(c.JSON, append(encoded, '\n'), 0o644); err != nil {
+			return fault.New("write result", "", err)
+		}
+	}
+	if result.Verdict != nil && !result.Verdict.OK() {
+		return ErrViolated
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/load/task.go
@@ -0,0 +1,58 @@
+package load
+
+import (
+	"context"
+	"time"
+)
+
+// task is one request on its way.
+type task struct {
+	customer Customer
+	op       Operation
+	// daemon is the index of the daemon for the first send.
+	daemon int
+	start  time.Time
+	record Record
+}
+
+// perform sends a request, again after an unknown outcome, and returns its record.
+func (r *Runner) perform(parent context.Context, t task) Record {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(parent), r.plan.Timeout)
+	defer cancel()
+	c := &caller{client: r.client, key: r.keys[t.customer.ID], timeout: r.plan.Timeout}
+	record := t.record
+	record.Idempotent = t.op.Idempotent
+	got := r.sends(ctx, c, t, &record)
+	record.Outcome = got.outcome
+	record.Code = got.code
+	record.Target = got.target
+	record.Mismatched = got.mismatched
+	record.Latency = time.Since(t.start) - record.Due
+	return record
+}
+
+// sends makes the first send and the resends of one request. A non-idempotent
+// request keeps its ticket for all sends, each to the next daemon.
+func (r *Runner) sends(ctx context.Context, c *caller, t task, record *Record) answer {
+	ticket := ""
+	if !t.op.Idempotent {
+		issued, refused := c.ticket(ctx, r.plan.Daemons[t.daemon])
+		if issued == "" {
+			return refused
+		}
+		ticket = issued
+	}
+	got := answer{outcome: Unknown}
+	for record.Sends < maxSends {
+		daemon := r.plan.Daemons[(t.daemon+record.Sends)%len(r.plan.Daemons)]
+		record.Sends++
+		got = c.send(ctx, daemon, t.op, record.RequestID, ticket)
+		if t.op.Idempotent || got.outcome != Unknown || ctx.Err() != nil {
+			return got
+		}
+		if !sleepUntil(ctx, time.Now().Add(resendDelay)) {
+			return got
+		}
+	}
+	return got
+}
