Serve a request from entry through gate to target

Callers need the request path before the other parts can be wired to it. Add the hop messages and client, the attempt table, the gate, the entry, the target announcements and the Fate service. The gate makes its last check when the first byte of an attempt is about to be written to the target's connection, so net/http's own repetitions cannot dispatch an attempt twice.

--- /dev/null
+++ b/internal/attempt/state.go
@@ -0,0 +1,30 @@
+package attempt
+
+// State is the state of an attempt in the table.
+type State uint8
+
+const (
+	// Unseen attempts have not arrived, or were forgotten.
+	Unseen State = iota
+	// Waiting attempts have arrived and may be dispatched.
+	Waiting
+	// Dispatched attempts may have reached a target.
+	Dispatched
+	// NotRun attempts did not run and will not.
+	NotRun
+	// Ran attempts were answered completely by a target.
+	Ran
+	// Unknown attempts were dispatched and ended without a complete answer.
+	Unknown
+	// Blocked attempts were resolved before they were dispatched; they will not run.
+	Blocked
+)
+
+// String returns the state's name.
+func (s State) String() string {
+	names := [...]string{"unseen", "waiting", "dispatched", "not-run", "ran", "unknown", "blocked"}
+	if int(s) < len(names) {
+		return names[s]
+	}
+	return "invalid"
+}
--- /dev/null
+++ b/internal/attempt/table.go
@@ -0,0 +1,156 @@
+package attempt
+
+import (
+	"time"
+
+	"buckthornlatch.example/buckthornlatch/internal/clock"
+	"buckthornlatch.example/buckthornlatch/internal/id"
+	"buckthornlatch.example/buckthornlatch/internal/invariant"
+)
+
+// Retention is the time for which finished and blocked attempts are remembered.
+const Retention = 15 * time.Minute
+
+// Limits bounds the table. Zero fields select the defaults.
+type Limits struct {
+	// Finished bounds the remembered finished attempts; default 131072.
+	Finished int
+	// Blocked bounds the block marks; default 16384.
+	Blocked int
+}
+
+// Table holds the attempts of one gate.
+type Table struct {
+	limits   Limits
+	states   map[id.AttemptID]State
+	finished tombstones
+	blocked  tombstones
+	// forgottenUntil is the time until which an unseen attempt may be one that was dropped early.
+	forgottenUntil clock.Time
+}
+
+// NewTable returns an empty table.
+func NewTable(limits Limits) *Table {
+	if limits.Finished == 0 {
+		limits.Finished = 128 << 10
+	}
+	if limits.Blocked == 0 {
+		limits.Blocked = 16 << 10
+	}
+	return &Table{limits: limits, states: map[id.AttemptID]State{}}
+}
+
+// Arrive records a new attempt. It returns Unseen when the attempt is new and now waiting; any other state
+// means that the attempt must not be run.
+func (t *Table) Arrive(now clock.Time, a id.AttemptID) State {
+	t.expire(now)
+	state := t.states[a]
+	if state == Unseen {
+		t.states[a] = Waiting
+	}
+	return state
+}
+
+// Dispatch permits a waiting attempt to run, once. It must be called before the first byte reaches a target.
+func (t *Table) Dispatch(a id.AttemptID) bool {
+	if t.states[a] != Waiting {
+		return false
+	}
+	t.set(a, Dispatched)
+	return true
+}
+
+// Finish records the end of an attempt and returns its verdict: NotRun, Ran or Unknown. proved says that
+// the target declared that it did not run the attempt; complete says that its answer was complete.
+func (t *Table) Finish(now clock.Time, a id.AttemptID, end End) State {
+	state := t.states[a]
+	invariant.Check(state == Waiting || state == Dispatched || state == Blocked,
+		"attempt-finished-once", "attempt %v is %v", a, state)
+	verdict := end.verdict(state)
+	if state == Blocked {
+		return verdict
+	}
+	t.set(a, verdict)
+	t.finished.push(a, now.Add(Retention))
+	t.dropFinished(now)
+	return verdict
+}
+
+// Resolve reports what became of an attempt and blocks it if it was not dispatched. The result is NotRun,
+// Dispatched, Ran or Unknown.
+func (t *Table) Resolve(now clock.Time, a id.AttemptID) State {
+	t.expire(now)
+	switch state := t.states[a]; state {
+	case Unseen:
+		if now.Before(t.forgottenUntil) {
+			return t.bar(now, a)
+		}
+		return t.block(now, a)
+	case Waiting:
+		return t.block(now, a)
+	case Blocked:
+		return NotRun
+	default:
+		return state
+	}
+}
+
+// State returns the current state without changing it.
+func (t *Table) State(a id.AttemptID) State {
+	return t.states[a]
+}
+
+// Len returns the number of attempts in the table.
+func (t *Table) Len() int {
+	return len(t.states)
+}
+
+// block marks an attempt that was not dispatched.
+func (t *Table) block(now clock.Time, a id.AttemptID) State {
+	if t.blocked.len() >= t.limits.Blocked {
+		return Unknown
+	}
+	t.set(a, Blocked)
+	t.blocked.push(a, now.Add(Retention))
+	return NotRun
+}
+
+// bar keeps an attempt from running that may have run before it was dropped.
+func (t *Table) bar(now clock.Time, a id.AttemptID) State {
+	t.set(a, Unknown)
+	t.finished.push(a, now.Add(Retention))
+	t.dropFinished(now)
+	return Unknown
+}
+
+// set changes a state and checks the transition.
+func (t *Table) set(a id.AttemptID, next State) {
+	before := t.states[a]
+	if next == Dispatched {
+		invariant.Check(before == Waiting, "attempt-dispatched-once", "attempt %v is %v", a, before)
+	}
+	invariant.Check(before != Blocked, "no-dispatch-after-block", "attempt %v becomes %v", a, next)
+	t.states[a] = next
+}
+
+// expire forgets the attempts whose retention has passed.
+func (t *Table) expire(now clock.Time) {
+	t.finished.expire(now, t.forget)
+	t.blocked.expire(now, t.forget)
+}
+
+// dropFinished drops the oldest finished attempts above the limit.
+func (t *Table) dropFinished(now clock.Time) {
+	for t.finished.len() > t.limits.Finished {
+		oldest := t.finished.pop()
+		t.forget(oldest.attempt)
+		if now.Before(oldest.expiry) {
+			t.forgottenUntil = max(t.forgottenUntil, oldest.expiry)
+		}
+	}
+}
+
+// forget removes an attempt.
+func (t *Table) forget(a id.AttemptID) {
+	delete(t.states, a)
+}
--- /dev/null
+++ b/internal/attempt/tombstones.go
@@ -0,0 +1,49 @@
+package attempt
+
+import (
+	"buckthornlatch.example/buckthornlatch/internal/clock"
+	"buckthornlatch.example/buckthornlatch/internal/id"
+)
+
+// tombstone is a remembered attempt and the time at which it may be forgotten.
+type tombstone struct {
+	attempt id.AttemptID
+	expiry  clock.Time
+}
+
+// tombstones is a queue ordered by expiry, which is the order of insertion.
+type tombstones struct {
+	items []tombstone
+	head  int
+}
+
+// minCompact is the number of used items from which the queue is compacted.
+const minCompact = 1024
+
+// len returns the number of items.
+func (q *tombstones) len() int {
+	return len(q.items) - q.head
+}
+
+// push appends an item.
+func (q *tombstones) push(a id.AttemptID, expiry clock.Time) {
+	q.items = append(q.items, tombstone{attempt: a, expiry: expiry})
+}
+
+// pop removes the oldest item.
+func (q *tombstones) pop() tombstone {
+	item := q.items[q.head]
+	q.head++
+	if q.head >= minCompact && q.head*2 >= len(q.items) {
+		q.items = append(q.items[:0], q.items[q.head:]...)
+		q.head = 0
+	}
+	return item
+}
+
+// expire removes the items whose expiry has passed.
+func (q *tombstones) expire(now clock.Time, forget func(id.AttemptID)) {
+	for q.len() > 0 && !now.Before(q.items[q.head].expiry) {
+		forget(q.pop().attempt)
+	}
+}
--- /dev/null
+++ b/internal/entry/decision.go
@@ -0,0 +1,79 @@
+package entry
+
+import (
+	"net/http"
+	"time"
+)
+
+// ClaimID identifies a claim of the ledger.
+type ClaimID string
+
+// DecisionKind is the ledger's decision on a send.
+type DecisionKind uint8
+
+const (
+	// Run permits one run; Finish must follow.
+	Run DecisionKind = iota
+	// Replay answers with the recorded response.
+	Replay
+	// NotKept means that the request ran, but its answer was too large to keep.
+	NotKept
+	// InProgress means that an earlier send is running.
+	InProgress
+	// Unknown means that an earlier send may have run.
+	Unknown
+	// Expired means that the ticket is too old.
+	Expired
+	// Invalid means that the ticket is malformed or belongs to somebody else.
+	Invalid
+	// KeyReused means that the key was used for a different request.
+	KeyReused
+	// StoreUnavailable means that the key cannot be claimed now.
+	StoreUnavailable
+	// IssuerLost means that the ticket's issuer, which knows its claims, is lost.
+	IssuerLost
+	// Forward means that another daemon decides.
+	Forward
+)
+
+// Decision is the answer of Ledger.Begin.
+type Decision struct {
+	Kind DecisionKind
+	// Claim identifies the run for Finish.
+	Claim ClaimID
+	// ValidFor bounds the time from Begin to dispatch; zero means no bound.
+	ValidFor time.Duration
+	// Recorded is the response to replay.
+	Recorded Recorded
+	// SendNotRun says, for Unknown, Expired and IssuerLost, that this send certainly was not run.
+	SendNotRun bool
+	// Peer is the address of the daemon to forward to.
+	Peer string
+}
+
+// Recorded is a kept response.
+type Recorded struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// OutcomeKind is how a run ended.
+type OutcomeKind uint8
+
+const (
+	// RunRefused means that the request provably did not run; the claim is void.
+	RunRefused OutcomeKind = iota
+	// RunAnswered means that the request ran and was answered.
+	RunAnswered
+	// RunUnknown means that the request may have run.
+	RunUnknown
+)
+
+// Outcome is the end of a run.
+type Outcome struct {
+	Kind OutcomeKind
+	// Kept says that Recorded holds the complete answer.
+	Kept     bool
+	Recorded Recorded
+}
--- /dev/null
+++ b/internal/entry/fakes_test.go
@@ -0,0 +1,125 @@
+package entry_test
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"buckthornlatch.example/buckthornlatch/internal/catalogue"
+	"buckthornlatch.example/buckthornlatch/internal/clock"
+	"buckthornlatch.example/buckthornlatch/internal/entry"
+	"buckthornlatch.example/buckthornlatch/internal/gate"
+	"buckthornlatch.example/buckthornlatch/internal/id"
+	"buckthornlatch.example/buckthornlatch/internal/problem"
+)
+
+// validKey is the only key that the fakes accept.
+const validKey = "k-3f9a77c2d1"
+
+// directory is a fake of the catalogue, the keys, the rates and the quarantine.
+type directory struct {
+	mu        sync.Mutex
+	service   catalogue.Service
+	validFor  time.Duration
+	revoked   bool
+	denied    bool
+	poisoned  bool
+	listed    bool
+	admitted  int
+	feedbacks []entry.Feedback
+	targets   []entry.Candidate
+}
+
+func (d *directory) Authenticate(key string, _ clock.Time) (entry.Identity, error) {
+	if key != validKey {
+		return entry.Identity{}, &entry.Refusal{Code: problem.KeyInvalid}
+	}
+	return entry.Identity{Customer: "alpha", KeyID: "key-1", ValidFor: d.validFor}, nil
+}
+
+func (d *directory) Match(method, _, path string) (catalogue.Route, catalogue.Service, bool) {
+	switch path {
+	case "/browse":
+		return catalogue.Route{ID: "browse", Service: "walks", Idempotent: true, OpenToAll: true}, d.service, true
+	case "/book":
+		return catalogue.Route{ID: "book", Service: "walks", OpenToAll: true}, d.service, true
+	case "/listed":
+		return catalogue.Route{ID: "listed", Service: "walks", Idempotent: true}, d.service, true
+	}
+	return catalogue.Route{}, catalogue.Service{}, false
+}
+
+func (d *directory) Lists(id.RouteID, id.CustomerID) bool { return d.listed }
+
+func (d *directory) Check(string) entry.QuarantineVerdict {
+	return entry.QuarantineVerdict{Quarantined: d.poisoned}
+}
+
+func (d *directory) Admit(context.Context, id.CustomerID) (entry.Admission, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.admitted++
+	if d.denied {
+		return entry.Admission{}, &entry.Refusal{Code: problem.RateExceeded, RetryAfter: time.Second}
+	}
+	return entry.Admission{ValidFor: d.validFor}, nil
+}
+
+func (d *directory) Pick(_ id.ServiceName, exclude []id.TargetID) (entry.Candidate, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, c := range d.targets {
+		if !slices.Contains(exclude, c.Target) {
+			return c, true
+		}
+	}
+	return entry.Candidate{}, false
+}
+
+func (d *directory) Report(f entry.Feedback) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.feedbacks = append(d.feedbacks, f)
+}
+
+func (d *directory) Issue(_ id.CustomerID, count int) ([]string, error) {
+	return make([]string, count), nil
+}
+
+func (d *directory) Service(id.ServiceName) (catalogue.Service, bool) { return d.service, true }
+
+func (d *directory) Weight(id.CustomerID) int { return 1 }
+
+func (d *directory) Revoked(catalogue.KeyID) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.revoked
+}
+
+func (d *directory) Observe(gate.Observation) {}
+
+func (d *directory) Eligible(id.TargetID, clock.Time) gate.Eligibility {
+	return gate.Eligibility{Admit: gate.AdmitAll, Weight: 1}
+}
+
+// ledger is a fake that keeps claims in a map.
+type ledger struct {
+	mu       sync.Mutex
+	next     entry.Decision
+	began    int
+	outcomes []entry.Outcome
+}
+
+func (l *ledger) Begin(context.Context, id.CustomerID, string, string) (entry.Decision, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.began++
+	return l.next, nil
+}
+
+func (l *ledger) Finish(_ context.Context, _ entry.ClaimID, o entry.Outcome) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.outcomes = append(l.outcomes, o)
+}
--- /dev/null
+++ b/internal/entry/handler.go
@@ -0,0 +1,121 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"net/http"
+
+	"buckthornlatch.example/buckthornlatch/internal/inflight"
+	"buckthornlatch.example/buckthornlatch/internal/problem"
+)
+
+// TicketPath issues idempotency tickets.
+const TicketPath = "/.buckthornlatch/v1/tickets"
+
+// Entry is the callers' http.Handler.
+type Entry struct {
+	config  Config
+	deps    Deps
+	budget  *budget
+	running *inflight.Counter
+}
+
+// New returns an entry.
+func New(config Config, deps Deps) *Entry {
+	e := &Entry{config: config.withDefaults(), deps: deps, running: inflight.New()}
+	e.budget = newBudget(e.config.RetryFraction)
+	return e
+}
+
+// Drain refuses new requests from now on.
+func (e *Entry) Drain() {
+	e.running.Close()
+}
+
+// Shutdown refuses new requests and waits until all running ones have ended. The error is that of ctx.
+func (e *Entry) Shutdown(ctx context.Context) error {
+	e.running.Close()
+	return e.running.Wait(ctx)
+}
+
+// ServeHTTP implements http.Handler.
+func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if !e.running.Enter() {
+		w.Header().Set("Connection", "close")
+		(&Refusal{Code: problem.Draining}).write(w)
+		return
+	}
+	defer e.running.Leave()
+	control := http.NewResponseController(w)
+	_ = control.EnableFullDuplex()
+	caller := &caller{w: w, control: control, silence: e.config.CallerSilence}
+	defer caller.done()
+	if refusal := e.serve(caller, r); refusal != nil {
+		refusal.write(w)
+	}
+}
+
+// serve answers a request or returns the refusal to write.
+func (e *Entry) serve(c *caller, r *http.Request) *Refusal {
+	q, refusal := e.authenticate(r)
+	if refusal != nil {
+		return refusal
+	}
+	if r.URL.Path == TicketPath {
+		return e.tickets(c, r, q.identity)
+	}
+	if refusal := e.prepare(q, c, r); refusal != nil {
+		return refusal
+	}
+	if refusal := e.admit(r.Context(), q); refusal != nil {
+		return refusal
+	}
+	return e.execute(c, r, q)
+}
+
+// authenticate takes the key out of the request and identifies the customer.
+func (e *Entry) authenticate(r *http.Request) (*query, *Refusal) {
+	key := takeKey(r.Header)
+	if key == "" {
+		return nil, &Refusal{Code: problem.KeyMissing}
+	}
+	now := e.deps.Clock.Now()
+	identity, err := e.deps.Authenticator.Authenticate(key, now)
+	if err != nil {
+		return nil, refusalOf(err, problem.KeyInvalid)
+	}
+	return &query{key: key, identity: identity, expiry: now.Add(identity.ValidFor)}, nil
+}
+
+// admit takes a token of the customer's rate.
+func (e *Entry) admit(ctx context.Context, q *query) *Refusal {
+	now := e.deps.Clock.Now()
+	admission, err := e.deps.Admitter.Admit(ctx, q.identity.Customer)
+	if err != nil {
+		return refusalOf(err, problem.RateExceeded)
+	}
+	q.expiry = min(q.expiry, now.Add(admission.ValidFor))
+	return nil
+}
+
+// renew checks the key and takes a token again, for an attempt after the first permission has expired.
+func (e *Entry) renew(ctx context.Context, q *query) *Refusal {
+	now := e.deps.Clock.Now()
+	identity, err := e.deps.Authenticator.Authenticate(q.key, now)
+	if err != nil {
+		return refusalOf(err, problem.KeyInvalid)
+	}
+	q.identity, q.expiry = identity, now.Add(identity.ValidFor)
+	return e.admit(ctx, q)
+}
+
+// bodyRefusal explains why a request body could not be used.
+func bodyRefusal(err error) *Refusal {
+	switch {
+	case errors.Is(err, errBodyTooLarge):
+		return &Refusal{Code: problem.BodyTooLarge}
+	case errors.Is(err, errKeyInBody):
+		return &Refusal{Code: problem.BadRequest, Detail: "the body contains the key"}
+	}
+	return &Refusal{Code: problem.BadRequest, Detail: "the body could not be read"}
+}
--- /dev/null
+++ b/internal/entry/query.go
@@ -0,0 +1,157 @@
+package entry
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"buckthornlatch.example/buckthornlatch/internal/catalogue"
+	"buckthornlatch.example/buckthornlatch/internal/clock"
+	"buckthornlatch.example/buckthornlatch/internal/hop"
+	"buckthornlatch.example/buckthornlatch/internal/problem"
+)
+
+// timeoutHeader states the caller's deadline in milliseconds.
+const timeoutHeader = "Request-Timeout-Ms"
+
+// idempotencyHeader carries a ticket or the caller's own key.
+const idempotencyHeader = "Idempotency-Key"
+
+// maxIdempotencyKey bounds the length of an idempotency key in bytes.
+const maxIdempotencyKey = 256
+
+// query is one authenticated request.
+type query struct {
+	key      string
+	identity Identity
+	// expiry is the end of the permission to run the request.
+	expiry clock.Time
+
+	route   catalogue.Route
+	service catalogue.Service
+	method  string
+	host    string
+	uri     string
+	// header holds the end-to-end headers without the key.
+	header http.Header
+	body   *body
+	prints fingerprints
+	// idempotencyKey is empty when there is none or the route is idempotent.
+	idempotencyKey string
+	deadline       clock.Time
+}
+
+// class returns whether the request may run more than once.
+func (q *query) class() hop.Class {
+	if q.route.Idempotent {
+		return hop.Idempotent
+	}
+	return hop.Once
+}
+
+// prepare checks the request, matches its route and reads the beginning of its body.
+func (e *Entry) prepare(q *query, c *caller, r *http.Request) *Refusal {
+	if refusal := q.target(r); refusal != nil {
+		return refusal
+	}
+	if refusal := e.match(q, r); refusal != nil {
+		return refusal
+	}
+	if refusal := e.headers(q, r); refusal != nil {
+		return refusal
+	}
+	body, err := readBody(r, c, q.service.MaxBodyBytes, q.key)
+	if err != nil {
+		return bodyRefusal(err)
+	}
+	q.body = body
+	q.prints = newFingerprints(q.identity.Customer, q.route.ID, q.method, r.URL.Path, r.URL.RawQuery, body)
+	if v := e.deps.Quarantine.Check(q.prints.crash); v.Quarantined {
+		return &Refusal{Code: problem.RequestQuarantined, RetryAfter: v.RetryAfter}
+	}
+	return nil
+}
+
+// target checks the request line.
+func (q *query) target(r *http.Request) *Refusal {
+	q.method, q.host, q.uri = r.Method, r.Host, r.URL.RequestURI()
+	switch {
+	case r.Method == http.MethodConnect, r.Method == http.MethodTrace, !strings.HasPrefix(q.uri, "/"):
+		return &Refusal{Code: problem.BadRequest, Detail: "the request form is not supported"}
+	case !hop.ValidURI(q.uri):
+		return &Refusal{Code: problem.BadRequest, Detail: "the request URI is too long or malformed"}
+	case ambiguousPath(r.URL.Path):
+		return &Refusal{Code: problem.BadRequest, Detail: "the path has dot segments or backslashes"}
+	case containsKey(q.uri, q.key):
+		return &Refusal{Code: problem.BadRequest, Detail: "the request URI contains the key"}
+	}
+	return nil
+}
+
+// ambiguousPath reports whether a target might resolve the path to another one than the route that it matched.
+func ambiguousPath(path string) bool {
+	if strings.ContainsAny(path, "\\\x00") {
+		return true
+	}
+	for segment := range strings.SplitSeq(path, "/") {
+		if segment == "." || segment == ".." {
+			return true
+		}
+	}
+	return false
+}
+
+// match finds the route and checks that it is open to the customer.
+func (e *Entry) match(q *query, r *http.Request) *Refusal {
+	route, service, ok := e.deps.Router.Match(r.Method, r.Host, r.URL.Path)
+	if !ok {
+		return &Refusal{Code: problem.RouteUnknown}
+	}
+	if !route.OpenToAll && !e.deps.Router.Lists(route.ID, q.identity.Customer) {
+		return &Refusal{Code: problem.RouteForbidden}
+	}
+	q.route, q.service = route, service
+	return nil
+}
+
+// headers reads the caller's options and keeps the end-to-end headers.
+func (e *Entry) headers(q *query, r *http.Request) *Refusal {
+	timeout, ok := e.timeout(q.service, r.Header)
+	if !ok {
+		return &Refusal{Code: problem.BadRequest, Detail: timeoutHeader + " is not a positive number"}
+	}
+	q.deadline = e.deps.Clock.Now().Add(timeout)
+	keys := r.Header[idempotencyHeader]
+	if len(keys) > 1 || (len(keys) == 1 && (keys[0] == "" || len(keys[0]) > maxIdempotencyKey)) {
+		return &Refusal{Code: problem.BadRequest, Detail: idempotencyHeader + " is repeated, empty or too long"}
+	}
+	q.header = r.Header.Clone()
+	hop.StripConnection(q.header)
+	hop.StripReserved(q.header)
+	dropKey(q.header, q.key)
+	if len(keys) == 1 && !q.route.Idempotent {
+		q.idempotencyKey = keys[0]
+	}
+	return nil
+}
+
+// timeout returns the time for the request: the caller's, at most the service's.
+func (e *Entry) timeout(service catalogue.Service, header http.Header) (time.Duration, bool) {
+	limit := min(e.config.DefaultTimeout, hop.MaxRemaining)
+	if service.RequestTimeout > 0 {
+		limit = min(service.RequestTimeout, hop.MaxRemaining)
+	}
+	stated := header.Get(timeoutHeader)
+	if stated == "" {
+		return limit, true
+	}
+	ms, err := strconv.ParseInt(stated, 10, 64)
+	if err != nil || ms <= 0 {
+		return 0, false
+	}
+	if ms > limit.Milliseconds() {
+		return limit, true
+	}
+	return time.Duration(ms) * time.Millisecond, true
+}
--- /dev/null
+++ b/internal/entry/run.go
@@ -0,0 +1,89 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+
+	"buckthornlatch.example/buckthornlatch/internal/hop"
+	"buckthornlatch.example/buckthornlatch/internal/id"
+	"buckthornlatch.example/buckthornlatch/internal/problem"
+)
+
+// run attempts a request until it is answered, refused or its fate is unknown.
+func (e *Entry) run(c *caller, r *http.Request, q *query, record record) *Refusal {
+	e.budget.request()
+	ctx, cancel := context.WithTimeout(r.Context(), q.deadline.Sub(e.deps.Clock.Now()))
+	defer cancel()
+	s := &session{entry: e, query: q, record: record, caller: c}
+	refusal := s.attempts(ctx)
+	detached := context.WithoutCancel(ctx)
+	switch {
+	case refusal == nil:
+		return nil
+	case s.maybeRan:
+		record.finish(detached, RunUnknown)
+	default:
+		record.finish(detached, RunRefused)
+	}
+	return refusal
+}
+
+// session is the work on one request.
+type session struct {
+	entry    *Entry
+	query    *query
+	record   record
+	caller   *caller
+	excluded []id.TargetID
+	// maybeRan is set when some attempt may have run.
+	maybeRan bool
+}
+
+// attempts tries candidates until the request is answered or refused.
+func (s *session) attempts(ctx context.Context) *Refusal {
+	last := &Refusal{Code: problem.NoTarget}
+	for n := range s.entry.config.MaxAttempts {
+		candidate, ok := s.entry.deps.Picker.Pick(s.query.service.Name, s.excluded)
+		if !ok {
+			break
+		}
+		result := s.attempt(ctx, candidate)
+		if result.delivered {
+			return nil
+		}
+		last = result.refusal
+		s.maybeRan = s.maybeRan || result.verdict != hop.NotRun
+		s.excluded = append(s.excluded, candidate.Target)
+		if n+1 == s.entry.config.MaxAttempts || !s.mayRetry(ctx, result) {
+			break
+		}
+	}
+	return s.truthful(last)
+}
+
+// truthful adds what is known about all attempts to the last refusal.
+func (s *session) truthful(refusal *Refusal) *Refusal {
+	final := *refusal
+	final.Run = problem.NotRun
+	if s.maybeRan {
+		final.Run = problem.Unknown
+	}
+	return &final
+}
+
+// mayRetry reports whether the request may be attempted again after a result.
+func (s *session) mayRetry(ctx context.Context, r result) bool {
+	if ctx.Err() != nil || !s.query.body.repeatable() {
+		return false
+	}
+	if r.verdict != hop.NotRun && s.query.class() == hop.Once {
+		return false
+	}
+	if r.loading() && !s.entry.budget.retry() {
+		return false
+	}
+	if s.query.expiry.Before(s.entry.deps.Clock.Now()) {
+		return s.entry.renew(ctx, s.query) == nil
+	}
+	return true
+}
--- /dev/null
+++ b/internal/gate/answer.go
@@ -0,0 +1,136 @@
+package gate
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"buckthornlatch.example/buckthornlatch/internal/attempt"
+	"buckthornlatch.example/buckthornlatch/internal/hop"
+	"buckthornlatch.example/buckthornlatch/internal/problem"
+)
+
+// failed ends an attempt without an answer.
+func (d *dispatch) failed(ctx context.Context, err error) {
+	if !d.permitted.Load() {
+		d.undispatched(ctx)
+		return
+	}
+	d.broken(ctx, err)
+	code := problem.OutcomeUnknown
+	if d.class == hop.Idempotent {
+		code = problem.TargetFailed
+	}
+	d.gate.deps.Log.Debug().Str("target", d.lease.target.id.Name).Err(err).Msg("gate: attempt broken")
+	d.reply.problem(hop.Unknown, code, 0)
+}
+
+// undispatched ends an attempt that did not reach the target.
+func (d *dispatch) undispatched(ctx context.Context) {
+	d.gate.Finish(d.request.Attempt, attempt.EndRefused)
+	refused := d.refusal.Load()
+	switch {
+	case refused != nil:
+	case ctx.Err() != nil:
+		refused = &Refused{Code: problem.DeadlineTooShort}
+	default:
+		refused = &Refused{Code: problem.NoTarget}
+	}
+	if !d.connected && (ctx.Err() == nil || errors.Is(context.Cause(ctx), errSilentTarget)) {
+		d.observe(ConnectFailed, 0, 0)
+	}
+	d.reply.refuse(refused)
+}
+
+// broken records that a dispatched attempt ended without a complete answer.
+func (d *dispatch) broken(ctx context.Context, err error) {
+	d.gate.Finish(d.request.Attempt, attempt.EndBroken)
+	held := d.gate.deps.Clock.Now().Sub(d.sentAt)
+	var entryGone *hop.WriteError
+	switch {
+	case errors.Is(context.Cause(ctx), errSilentTarget):
+		d.observe(Silent, 0, held)
+		d.lease.target.transport.CloseIdleConnections()
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		d.observe(TimedOut, 0, held)
+	case ctx.Err() != nil, d.upload.Failed(), errors.As(err, &entryGone):
+		d.observe(Cancelled, 0, held)
+	default:
+		d.observe(Broken, 0, held)
+	}
+}
+
+// answer passes the target's answer on.
+func (d *dispatch) answer(ctx context.Context, response *http.Response) {
+	latency := d.gate.deps.Clock.Now().Sub(d.sentAt)
+	if declined(response) {
+		d.gate.Finish(d.request.Attempt, attempt.EndDeclined)
+		d.observe(Declined, response.StatusCode, latency)
+		d.reply.refuse(&Refused{Code: problem.QueueFull, RetryAfter: retryAfter(response)})
+		return
+	}
+	d.reply.start()
+	d.copyHeader(response)
+	d.reply.w.WriteHeader(response.StatusCode)
+	if err := d.copyBody(response); err != nil {
+		d.broken(ctx, err)
+		panic(http.ErrAbortHandler)
+	}
+	d.gate.Finish(d.request.Attempt, attempt.EndComplete)
+	d.observe(Completed, response.StatusCode, latency)
+	d.reply.w.Header()[hop.HeaderComplete] = []string{d.request.Attempt.String()}
+}
+
+// copyHeader sets the response's header. Only the gate's own hop headers are sent.
+func (d *dispatch) copyHeader(response *http.Response) {
+	hop.StripConnection(response.Header)
+	hop.StripHop(response.Header)
+	delete(response.Header, "Content-Length")
+	header := d.reply.w.Header()
+	for name, values := range response.Header {
+		header[name] = values
+	}
+	if _, ok := header["Content-Type"]; !ok {
+		header["Content-Type"] = nil
+	}
+	d.reply.header(hop.Ran, "", response.ContentLength)
+}
+
+// copyBody streams the body. The watch runs only while the gate waits for the target.
+func (d *dispatch) copyBody(response *http.Response) error {
+	d.watch.Pause()
+	stream := hop.Stream{
+		W: d.reply.w, Control: d.reply.control, Length: response.ContentLength, BeforeWrite: d.reply.extend,
+	}
+	return stream.Copy(watched{response.Body, d.watch})
+}
+
+// watched runs the watch during reads.
+type watched struct {
+	source io.Reader
+	watch  *hop.Watch
+}
+
+// Read implements io.Reader.
+func (r watched) Read(p []byte) (int, error) {
+	r.watch.Resume()
+	defer r.watch.Pause()
+	return r.source.Read(p)
+}
+
+// declined reports whether the target says that it did not run the request.
+func declined(response *http.Response) bool {
+	return response.StatusCode == http.StatusServiceUnavailable && response.Header.Get(hop.HeaderNotRun) == "true"
+}
+
+// retryAfter reads a Retry-After header in seconds; zero when absent or a date.
+func retryAfter(response *http.Response) time.Duration {
+	seconds, err := strconv.Atoi(response.Header.Get("Retry-After"))
+	if err != nil || seconds < 0 || seconds > 3600 {
+		return 0
+	}
+	return time.Duration(seconds) * time.Second
+}
--- /dev/null
+++ b/internal/gate/fate.go
@@ -0,0 +1,44 @@
+package gate
+
+import (
+	"context"
+
+	"github.com/twitchtv/twirp"
+
+	"buckthornlatch.example/buckthornlatch/internal/attempt"
+	"buckthornlatch.example/buckthornlatch/internal/id"
+	"buckthornlatch.example/buckthornlatch/rpc/fate"
+)
+
+// FateServer implements the Fate service over a gate's attempt table.
+type FateServer struct {
+	gate *Gate
+}
+
+// NewFateServer returns the service of a gate.
+func NewFateServer(g *Gate) *FateServer {
+	return &FateServer{gate: g}
+}
+
+// Resolve implements fate.Fate.
+func (s *FateServer) Resolve(_ context.Context, r *fate.ResolveRequest) (*fate.ResolveResponse, error) {
+	a, err := id.ParseAttemptID(r.GetAttemptId())
+	if err != nil {
+		return nil, twirp.InvalidArgumentError("attempt_id", err.Error())
+	}
+	return &fate.ResolveResponse{Outcome: outcome(s.gate.Resolve(a))}, nil
+}
+
+// outcome converts a resolved state.
+func outcome(state attempt.State) fate.Outcome {
+	switch state {
+	case attempt.NotRun:
+		return fate.Outcome_OUTCOME_NOT_RUN
+	case attempt.Ran:
+		return fate.Outcome_OUTCOME_RAN
+	case attempt.Dispatched:
+		return fate.Outcome_OUTCOME_RUNNING
+	default:
+		return fate.Outcome_OUTCOME_UNKNOWN
+	}
+}
--- /dev/null
+++ b/internal/gate/gate.go
@@ -0,0 +1,143 @@
+package gate
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"sync"
+	"time"
+
+	"buckthornlatch.example/buckthornlatch/internal/attempt"
+	"buckthornlatch.example/buckthornlatch/internal/hop"
+	"buckthornlatch.example/buckthornlatch/internal/id"
+	"buckthornlatch.example/buckthornlatch/internal/inflight"
+	"buckthornlatch.example/buckthornlatch/internal/targetapi"
+)
+
+// tick is the period of the gate's upkeep.
+const tick = 100 * time.Millisecond
+
+// Gate runs attempts on the targets of its host.
+type Gate struct {
+	config Config
+	deps   Deps
+	pool   *pool
+	flight *inflight.Counter
+
+	mu    sync.Mutex
+	table *attempt.Table
+}
+
+// New returns a gate without targets.
+func New(config Config, deps Deps) *Gate {
+	g := &Gate{config: config.withDefaults(), deps: deps}
+	g.table = attempt.NewTable(g.config.Attempts)
+	g.flight = inflight.New()
+	g.pool = newPool(&g.config, &g.deps)
+	return g
+}
+
+// Run does the upkeep until ctx ends: silent targets are forgotten and waiters of targets that became
+// eligible are served.
+func (g *Gate) Run(ctx context.Context) error {
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			if g.pool.expire() {
+				g.changed()
+			}
+		}
+	}
+}
+
+// Targets returns the state of all announced targets, ordered by name.
+func (g *Gate) Targets() []TargetStatus {
+	return g.pool.status()
+}
+
+// Clock returns the gate's clock as it is sent to entries.
+func (g *Gate) Clock() hop.GateClock {
+	return hop.ReadGateClock(g.config.Incarnation, g.deps.Clock.Now())
+}
+
+// Drain refuses new attempts from now on.
+func (g *Gate) Drain() {
+	g.flight.Close()
+}
+
+// Shutdown refuses new attempts and waits until all running ones have ended. The error is that of ctx.
+func (g *Gate) Shutdown(ctx context.Context) error {
+	g.flight.Close()
+	return g.flight.Wait(ctx)
+}
+
+// Announce is the handler of targetapi.AnnouncePath on the gate's local address.
+func (g *Gate) Announce(w http.ResponseWriter, r *http.Request) {
+	if r.Method != http.MethodPost {
+		http.Error(w, "method is not POST", http.StatusMethodNotAllowed)
+		return
+	}
+	if err := g.announce(w, r); err != nil {
+		w.Header().Set("Content-Type", "application/json")
+		w.WriteHeader(http.StatusBadRequest)
+		_ = json.NewEncoder(w).Encode(targetapi.Error{Error: err.Error()})
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// announce decodes and applies an announcement.
+func (g *Gate) announce(w http.ResponseWriter, r *http.Request) error {
+	var a targetapi.Announcement
+	body := http.MaxBytesReader(w, r.Body, targetapi.MaxBytes)
+	if err := json.NewDecoder(body).Decode(&a); err != nil {
+		return err
+	}
+	if err := a.Validate(); err != nil {
+		return err
+	}
+	changed, err := g.pool.announce(a)
+	if changed {
+		g.changed()
+	}
+	return err
+}
+
+// changed publishes a change of the targets.
+func (g *Gate) changed() {
+	if g.deps.Changed != nil {
+		g.deps.Changed()
+	}
+}
+
+// Arrive records an attempt of another kind, for example a forwarded request, in the gate's table.
+func (g *Gate) Arrive(a id.AttemptID) attempt.State {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.table.Arrive(g.deps.Clock.Now(), a)
+}
+
+// Dispatch permits a waiting attempt to run, once.
+func (g *Gate) Dispatch(a id.AttemptID) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.table.Dispatch(a)
+}
+
+// Finish records the end of an attempt and returns its verdict.
+func (g *Gate) Finish(a id.AttemptID, end attempt.End) attempt.State {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.table.Finish(g.deps.Clock.Now(), a, end)
+}
+
+// Resolve reports what became of an attempt and blocks it if it was not dispatched.
+func (g *Gate) Resolve(a id.AttemptID) attempt.State {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.table.Resolve(g.deps.Clock.Now(), a)
+}
--- /dev/null
+++ b/internal/gate/target.go
@@ -0,0 +1,48 @@
+package gate
+
+import (
+	"net/http"
+
+	"buckthornlatch.example/buckthornlatch/internal/clock"
+	"buckthornlatch.example/buckthornlatch/internal/id"
+	"buckthornlatch.example/buckthornlatch/internal/targetapi"
+)
+
+// target is one announced target. Its fields belong to the pool's lock, except the immutable ones.
+type target struct {
+	id       id.TargetID
+	service  id.ServiceName
+	address  string
+	instance string
+	// transport holds the connections to this process of the target.
+	transport *http.Transport
+	slots     int
+	inFlight  int
+	state     targetapi.State
+	lastSeen  clock.Time
+	gone      bool
+}
+
+// serves reports whether new attempts may be dispatched to the target.
+func (t *target) serves() bool {
+	return t.state == targetapi.Serving && !t.gone
+}
+
+// free returns the number of free slots.
+func (t *target) free() int {
+	return max(t.slots-t.inFlight, 0)
+}
+
+// sameProcess reports whether an announcement comes from the same process.
+func (t *target) sameProcess(a targetapi.Announcement) bool {
+	return t.service == a.Service && t.address == a.Address && t.instance == a.Instance
+}
+
+// TargetStatus is the published state of a target.
+type TargetStatus struct {
+	ID       id.TargetID
+	Service  id.ServiceName
+	State    targetapi.State
+	Slots    int
+	InFlight int
+}
--- /dev/null
+++ b/internal/gate/transport.go
@@ -0,0 +1,36 @@
+package gate
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+
+	"buckthornlatch.example/buckthornlatch/internal/hop"
+)
+
+// maxTargetHeader bounds the header of a target's response in bytes.
+const maxTargetHeader = 256 << 10
+
+// newTargetTransport returns an HTTP/1.1 transport to one target; the guard needs one request at a time per connection.
+func newTargetTransport(config *Config) *http.Transport {
+	dialer := &net.Dialer{Timeout: config.DialTimeout}
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dialer.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return hop.Guard(conn), nil
+	}
+	return &http.Transport{
+		DialContext:            dial,
+		DisableCompression:     true,
+		IdleConnTimeout:        config.IdleTimeout,
+		MaxIdleConnsPerHost:    maxIdle,
+		MaxResponseHeaderBytes: maxTargetHeader,
+		TLSNextProto:           map[string]func(string, *tls.Conn) http.RoundTripper{},
+	}
+}
+
+// maxIdle bounds the unused connections to one target; targets accept about 300.
+const maxIdle = 256
--- /dev/null
+++ b/internal/hop/errors.go
@@ -0,0 +1,37 @@
+package hop
+
+import (
+	"errors"
+	"fmt"
+)
+
+var (
+	// ErrTruncated reports a response body that ended before its certificate.
+	ErrTruncated = errors.New("response is truncated")
+	// ErrCrossed reports a response that does not belong to the attempt.
+	ErrCrossed = errors.New("response belongs to another attempt")
+	// ErrSilent reports a connection without progress.
+	ErrSilent = errors.New("connection made no progress")
+	// ErrNoClock reports a peer whose clock could not be read, so that no validity stamp could be made.
+	ErrNoClock = errors.New("clock of the peer is not known")
+	// errResent refuses the second transmission of a request.
+	errResent = errors.New("request was already sent")
+)
+
+// BrokenError reports a call without a usable response.
+type BrokenError struct {
+	Peer string
+	// Sent is false when provably no byte of the request left this process.
+	Sent bool
+	Err  error
+}
+
+// Error implements error.
+func (e *BrokenError) Error() string {
+	return fmt.Sprintf("hop (peer %s, sent %t): %v", e.Peer, e.Sent, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *BrokenError) Unwrap() error {
+	return e.Err
+}
