Add the catalogue's rows on the platform and their synchronization

Cause: daemons must apply every accepted change in order within seconds, also when they start together or without a path to the platform.

--- /dev/null
+++ b/internal/catalogsync/run.go
@@ -0,0 +1,62 @@
+package catalogsync
+
+import (
+	"context"
+	"time"
+)
+
+// Run polls until ctx ends, and returns nil then.
+func (s *Syncer) Run(ctx context.Context) error {
+	delay := s.jitter(s.config.StartSpread)
+	for sleep(ctx, delay) {
+		err := s.Poll(ctx)
+		if err != nil && ctx.Err() == nil {
+			s.config.Logger.Warn().Err(err).Msg("catalogsync: poll failed")
+		}
+		if err == nil {
+			s.keepSnapshot(ctx)
+		}
+		delay = s.nextDelay()
+	}
+	return nil
+}
+
+// keepSnapshot lets the keeper work; its failure is not urgent.
+func (s *Syncer) keepSnapshot(ctx context.Context) {
+	if err := s.keeper.step(ctx, s.Snapshot()); err != nil && ctx.Err() == nil {
+		s.config.Logger.Warn().Err(err).Msg("catalogsync: snapshot not stored")
+	}
+}
+
+// nextDelay returns the poll interval, or after failures a random part of a
+// delay that doubles with each failure.
+func (s *Syncer) nextDelay() time.Duration {
+	failures := s.Status().Failures
+	if failures == 0 {
+		return s.config.PollInterval
+	}
+	limit := s.config.PollInterval
+	for range failures - 1 {
+		limit = min(2*limit, s.config.MaxBackoff)
+	}
+	return limit/2 + s.jitter(limit/2)
+}
+
+// jitter returns a random duration below the limit.
+func (s *Syncer) jitter(limit time.Duration) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Duration(s.random.Int64N(int64(max(limit, 1))))
+}
+
+// sleep waits and reports false when ctx ended first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/catalogsync/syncer.go
@@ -0,0 +1,152 @@
+package catalogsync
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+
+	"buckthornlatch.example/buckthornlatch/internal/catalogue"
+	"buckthornlatch.example/buckthornlatch/internal/cataloguestore"
+	"buckthornlatch.example/buckthornlatch/internal/clock"
+	"buckthornlatch.example/buckthornlatch/internal/fault"
+)
+
+// Store is the part of cataloguestore.Store that a Syncer uses.
+type Store interface {
+	Changes(ctx context.Context, after catalogue.Revision, limit int) ([]cataloguestore.Record, bool, error)
+	Revisions(ctx context.Context) (head, stored catalogue.Revision, err error)
+	LoadSnapshot(ctx context.Context) (*catalogue.Snapshot, error)
+	SaveSnapshot(ctx context.Context, snapshot *catalogue.Snapshot) error
+}
+
+const (
+	// pageChanges bounds the changes of one read.
+	pageChanges = 64
+	// farBehind is the number of missing changes from which the stored
+	// snapshot is read instead of the changes.
+	farBehind = 2 * pageChanges
+)
+
+// Syncer polls the platform into a Replica. It is safe for concurrent use.
+type Syncer struct {
+	*Replica
+	store  Store
+	config Config
+	keeper *keeper
+
+	// poll serializes reads of the platform.
+	poll sync.Mutex
+
+	mu     sync.Mutex
+	status Status
+	random *rand.Rand
+}
+
+// New returns a Syncer with an empty copy. Call Run to start polling.
+func New(store Store, config Config) *Syncer {
+	config = config.withDefaults()
+	random := rand.New(rand.NewPCG(config.Seed, 0))
+	return &Syncer{
+		Replica: NewReplica(config.OnApply),
+		store:   store,
+		config:  config,
+		keeper:  newKeeper(store, config, rand.New(rand.NewPCG(config.Seed, 1))),
+		random:  random,
+	}
+}
+
+// Status returns the state of the copy.
+func (s *Syncer) Status() Status {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	status := s.status
+	status.Revision = s.Snapshot().Revision()
+	return status
+}
+
+// Poll reads the platform until the copy is current, and confirms it.
+// Error: *fault.Error; what was read before the failure stays applied.
+func (s *Syncer) Poll(ctx context.Context) error {
+	s.poll.Lock()
+	defer s.poll.Unlock()
+	err := s.catchUp(ctx)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err != nil {
+		s.status.Failures++
+		return fault.New("read catalogue changes", "platform", err)
+	}
+	return nil
+}
+
+// catchUp reads changes until none is left. It looks for a stored snapshot at
+// most once: before the first complete read, or when the changes fill a page.
+func (s *Syncer) catchUp(ctx context.Context) error {
+	bootstrapped := false
+	if !s.Status().Confirmed {
+		if err := s.bootstrap(ctx); err != nil {
+			return err
+		}
+		bootstrapped = true
+	}
+	for {
+		began := s.config.Clock.Now()
+		more, err := s.readPage(ctx)
+		if err != nil {
+			return err
+		}
+		if !more {
+			s.confirm(began)
+			return nil
+		}
+		if !bootstrapped {
+			if err := s.bootstrap(ctx); err != nil {
+				return err
+			}
+			bootstrapped = true
+		}
+	}
+}
+
+// readPage reads and applies one page of changes.
+func (s *Syncer) readPage(ctx context.Context) (more bool, err error) {
+	call, cancel := context.WithTimeout(ctx, s.config.CallTimeout)
+	defer cancel()
+	records, more, err := s.store.Changes(call, s.Snapshot().Revision(), pageChanges)
+	if err != nil {
+		return false, err
+	}
+	return more, s.ApplyRecords(records)
+}
+
+// confirm records a complete read that began at the time.
+func (s *Syncer) confirm(began clock.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.status.Confirmed = true
+	s.status.ConfirmedAt = began
+	s.status.Failures = 0
+}
+
+// bootstrap adopts the stored snapshot when the copy is far behind it. Only a
+// failed read of its revision is an error: without the snapshot, the changes suffice.
+func (s *Syncer) bootstrap(ctx context.Context) error {
+	call, cancel := context.WithTimeout(ctx, s.config.CallTimeout)
+	defer cancel()
+	_, stored, err := s.store.Revisions(call)
+	if err != nil {
+		return err
+	}
+	s.keeper.sawStored(stored)
+	if stored < s.Snapshot().Revision()+farBehind {
+		return nil
+	}
+	snapshot, err := s.store.LoadSnapshot(call)
+	if err == nil {
+		err = s.Replace(snapshot)
+	}
+	if err != nil {
+		s.config.Logger.Warn().Err(err).Msg("catalogsync: stored snapshot not usable")
+	}
+	return nil
+}
--- a/internal/catalogue/validate.go
+++ b/internal/catalogue/validate.go
@@ -1,6 +1,9 @@
 package catalogue
 
-import "fmt"
+import (
+	"fmt"
+	"time"
+)
 
 // Validate checks an entry by itself and returns every problem found.
 func Validate(entry Entry) []Problem {
@@ -79,6 +82,8 @@
 	if s.QueueLimitPerCustomer > s.QueueLimit {
 		v.add("queue_limit_per_customer", "is greater than queue_limit")
 	}
+	v.wholeMilliseconds("request_timeout", s.RequestTimeout)
+	v.wholeMilliseconds("progress_timeout", s.ProgressTimeout)
 	if s.RequestTimeout <= 0 || s.RequestTimeout > MaxRequestTimeout {
 		v.add("request_timeout", "must be above 0 and at most %v", MaxRequestTimeout)
 	}
@@ -107,6 +112,13 @@
 	}
 }
 
+// wholeMilliseconds checks that a duration survives its encoding.
+func (v *validator) wholeMilliseconds(key string, d time.Duration) {
+	if d%time.Millisecond != 0 {
+		v.add(key, "must be a whole number of milliseconds")
+	}
+}
+
 // within checks an integer against inclusive bounds.
 func (v *validator) within(key string, value, low, high int64) {
 	if value < low || value > high {
--- /dev/null
+++ b/internal/cataloguestore/state.go
@@ -0,0 +1,85 @@
+package cataloguestore
+
+import (
+	"context"
+
+	"google.golang.org/protobuf/proto"
+
+	"buckthornlatch.example/buckthornlatch/internal/catalogue"
+	"buckthornlatch.example/buckthornlatch/internal/catalogue/codec"
+	"buckthornlatch.example/buckthornlatch/internal/platform"
+	rpc "buckthornlatch.example/buckthornlatch/rpc/catalogue"
+)
+
+// State is what a change starts from, read as of one platform revision.
+type State struct {
+	// Head is the catalogue's revision.
+	Head catalogue.Revision
+	// HeadRow is the platform revision of the head row. A commit that started
+	// from a lower one can no longer take effect.
+	HeadRow platform.Revision
+	// Entries are the current entries in the order of the names asked for; nil when absent.
+	Entries []catalogue.Entry
+	// rows are the platform revisions of the entries' rows; zero when absent.
+	rows []platform.Revision
+	// Accepted is the revision under which the change id was accepted; zero if it was not.
+	Accepted catalogue.Revision
+	// Fingerprint belongs to Accepted.
+	Fingerprint Fingerprint
+}
+
+// Read reads the state for a change to the named entries.
+func (s *Store) Read(ctx context.Context, operator string, changeID catalogue.ChangeID, refs []catalogue.Ref) (State, error) {
+	keys := make([]string, 0, len(refs)+2)
+	keys = append(keys, headKey, changeIDKey(operator, changeID))
+	for _, ref := range refs {
+		keys = append(keys, entryKey(ref))
+	}
+	rows, err := s.table.Get(ctx, keys)
+	if err != nil {
+		return State{}, err
+	}
+	if len(rows.Rows) != len(keys) {
+		return State{}, &codec.DecodeError{What: "rows", Reason: "platform returned the wrong number"}
+	}
+	state := State{HeadRow: rows.Rows[0].Revision}
+	if state.Head, err = revisionOf(rows.Rows[0]); err != nil {
+		return State{}, err
+	}
+	if err := state.readChangeID(rows.Rows[1]); err != nil {
+		return State{}, err
+	}
+	return state, state.readEntries(rows.Rows[2:])
+}
+
+// readChangeID decodes the change id row.
+func (s *State) readChangeID(row platform.Row) error {
+	if !row.Exists() {
+		return nil
+	}
+	var accepted rpc.ChangeIDRow
+	if err := proto.Unmarshal(row.Value, &accepted); err != nil {
+		return &codec.DecodeError{What: row.Key, Reason: err.Error()}
+	}
+	s.Accepted = catalogue.Revision(accepted.GetRevision())
+	copy(s.Fingerprint[:], accepted.GetFingerprint())
+	return nil
+}
+
+// readEntries decodes the entry rows.
+func (s *State) readEntries(rows []platform.Row) error {
+	for _, row := range rows {
+		if !row.Exists() {
+			s.Entries = append(s.Entries, nil)
+			s.rows = append(s.rows, 0)
+			continue
+		}
+		entry, err := codec.DecodeEntry(row.Value)
+		if err != nil {
+			return err
+		}
+		s.Entries = append(s.Entries, entry)
+		s.rows = append(s.rows, row.Revision)
+	}
+	return nil
+}
