Assemble a daemon that serves requests

The daemon joins the entry, the gate, gossip and the catalogue's synchronization. Shares of a rate are fixed and every target is eligible until the decision packages for limits and health are wired.

--- /dev/null
+++ b/internal/command/emulate_platform.go
@@ -0,0 +1,32 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+
+	emulator "buckthornlatch.example/buckthornlatch/internal/emulator/platform"
+	"buckthornlatch.example/buckthornlatch/internal/fault"
+	"buckthornlatch.example/buckthornlatch/internal/platform"
+)
+
+// EmulatePlatform runs the platform stand-in.
+type EmulatePlatform struct {
+	Listen string `arg:"--listen,required" help:"address, ip:port"`
+	Seed   uint64 `arg:"--seed" default:"1" help:"seed that decides which responses are lost"`
+	Reads  int    `arg:"--reads-per-second" default:"2000" help:"limit of reads; 0 for none"`
+	Writes int    `arg:"--writes-per-second" default:"400" help:"limit of writes; 0 for none"`
+}
+
+// Run serves until the context ends.
+func (c *EmulatePlatform) Run(ctx context.Context, stdout io.Writer) error {
+	listener, err := net.Listen("tcp", c.Listen)
+	if err != nil {
+		return fault.New("listen", c.Listen, err)
+	}
+	server := emulator.New(platform.NewMemory(), c.Seed)
+	server.SetFaults(emulator.Faults{ReadsPerSecond: c.Reads, WritesPerSecond: c.Writes})
+	fmt.Fprintf(stdout, "emulator: platform serves on %s\n", listener.Addr())
+	return server.Serve(ctx, listener)
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,74 @@
+package daemon
+
+import (
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"buckthornlatch.example/buckthornlatch/internal/balancer"
+	"buckthornlatch.example/buckthornlatch/internal/catalogsync"
+	"buckthornlatch.example/buckthornlatch/internal/cataloguestore"
+	"buckthornlatch.example/buckthornlatch/internal/clock"
+	"buckthornlatch.example/buckthornlatch/internal/entry"
+	"buckthornlatch.example/buckthornlatch/internal/gate"
+	"buckthornlatch.example/buckthornlatch/internal/gossip"
+	"buckthornlatch.example/buckthornlatch/internal/hop"
+	"buckthornlatch.example/buckthornlatch/internal/id"
+	"buckthornlatch.example/buckthornlatch/internal/platform"
+	"buckthornlatch.example/buckthornlatch/internal/registration"
+	"buckthornlatch.example/buckthornlatch/internal/settings"
+)
+
+// Daemon is one process of the fleet.
+type Daemon struct {
+	settings    settings.Settings
+	log         zerolog.Logger
+	clock       clock.Clock
+	incarnation id.Incarnation
+	client      *http.Client
+
+	listeners listeners
+	platform  *platform.Client
+	store     *cataloguestore.Store
+	syncer    *catalogsync.Syncer
+	gossip    *gossip.Service
+	fresh     *freshKeeper
+	balancer  *balancer.Shared
+	registrar *registration.Registrar
+	hop       *hop.Client
+	gate      *gate.Gate
+	entry     *entry.Entry
+
+	// applied wakes the upkeep after a catalogue change.
+	applied chan struct{}
+	// targetsChanged wakes the upkeep after a target appeared, changed or disappeared.
+	targetsChanged chan struct{}
+	state          state
+}
+
+// listeners are the daemon's open addresses.
+type listeners struct {
+	caller, peer, local, admin net.Listener
+}
+
+// New returns a daemon that has not opened anything yet.
+func New(s settings.Settings, log zerolog.Logger) *Daemon {
+	return &Daemon{
+		settings:       s,
+		log:            log,
+		clock:          clock.NewSystem(),
+		incarnation:    id.Incarnation(time.Now().UnixMilli()),
+		applied:        make(chan struct{}, 1),
+		targetsChanged: make(chan struct{}, 1),
+	}
+}
+
+// notify wakes the reader of a channel of capacity one without blocking.
+func notify(c chan<- struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/internal/daemon/order.go
@@ -0,0 +1,150 @@
+package daemon
+
+import (
+	"time"
+
+	"buckthornlatch.example/buckthornlatch/internal/clock"
+	"buckthornlatch.example/buckthornlatch/internal/fairqueue"
+	"buckthornlatch.example/buckthornlatch/internal/gate"
+	"buckthornlatch.example/buckthornlatch/internal/id"
+	"buckthornlatch.example/buckthornlatch/internal/problem"
+)
+
+// fairOrder serves the gate's waiters by fair queueing, one queue per service.
+// The gate calls it under one lock.
+type fairOrder struct {
+	clock  clock.Clock
+	queues map[id.ServiceName]*serviceQueue
+	// service finds the queue of a waiter.
+	service map[gate.WaiterID]id.ServiceName
+	shed    map[id.ServiceName][]gate.WaiterID
+}
+
+// serviceQueue is the queue of one service.
+type serviceQueue struct {
+	queue     *fairqueue.Queue
+	estimator fairqueue.Estimator
+	tickets   map[gate.WaiterID]fairqueue.Ticket
+	waiters   map[fairqueue.Ticket]gate.WaiterID
+}
+
+// newFairOrder returns an empty order.
+func newFairOrder(c clock.Clock) *fairOrder {
+	return &fairOrder{
+		clock:   c,
+		queues:  make(map[id.ServiceName]*serviceQueue),
+		service: make(map[gate.WaiterID]id.ServiceName),
+		shed:    make(map[id.ServiceName][]gate.WaiterID),
+	}
+}
+
+// Enqueue implements gate.Order.
+func (o *fairOrder) Enqueue(now clock.Time, w gate.Waiter) error {
+	limits := fairqueue.Config{Limit: w.Service.QueueLimit, LimitPerCustomer: w.Service.QueueLimitPerCustomer}
+	q, ok := o.queues[w.Service.Name]
+	if !ok {
+		q = &serviceQueue{
+			queue:   fairqueue.New(limits),
+			tickets: make(map[gate.WaiterID]fairqueue.Ticket),
+			waiters: make(map[fairqueue.Ticket]gate.WaiterID),
+		}
+		o.queues[w.Service.Name] = q
+	}
+	q.queue.SetConfig(limits)
+	request := fairqueue.Request{Customer: w.Customer, Weight: w.Weight, Remaining: w.Remaining}
+	ticket, shed, refusal := q.queue.Enqueue(now, request, q.estimator.Expected(now))
+	if refusal != nil {
+		return refused(refusal)
+	}
+	q.tickets[w.ID] = ticket
+	q.waiters[ticket] = w.ID
+	o.service[w.ID] = w.Service.Name
+	if shed != nil {
+		o.keepShed(w.Service.Name, q, *shed)
+	}
+	return nil
+}
+
+// keepShed remembers a waiter that must be told by Next.
+func (o *fairOrder) keepShed(service id.ServiceName, q *serviceQueue, shed fairqueue.Shed) {
+	waiter, ok := o.forget(q, shed.Ticket)
+	if ok {
+		o.shed[service] = append(o.shed[service], waiter)
+	}
+}
+
+// forget drops a ticket and returns its waiter.
+func (o *fairOrder) forget(q *serviceQueue, ticket fairqueue.Ticket) (gate.WaiterID, bool) {
+	waiter, ok := q.waiters[ticket]
+	delete(q.waiters, ticket)
+	delete(q.tickets, waiter)
+	delete(o.service, waiter)
+	return waiter, ok
+}
+
+// Next implements gate.Order.
+func (o *fairOrder) Next(now clock.Time, service id.ServiceName) (gate.Turn, bool) {
+	if waiter, ok := o.nextShed(service); ok {
+		return gate.Turn{ID: waiter, Shed: true}, true
+	}
+	q, ok := o.queues[service]
+	if !ok {
+		return gate.Turn{}, false
+	}
+	ticket, ok, shed := q.queue.Next(now, q.estimator.Expected(now))
+	for _, s := range shed {
+		o.keepShed(service, q, s)
+	}
+	if ok {
+		waiter, _ := o.forget(q, ticket)
+		return gate.Turn{ID: waiter}, true
+	}
+	waiter, ok := o.nextShed(service)
+	return gate.Turn{ID: waiter, Shed: true}, ok
+}
+
+// nextShed removes one waiter that was shed.
+func (o *fairOrder) nextShed(service id.ServiceName) (gate.WaiterID, bool) {
+	waiting := o.shed[service]
+	if len(waiting) == 0 {
+		return 0, false
+	}
+	o.shed[service] = waiting[1:]
+	return waiting[0], true
+}
+
+// Remove implements gate.Order.
+func (o *fairOrder) Remove(w gate.WaiterID) {
+	service, ok := o.service[w]
+	if !ok {
+		return
+	}
+	q := o.queues[service]
+	ticket := q.tickets[w]
+	q.queue.Remove(ticket)
+	o.forget(q, ticket)
+}
+
+// Served implements gate.Order.
+func (o *fairOrder) Served(service id.ServiceName, _ id.CustomerID, took time.Duration) {
+	if q, ok := o.queues[service]; ok {
+		q.estimator.Observe(o.clock.Now(), took)
+	}
+}
+
+// Len implements gate.Order.
+func (o *fairOrder) Len(service id.ServiceName) int {
+	q, ok := o.queues[service]
+	if !ok {
+		return 0
+	}
+	return q.queue.Len()
+}
+
+// refused converts a refusal of the queue.
+func refused(r *fairqueue.Refusal) error {
+	if r.Reason == fairqueue.DeadlineTooShort {
+		return &gate.Refused{Code: problem.DeadlineTooShort}
+	}
+	return &gate.Refused{Code: problem.QueueFull, RetryAfter: r.Expected}
+}
--- /dev/null
+++ b/internal/daemon/provision.go
@@ -0,0 +1,170 @@
+package daemon
+
+import (
+	"crypto/rand"
+	"net"
+	"net/http"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"buckthornlatch.example/buckthornlatch/internal/balancer"
+	"buckthornlatch.example/buckthornlatch/internal/catalogsync"
+	"buckthornlatch.example/buckthornlatch/internal/catalogue"
+	"buckthornlatch.example/buckthornlatch/internal/cataloguestore"
+	"buckthornlatch.example/buckthornlatch/internal/entry"
+	"buckthornlatch.example/buckthornlatch/internal/fault"
+	"buckthornlatch.example/buckthornlatch/internal/gate"
+	"buckthornlatch.example/buckthornlatch/internal/gossip"
+	"buckthornlatch.example/buckthornlatch/internal/hop"
+	"buckthornlatch.example/buckthornlatch/internal/id"
+	"buckthornlatch.example/buckthornlatch/internal/ledger"
+	"buckthornlatch.example/buckthornlatch/internal/membership"
+	"buckthornlatch.example/buckthornlatch/internal/platform"
+	"buckthornlatch.example/buckthornlatch/internal/registration"
+)
+
+const (
+	// idleControlConnections bounds the idle connections to one peer for control messages.
+	idleControlConnections = 2
+	// idleControlTimeout closes unused control connections.
+	idleControlTimeout = 30 * time.Second
+)
+
+// Provision opens the listeners and builds every part. On an error everything
+// that was opened is closed again.
+func (d *Daemon) Provision() error {
+	if err := d.listen(); err != nil {
+		d.Cleanup()
+		return err
+	}
+	d.client = &http.Client{Transport: &http.Transport{
+		MaxIdleConnsPerHost: idleControlConnections,
+		IdleConnTimeout:     idleControlTimeout,
+	}}
+	d.platform = platform.NewClient(d.settings.Platform.Address, &http.Client{
+		Transport: d.client.Transport,
+		Timeout:   d.settings.Platform.Timeout,
+	})
+	d.store = cataloguestore.New(d.platform.Table(), d.platform.Objects())
+	d.registrar = registration.New(d.platform.Table())
+	d.syncer = catalogsync.New(d.store, catalogsync.Config{
+		Clock:        d.clock,
+		Logger:       d.log,
+		OnApply:      func(*catalogue.Snapshot) { notify(d.applied) },
+		Seed:         uint64(d.incarnation),
+		PollInterval: d.settings.Platform.PollInterval,
+		CallTimeout:  d.settings.Platform.Timeout,
+	})
+	d.provisionMembership()
+	return d.provisionPath()
+}
+
+// provisionMembership builds gossip, freshness and target choice.
+func (d *Daemon) provisionMembership() {
+	host := id.HostID(d.settings.Host.Name)
+	domain := id.FailureDomain(d.settings.Host.FailureDomain)
+	peer := d.listeners.peer.Addr().String()
+	d.balancer = balancer.NewShared(balancer.Config{
+		Host:          host,
+		FailureDomain: domain,
+		Seed:          uint64(d.incarnation),
+	}, d.clock)
+	d.gossip = gossip.New(gossip.Config{
+		Membership: membership.Config{
+			Self:          host,
+			FailureDomain: domain,
+			Addresses:     membership.Addresses{Control: peer, Hop: peer},
+			Incarnation:   d.incarnation,
+			Period:        d.settings.Peers.GossipInterval,
+			Seed:          uint64(d.incarnation),
+			Riders:        []membership.Rider{&catalogueRider{replica: d.syncer.Replica}},
+		},
+		Seeds:    d.settings.Peers.Seeds,
+		Scheme:   d.peerScheme(),
+		Client:   d.client,
+		Clock:    d.clock,
+		Log:      d.log,
+		Timeout:  d.settings.Peers.Timeout,
+		OnChange: d.recordsChanged,
+	})
+	d.fresh = &freshKeeper{catalogue: d.syncer, gossip: d.gossip, clock: d.clock}
+}
+
+// provisionPath builds the entry and the gate.
+func (d *Daemon) provisionPath() error {
+	host := id.HostID(d.settings.Host.Name)
+	routes := &router{catalogue: d.syncer}
+	keys := &authenticator{catalogue: d.syncer, fresh: d.fresh}
+	tickets, err := newLocalLedger(d.clock, ledger.Location{Host: host, Epoch: id.Epoch(d.incarnation)})
+	if err != nil {
+		return fault.New("create ledger", "", err)
+	}
+	d.hop = hop.NewClient(hop.Config{}, d.clock)
+	d.gate = gate.New(gate.Config{Host: host, Incarnation: d.incarnation}, gate.Deps{
+		Clock:       d.clock,
+		Catalogue:   routes,
+		Revocations: keys,
+		Health:      allEligible{},
+		Order:       newFairOrder(d.clock),
+		Changed:     func() { notify(d.targetsChanged) },
+		Log:         d.log,
+	})
+	d.entry = entry.New(entry.Config{RetryFraction: d.settings.Limits.RetryFraction}, entry.Deps{
+		Clock:         d.clock,
+		Authenticator: keys,
+		Router:        routes,
+		Quarantine:    noQuarantine{},
+		Admitter:      &fixedShare{catalogue: d.syncer, buckets: make(map[id.CustomerID]*rate.Limiter)},
+		Ledger:        tickets,
+		Tickets:       tickets,
+		Picker:        &picker{balancer: d.balancer},
+		Sender:        d.hop,
+		Random:        rand.Reader,
+		Log:           d.log,
+	})
+	return nil
+}
+
+// listen opens the four addresses.
+func (d *Daemon) listen() error {
+	for _, address := range []struct {
+		step, value string
+		into        *net.Listener
+	}{
+		{"listen for callers", d.settings.Listen.Caller, &d.listeners.caller},
+		{"listen for peers", d.settings.Listen.Peer, &d.listeners.peer},
+		{"listen for targets", d.settings.Listen.Local, &d.listeners.local},
+		{"listen for operators", d.settings.Listen.Admin, &d.listeners.admin},
+	} {
+		listener, err := net.Listen("tcp", address.value)
+		if err != nil {
+			return fault.New(address.step, address.value, err)
+		}
+		*address.into = listener
+	}
+	return nil
+}
+
+// Cleanup closes everything that Provision opened.
+func (d *Daemon) Cleanup() {
+	for _, listener := range []net.Listener{d.listeners.caller, d.listeners.peer, d.listeners.local, d.listeners.admin} {
+		if listener != nil {
+			_ = listener.Close()
+		}
+	}
+	if d.hop != nil {
+		d.hop.Close()
+	}
+	if d.client != nil {
+		d.client.CloseIdleConnections()
+	}
+}
+
+// peerScheme is the URL scheme of calls to peers.
+func (d *Daemon) peerScheme() string {
+	if d.settings.TLS.Enabled() {
+		return "https"
+	}
+	return "http"
+}
--- /dev/null
+++ b/internal/daemon/run.go
@@ -0,0 +1,80 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"buckthornlatch.example/buckthornlatch/internal/fault"
+)
+
+// Run serves until ctx ends, then drains. It returns nil after a complete drain.
+func (d *Daemon) Run(ctx context.Context) error {
+	// Background work goes on while the daemon drains, so that peers learn of it.
+	background, stop := context.WithCancel(context.Background())
+	defer stop()
+	group, running := errgroup.WithContext(background)
+	servers := d.servers()
+	for _, s := range servers {
+		group.Go(func() error { return s.serve() })
+	}
+	group.Go(func() error { return d.gate.Run(running) })
+	group.Go(func() error { return d.syncer.Run(running) })
+	group.Go(func() error { return d.upkeep(running) })
+	group.Go(func() error { return d.register(running) })
+	group.Go(func() error { d.gossip.Run(running); return nil })
+	d.log.Info().Str("callers", d.listeners.caller.Addr().String()).Msg("daemon: serving")
+
+	select {
+	case <-ctx.Done():
+	case <-running.Done():
+	}
+	err := d.drain()
+	for _, s := range servers {
+		s.close()
+	}
+	stop()
+	return errors.Join(err, group.Wait())
+}
+
+// drain finishes what is in flight within the settings' bound.
+func (d *Daemon) drain() error {
+	d.state.draining.Store(true)
+	d.log.Info().Msg("daemon: draining")
+	time.Sleep(d.settings.Timeouts.DrainGrace)
+	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Timeouts.Drain)
+	defer cancel()
+	err := fault.New("drain entry", "", d.entry.Shutdown(ctx))
+	err = errors.Join(err, fault.New("drain gate", "", d.gate.Shutdown(ctx)))
+	d.log.Info().Err(err).Msg("daemon: drained")
+	return err
+}
+
+// server is one HTTP server on its listener.
+type server struct {
+	name     string
+	listener net.Listener
+	http     *http.Server
+}
+
+// serve runs until close.
+func (s *server) serve() error {
+	err := s.http.Serve(s.listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return fault.New("serve "+s.name, s.listener.Addr().String(), err)
+}
+
+// close closes the listener and lets running requests end for a moment.
+func (s *server) close() {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	if s.http.Shutdown(ctx) != nil {
+		_ = s.http.Close()
+	}
+}
--- /dev/null
+++ b/internal/daemon/servers.go
@@ -0,0 +1,92 @@
+package daemon
+
+import (
+	"net"
+	"net/http"
+	"net/http/pprof"
+
+	"buckthornlatch.example/buckthornlatch/internal/catalogsync"
+	"buckthornlatch.example/buckthornlatch/internal/gate"
+	"buckthornlatch.example/buckthornlatch/internal/hop"
+	"buckthornlatch.example/buckthornlatch/internal/targetapi"
+	rpccatalogue "buckthornlatch.example/buckthornlatch/rpc/catalogue"
+	"buckthornlatch.example/buckthornlatch/rpc/fate"
+)
+
+// servers returns the daemon's HTTP servers.
+func (d *Daemon) servers() []*server {
+	return []*server{
+		d.server("callers", d.listeners.caller, d.entry),
+		d.server("peers", d.listeners.peer, d.peerHandler()),
+		d.server("targets", d.listeners.local, d.localHandler()),
+		d.server("operators", d.listeners.admin, d.adminHandler()),
+	}
+}
+
+// server returns one server with the settings' bounds.
+func (d *Daemon) server(name string, listener net.Listener, handler http.Handler) *server {
+	return &server{name: name, listener: listener, http: &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: d.settings.Timeouts.ReadHeader,
+		IdleTimeout:       d.settings.Timeouts.Idle,
+		MaxHeaderBytes:    d.settings.Limits.MaxHeaderBytes,
+	}}
+}
+
+// peerHandler serves attempts and control messages.
+func (d *Daemon) peerHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(hop.Path, d.gate)
+	mount(mux, fate.NewFateServer(gate.NewFateServer(d.gate)))
+	mount(mux, rpccatalogue.NewSyncServer(catalogsync.NewServer(d.syncer.Replica)))
+	mux.Handle("/", d.gossip.Handler())
+	return mux
+}
+
+// twirpServer is a generated server with its path.
+type twirpServer interface {
+	http.Handler
+	PathPrefix() string
+}
+
+var _ twirpServer = fate.TwirpServer(nil)
+
+// mount adds a twirp server to a mux.
+func mount(mux *http.ServeMux, server twirpServer) {
+	mux.Handle(server.PathPrefix(), server)
+}
+
+// localHandler serves the host's own targets.
+func (d *Daemon) localHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc(targetapi.AnnouncePath, d.gate.Announce)
+	return mux
+}
+
+// adminHandler serves operators.
+func (d *Daemon) adminHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("/healthz", d.healthz)
+	mux.HandleFunc("/readyz", d.readyz)
+	mux.HandleFunc("/debug/pprof/", pprof.Index)
+	mux.HandleFunc("/debug/pprof/profile", pprof.Profile)
+	mux.HandleFunc("/debug/pprof/trace", pprof.Trace)
+	return mux
+}
+
+// healthz reports that the process works.
+func (d *Daemon) healthz(w http.ResponseWriter, _ *http.Request) {
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// readyz reports whether callers should send requests here.
+func (d *Daemon) readyz(w http.ResponseWriter, _ *http.Request) {
+	switch {
+	case d.state.draining.Load():
+		http.Error(w, "draining", http.StatusServiceUnavailable)
+	case !d.fresh.verdict().Fresh(d.clock.Now()):
+		http.Error(w, "keys cannot be confirmed", http.StatusServiceUnavailable)
+	default:
+		w.WriteHeader(http.StatusNoContent)
+	}
+}
--- /dev/null
+++ b/internal/registration/registrar.go
@@ -0,0 +1,104 @@
+package registration
+
+import (
+	"context"
+	"errors"
+
+	"buckthornlatch.example/buckthornlatch/internal/fault"
+	"buckthornlatch.example/buckthornlatch/internal/id"
+	"buckthornlatch.example/buckthornlatch/internal/platform"
+)
+
+const (
+	// keyPrefix begins the key of every registration row.
+	keyPrefix = "owner/"
+	// scanLimit bounds the rows of one read.
+	scanLimit = 1000
+)
+
+// ErrSuperseded reports that a newer process registered for the slot.
+var ErrSuperseded = errors.New("a newer process holds the host slot")
+
+// Registrar reads and writes registrations. It is safe for concurrent use.
+type Registrar struct {
+	table platform.Table
+}
+
+// New returns a registrar over the platform's table.
+func New(table platform.Table) *Registrar {
+	return &Registrar{table: table}
+}
+
+// Register raises the slot's epoch and returns the new registration. A repeated
+// call of a process that is registered already returns its registration.
+// Error: *fault.Error; the call may then be repeated.
+func (r *Registrar) Register(ctx context.Context, own Owner) (Owner, error) {
+	key := keyPrefix + string(own.Host)
+	rows, err := r.table.Get(ctx, []string{key})
+	if err != nil {
+		return Owner{}, fault.New("read registration", "", err)
+	}
+	row := rows.Rows[0]
+	previous := Owner{}
+	condition := platform.Condition{Key: key}
+	if row.Exists() {
+		if previous, err = decode(row.Value); err != nil {
+			return Owner{}, fault.New("decode registration", "", err)
+		}
+		condition.Revision = row.Revision
+	}
+	if previous.Incarnation == own.Incarnation {
+		return previous, nil
+	}
+	if previous.Incarnation > own.Incarnation {
+		return Owner{}, fault.New("register", "", ErrSuperseded)
+	}
+	own.Epoch = previous.Epoch + 1
+	return own, r.commit(ctx, condition, own)
+}
+
+// commit writes a registration under its condition.
+func (r *Registrar) commit(ctx context.Context, condition platform.Condition, own Owner) error {
+	value, err := own.encode()
+	if err != nil {
+		return fault.New("encode registration", "", err)
+	}
+	_, err = r.table.Commit(ctx, platform.Txn{
+		Conditions: []platform.Condition{condition},
+		Puts:       []platform.Put{{Key: condition.Key, Value: value}},
+	})
+	return fault.New("commit registration", "", err)
+}
+
+// All reads the registrations of all slots. Error: *fault.Error.
+func (r *Registrar) All(ctx context.Context) ([]Owner, error) {
+	var owners []Owner
+	after := ""
+	for {
+		rows, err := r.table.Scan(ctx, keyPrefix, after, scanLimit)
+		if err != nil {
+			return nil, fault.New("read registrations", "", err)
+		}
+		for _, row := range rows.Rows {
+			owner, err := decode(row.Value)
+			if err != nil {
+				return nil, fault.New("decode registration", row.Key, err)
+			}
+			owners = append(owners, owner)
+			after = row.Key
+		}
+		if !rows.More {
+			return owners, nil
+		}
+	}
+}
+
+// Latest returns the highest epoch of a slot among the registrations, or zero.
+func Latest(owners []Owner, host id.HostID) id.Epoch {
+	for _, owner := range owners {
+		if owner.Host == host {
+			return owner.Epoch
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/registration/registrar_test.go
@@ -0,0 +1,68 @@
+package registration_test
+
+import (
+	"context"
+	"errors"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"buckthornlatch.example/buckthornlatch/internal/id"
+	"buckthornlatch.example/buckthornlatch/internal/platform"
+	"buckthornlatch.example/buckthornlatch/internal/registration"
+)
+
+// losingTable loses the response of the first commit after it took effect.
+type losingTable struct {
+	platform.Table
+	lost bool
+}
+
+func (t *losingTable) Commit(ctx context.Context, txn platform.Txn) (platform.Revision, error) {
+	revision, err := t.Table.Commit(ctx, txn)
+	if err == nil && !t.lost {
+		t.lost = true
+		return 0, &platform.OutcomeUnknownError{Step: "commit", Err: errors.New("response lost")}
+	}
+	return revision, err
+}
+
+func owner(incarnation id.Incarnation) registration.Owner {
+	return registration.Owner{Host: "trelew-1", Incarnation: incarnation, Peer: "127.0.0.1:1"}
+}
+
+var _ = Describe("Register", func() {
+	ctx := context.Background()
+
+	It("raises the epoch with every process", func() {
+		registrar := registration.New(platform.NewMemory().Table())
+		first, err := registrar.Register(ctx, owner(10))
+		Expect(err).NotTo(HaveOccurred())
+		second, err := registrar.Register(ctx, owner(20))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(second.Epoch).To(Equal(first.Epoch + 1))
+	})
+
+	// Guards against a second epoch for one process after a lost response.
+	It("returns the same epoch after a lost response", func() {
+		registrar := registration.New(&losingTable{Table: platform.NewMemory().Table()})
+		_, err := registrar.Register(ctx, owner(10))
+		var unknown *platform.OutcomeUnknownError
+		Expect(errors.As(err, &unknown)).To(BeTrue())
+		again, err := registrar.Register(ctx, owner(10))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(again.Epoch).To(Equal(id.Epoch(1)))
+	})
+
+	// Guards against an old process that takes the slot back after its replacement registered.
+	It("refuses an older process", func() {
+		registrar := registration.New(platform.NewMemory().Table())
+		_, err := registrar.Register(ctx, owner(20))
+		Expect(err).NotTo(HaveOccurred())
+		_, err = registrar.Register(ctx, owner(10))
+		Expect(err).To(MatchError(registration.ErrSuperseded))
+		owners, err := registrar.All(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(registration.Latest(owners, "trelew-1")).To(Equal(id.Epoch(1)))
+	})
+})
