--- a/internal/attempt/doc.go
+++ b/internal/attempt/doc.go
@@ -4,8 +4,9 @@
 // an attempt that was not dispatched by then is blocked, so that "not run" stays true. Finished and blocked
 // attempts are remembered for Retention, which is longer than any attempt may last.
 //
-// Memory is bounded. When finished attempts have to be dropped early, Resolve answers "unknown" for attempts
-// that it has not seen until the dropped ones would have expired. Block marks are never dropped early: when
+// Memory is bounded. When there are too many finished attempts, those older than MinRetention are dropped;
+// if there are none, new attempts are not accepted. After a drop, Resolve answers "unknown" for attempts that
+// it has not seen, until the dropped ones would have expired. Block marks are never dropped early: when
 // there are too many, Resolve answers "unknown" without blocking.
 //
 // The package does no I/O and is not safe for concurrent use.
--- a/internal/attempt/state.go
+++ b/internal/attempt/state.go
@@ -18,11 +18,13 @@
 	Unknown
 	// Blocked attempts were resolved before they were dispatched; they will not run.
 	Blocked
+	// Full means that the table cannot take another attempt.
+	Full
 )
 
 // String returns the state's name.
 func (s State) String() string {
-	names := [...]string{"unseen", "waiting", "dispatched", "not-run", "ran", "unknown", "blocked"}
+	names := [...]string{"unseen", "waiting", "dispatched", "not-run", "ran", "unknown", "blocked", "full"}
 	if int(s) < len(names) {
 		return names[s]
 	}
--- a/internal/attempt/table.go
+++ b/internal/attempt/table.go
@@ -8,12 +8,17 @@
 	"buckthornlatch.example/buckthornlatch/internal/invariant"
 )
 
-// Retention is the time for which finished and blocked attempts are remembered.
-const Retention = 15 * time.Minute
+const (
+	// Retention is the time for which finished and blocked attempts are remembered.
+	Retention = 15 * time.Minute
+	// MinRetention is the age below which a finished attempt is never dropped. The gate refuses attempts
+	// whose permission reaches further ahead, so a dropped attempt cannot be run again.
+	MinRetention = time.Minute
+)
 
 // Limits bounds the table. Zero fields select the defaults.
 type Limits struct {
-	// Finished bounds the remembered finished attempts; default 131072.
+	// Finished bounds the remembered finished attempts; default 262144.
 	Finished int
 	// Blocked bounds the block marks; default 16384.
 	Blocked int
@@ -32,7 +37,7 @@
 // NewTable returns an empty table.
 func NewTable(limits Limits) *Table {
 	if limits.Finished == 0 {
-		limits.Finished = 128 << 10
+		limits.Finished = 256 << 10
 	}
 	if limits.Blocked == 0 {
 		limits.Blocked = 16 << 10
@@ -41,14 +46,18 @@
 }
 
 // Arrive records a new attempt. It returns Unseen when the attempt is new and now waiting; any other state
-// means that the attempt must not be run.
+// means that the attempt must not be run. Full means that it was not recorded.
 func (t *Table) Arrive(now clock.Time, a id.AttemptID) State {
 	t.expire(now)
 	state := t.states[a]
-	if state == Unseen {
-		t.states[a] = Waiting
+	if state != Unseen {
+		return state
+	}
+	if t.finished.len() > t.limits.Finished {
+		return Full
 	}
-	return state
+	t.states[a] = Waiting
+	return Unseen
 }
 
 // Dispatch permits a waiting attempt to run, once. It must be called before the first byte reaches a target.
@@ -136,17 +145,20 @@
 // expire forgets the attempts whose retention has passed.
 func (t *Table) expire(now clock.Time) {
 	t.finished.expire(now, t.forget)
+	t.dropFinished(now)
 	t.blocked.expire(now, t.forget)
 }
 
-// dropFinished drops the oldest finished attempts above the limit.
+// dropFinished drops the oldest finished attempts above the limit that are old enough.
 func (t *Table) dropFinished(now clock.Time) {
 	for t.finished.len() > t.limits.Finished {
-		oldest := t.finished.pop()
-		t.forget(oldest.attempt)
-		if now.Before(oldest.expiry) {
-			t.forgottenUntil = max(t.forgottenUntil, oldest.expiry)
+		oldest := t.finished.oldest()
+		if now.Add(Retention).Sub(oldest.expiry) < MinRetention {
+			return
 		}
+		t.finished.pop()
+		t.forget(oldest.attempt)
+		t.forgottenUntil = max(t.forgottenUntil, oldest.expiry)
 	}
 }
 
--- a/internal/attempt/tombstones.go
+++ b/internal/attempt/tombstones.go
@@ -30,6 +30,11 @@
 	q.items = append(q.items, tombstone{attempt: a, expiry: expiry})
 }
 
+// oldest returns the oldest item.
+func (q *tombstones) oldest() tombstone {
+	return q.items[q.head]
+}
+
 // pop removes the oldest item.
 func (q *tombstones) pop() tombstone {
 	item := q.items[q.head]
--- a/internal/gate/reply.go
+++ b/internal/gate/reply.go
@@ -88,13 +88,16 @@
 	r.problem(hop.NotRun, refused.Code, refused.RetryAfter)
 }
 
-// repeated answers an id that arrived before.
+// repeated answers an id that arrived before, or that the table cannot take.
 func (r *reply) repeated(state attempt.State) {
-	if state == attempt.Blocked || state == attempt.NotRun {
+	switch state {
+	case attempt.Blocked, attempt.NotRun:
 		r.problem(hop.NotRun, problem.AttemptBlocked, 0)
-		return
+	case attempt.Full:
+		r.problem(hop.NotRun, problem.QueueFull, 0)
+	default:
+		r.problem(hop.Unknown, problem.OutcomeUnknown, 0)
 	}
-	r.problem(hop.Unknown, problem.OutcomeUnknown, 0)
 }
 
 // problem writes a refusal with its certificate.
--- a/internal/hop/gateclock.go
+++ b/internal/hop/gateclock.go
@@ -5,10 +5,14 @@
 	"strconv"
 	"strings"
 
+	"buckthornlatch.example/buckthornlatch/internal/attempt"
 	"buckthornlatch.example/buckthornlatch/internal/clock"
 	"buckthornlatch.example/buckthornlatch/internal/id"
 )
 
+// MaxValidity bounds how far a validity stamp may reach ahead. It is the attempt table's MinRetention.
+const MaxValidity = attempt.MinRetention
+
 // errGateClock reports a malformed gate clock.
 var errGateClock = errors.New("gate clock is not <incarnation>:<milliseconds>")
 
@@ -51,7 +55,9 @@
 	return string(buffer)
 }
 
-// Permits reports whether the stamp g still allows a dispatch at the gate's reading now.
+// Permits reports whether the stamp g allows a dispatch at the gate's reading now. A stamp that reaches
+// further ahead than MaxValidity allows none.
 func (g GateClock) Permits(now GateClock) bool {
-	return g.Incarnation == now.Incarnation && now.Millis <= g.Millis
+	ahead := g.Millis - now.Millis
+	return g.Incarnation == now.Incarnation && ahead >= 0 && ahead <= MaxValidity.Milliseconds()
 }
--- a/internal/hop/stamp.go
+++ b/internal/hop/stamp.go
@@ -3,10 +3,14 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"buckthornlatch.example/buckthornlatch/internal/clock"
 )
 
+// stampMargin keeps stamps below MaxValidity in spite of drifting clocks.
+const stampMargin = 10 * time.Second
+
 // stamp converts the local time expiry to the peer's clock. The peer's clock was at least the reading when
 // the reading arrived, so the stamp is never later than expiry. The reading is fetched when it is missing or old.
 func (c *Client) stamp(ctx context.Context, p *peer, expiry clock.Time) (GateClock, error) {
@@ -17,6 +21,7 @@
 		}
 		reading = p.reading.Load()
 	}
+	expiry = min(expiry, c.clock.Now().Add(MaxValidity-stampMargin))
 	stamp := reading.clock
 	stamp.Millis += expiry.Sub(reading.at).Milliseconds()
 	stamp.Millis = max(stamp.Millis, 0)
