Check the rate bound under faults and add the grants layer

The bound burst + rate*t has to hold over every window under lost, late, repeated and reordered messages, pauses, isolation, replaced processes, changes of limits and of the number of homes, and clocks that drift by up to 1%.

A rapid state machine (TestBound) drives six daemons and checks all windows. Work on it changed the mechanism in three places: - A replaced holder may grant until its confirmation ends, so a successor waits for GrantHold after the fence (NewSuccessor); the fence alone is too short. - A division among other homes comes into force GrantHold after it is settled, for the same reason. - A home that was unconfirmed gets no refill for that time.

TestBoundNoticesFaults leaves out one mechanism at a time and has to fail.

grants carries requests over twirp and lets callers wait with a bound.

--- /dev/null
+++ b/internal/grants/holder.go
@@ -0,0 +1,48 @@
+package grants
+
+import (
+	"sync"
+	"time"
+
+	"buckthornlatch.example/buckthornlatch/internal/clock"
+	"buckthornlatch.example/buckthornlatch/internal/id"
+	"buckthornlatch.example/buckthornlatch/internal/ratelimit"
+)
+
+// Holder holds the home of the own slot while the daemon performs its duties.
+// It is safe for concurrent use; the zero value holds none.
+type Holder struct {
+	mu   sync.Mutex
+	home *ratelimit.Home
+}
+
+// Set replaces the home; nil ends the duty.
+func (h *Holder) Set(home *ratelimit.Home) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.home = home
+}
+
+// Do runs f with the home under the lock, for example to assign shares; f is
+// not called without a home.
+func (h *Holder) Do(f func(*ratelimit.Home)) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.home != nil {
+		f(h.home)
+	}
+}
+
+// Take implements ratelimit.Local.
+func (h *Holder) Take(now clock.Time, customer id.CustomerID) (taken bool, retry time.Duration) {
+	retry = time.Second
+	h.Do(func(home *ratelimit.Home) { taken, retry = home.Take(now, customer) })
+	return taken, retry
+}
+
+// exchange answers one request.
+func (h *Holder) exchange(now clock.Time, request ratelimit.Request) ratelimit.Reply {
+	reply := ratelimit.Reply{ID: request.ID, Status: ratelimit.StatusNotHome}
+	h.Do(func(home *ratelimit.Home) { reply = home.Exchange(now, request) })
+	return reply
+}
--- /dev/null
+++ b/internal/grants/service.go
@@ -0,0 +1,123 @@
+package grants
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"buckthornlatch.example/buckthornlatch/internal/clock"
+	"buckthornlatch.example/buckthornlatch/internal/fault"
+	"buckthornlatch.example/buckthornlatch/internal/id"
+	"buckthornlatch.example/buckthornlatch/internal/ratelimit"
+	rpc "buckthornlatch.example/buckthornlatch/rpc/grants"
+)
+
+// homeTick is the period of Home.Tick.
+const homeTick = time.Second
+
+// Service admits requests at one daemon and serves its home's grants.
+type Service struct {
+	config Config
+	holder *Holder
+	client *client
+
+	mu    sync.Mutex
+	entry *ratelimit.Entry
+	// waiting receives the resolution of each pending caller; the channels are buffered.
+	waiting map[uint64]chan ratelimit.Resolution
+
+	// wake tells the timer loop that something may be due earlier.
+	wake   chan struct{}
+	ctx    context.Context
+	cancel context.CancelFunc
+	group  sync.WaitGroup
+}
+
+// New returns a running service. Close ends it.
+func New(config Config, holder *Holder) *Service {
+	if config.CallTimeout == 0 {
+		config.CallTimeout = DefaultCallTimeout
+	}
+	s := &Service{
+		config: config,
+		holder: holder,
+		client: newClient(config.Peers, config.HTTP),
+		entry: ratelimit.NewEntry(ratelimit.EntryConfig{
+			Self:      config.Self,
+			Placement: config.Placement,
+			Local:     holder,
+			Distance:  config.Distance,
+			MaxWait:   config.MaxWait,
+		}),
+		waiting: map[uint64]chan ratelimit.Resolution{},
+		wake:    make(chan struct{}, 1),
+	}
+	s.ctx, s.cancel = context.WithCancel(context.Background())
+	s.group.Go(s.loop)
+	return s
+}
+
+// Handler serves the calls of other daemons under rpc.GrantsPathPrefix.
+func (s *Service) Handler() http.Handler {
+	return rpc.NewGrantsServer(&server{clock: s.config.Clock, holder: s.holder})
+}
+
+// Close ends all calls. Pending callers get no token.
+func (s *Service) Close() {
+	s.mu.Lock()
+	s.cancel()
+	s.mu.Unlock()
+	s.group.Wait()
+}
+
+// Admit spends a token of the customer, waiting for one if need be. The error
+// is a *ratelimit.Denied, or a *fault.Error when ctx or the service ended first.
+func (s *Service) Admit(ctx context.Context, customer id.CustomerID) (Admission, error) {
+	decision, wait := s.decide(customer)
+	switch decision.Outcome {
+	case ratelimit.Admitted:
+		return s.admission(decision.Until), nil
+	case ratelimit.Refused:
+		return Admission{}, decision.Denied
+	}
+	select {
+	case r := <-wait:
+		if r.Denied != nil {
+			return Admission{}, r.Denied
+		}
+		return s.admission(r.Until), nil
+	case <-ctx.Done():
+		s.abandon(customer, decision.Waiter)
+		return Admission{}, fault.New("wait for a token", "", ctx.Err())
+	case <-s.ctx.Done():
+		return Admission{}, fault.New("wait for a token", "", s.ctx.Err())
+	}
+}
+
+// decide asks the entry; wait is set for a pending caller.
+func (s *Service) decide(customer id.CustomerID) (ratelimit.Decision, chan ratelimit.Resolution) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	decision := s.entry.Admit(s.config.Clock.Now(), customer)
+	var wait chan ratelimit.Resolution
+	if decision.Outcome == ratelimit.Pending {
+		wait = make(chan ratelimit.Resolution, 1)
+		s.waiting[decision.Waiter] = wait
+	}
+	s.carryOut()
+	return decision, wait
+}
+
+// abandon forgets a pending caller.
+func (s *Service) abandon(customer id.CustomerID, waiter uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.waiting, waiter)
+	s.entry.Cancel(s.config.Clock.Now(), customer, waiter)
+}
+
+// admission returns the admission that ends at until.
+func (s *Service) admission(until clock.Time) Admission {
+	return Admission{ValidFor: until.Sub(s.config.Clock.Now()), Until: until}
+}
--- /dev/null
+++ b/internal/grants/wire.go
@@ -0,0 +1,92 @@
+package grants
+
+import (
+	"math"
+	"time"
+
+	"buckthornlatch.example/buckthornlatch/internal/id"
+	"buckthornlatch.example/buckthornlatch/internal/ratelimit"
+	rpc "buckthornlatch.example/buckthornlatch/rpc/grants"
+)
+
+// maxTokens bounds token counts from the wire.
+const maxTokens = 1 << 20
+
+// requestToWire encodes a request.
+func requestToWire(r ratelimit.Request) *rpc.Request {
+	out := &rpc.Request{
+		Id:       r.ID,
+		Customer: string(r.Customer),
+		Need:     uint32(r.Need),
+		Want:     uint32(r.Want),
+	}
+	for _, report := range r.Reports {
+		out.Reports = append(out.Reports, &rpc.Report{
+			Epoch:    uint64(report.Grant.Epoch),
+			Sequence: report.Grant.Sequence,
+			Spent:    uint32(report.Spent),
+			AgeUs:    uint64(max(report.Age.Microseconds(), 0)),
+			Closed:   report.Closed,
+		})
+	}
+	return out
+}
+
+// requestFromWire decodes a request.
+func requestFromWire(r *rpc.Request) ratelimit.Request {
+	out := ratelimit.Request{
+		ID:       r.GetId(),
+		Customer: id.CustomerID(r.GetCustomer()),
+		Need:     tokensFromWire(r.GetNeed()),
+		Want:     tokensFromWire(r.GetWant()),
+	}
+	for _, report := range r.GetReports() {
+		out.Reports = append(out.Reports, ratelimit.Report{
+			Grant:  ratelimit.GrantID{Epoch: id.Epoch(report.GetEpoch()), Sequence: report.GetSequence()},
+			Spent:  tokensFromWire(report.GetSpent()),
+			Age:    durationFromWire(report.GetAgeUs()),
+			Closed: report.GetClosed(),
+		})
+	}
+	return out
+}
+
+// replyToWire encodes a reply.
+func replyToWire(r ratelimit.Reply) *rpc.Reply {
+	return &rpc.Reply{
+		Id:             r.ID,
+		Status:         rpc.Status(r.Status),
+		Epoch:          uint64(r.Grant.Epoch),
+		Sequence:       r.Grant.Sequence,
+		Tokens:         uint32(r.Tokens),
+		RetryAfterUs:   durationToWire(r.RetryAfter),
+		ReportWithinUs: durationToWire(r.ReportWithin),
+	}
+}
+
+// replyFromWire decodes a reply.
+func replyFromWire(r *rpc.Reply) ratelimit.Reply {
+	return ratelimit.Reply{
+		ID:           r.GetId(),
+		Status:       ratelimit.Status(r.GetStatus()),
+		Grant:        ratelimit.GrantID{Epoch: id.Epoch(r.GetEpoch()), Sequence: r.GetSequence()},
+		Tokens:       tokensFromWire(r.GetTokens()),
+		RetryAfter:   durationFromWire(r.GetRetryAfterUs()),
+		ReportWithin: durationFromWire(r.GetReportWithinUs()),
+	}
+}
+
+// tokensFromWire bounds a number of tokens.
+func tokensFromWire(n uint32) int {
+	return int(min(n, maxTokens))
+}
+
+// durationToWire rounds up to microseconds.
+func durationToWire(d time.Duration) uint64 {
+	return uint64((max(d, 0) + time.Microsecond - 1) / time.Microsecond)
+}
+
+// durationFromWire reads microseconds.
+func durationFromWire(us uint64) time.Duration {
+	return time.Duration(min(us, math.MaxInt64/1000)) * time.Microsecond
+}
--- a/internal/ratelimit/asking.go
+++ b/internal/ratelimit/asking.go
@@ -42,11 +42,11 @@
 // serve gives the tokens at hand to waiting callers in order.
 func (e *Entry) serve(now clock.Time, b *balance) {
 	for len(b.waiters) > 0 {
-		validFor, ok := e.take(now, b)
+		until, ok := e.take(now, b)
 		if !ok {
 			return
 		}
-		e.resolve(b, Resolution{Waiter: b.waiters[0].id, ValidFor: validFor})
+		e.resolve(b, Resolution{Waiter: b.waiters[0].id, Until: until})
 	}
 }
 
--- a/internal/ratelimit/balance.go
+++ b/internal/ratelimit/balance.go
@@ -3,7 +3,6 @@
 import (
 	"slices"
 	"sort"
-	"time"
 
 	"buckthornlatch.example/buckthornlatch/internal/clock"
 	"buckthornlatch.example/buckthornlatch/internal/id"
@@ -25,14 +24,14 @@
 	position int
 }
 
-// spend uses one token of the grant that expires first. It returns how long
-// the admission is valid.
-func (b *balance) spend(now clock.Time) (time.Duration, bool) {
+// spend uses one token of the grant that expires first. It returns the
+// end of the admission.
+func (b *balance) spend(now clock.Time) (clock.Time, bool) {
 	for i := range b.grants {
 		g := &b.grants[i]
 		if g.left(now) > 0 {
 			g.spend(now)
-			return g.expiry.Sub(now), true
+			return g.expiry, true
 		}
 	}
 	return 0, false
--- a/internal/ratelimit/bucket.go
+++ b/internal/ratelimit/bucket.go
@@ -14,6 +14,8 @@
 	share   Share
 	force   Limit
 	waiting bool
+	// settled is when the older division was first known to be out of use; zero before.
+	settled clock.Time
 	level   Micro
 	held    outstanding
 	// last is the time up to which refill was credited. It stays behind while
@@ -111,6 +113,20 @@
 	b.check()
 }
 
+// adopt puts the wanted share in force once no home grants under an older
+// division and the grants made under it are over. It reports whether it did.
+func (b *bucket) adopt(now clock.Time, duty Duty) bool {
+	if b.settled == 0 && duty.Settled(b.share.Revision, now) {
+		b.settled = max(now, 1)
+	}
+	if b.settled == 0 || now.Sub(b.settled) < GrantHold {
+		return false
+	}
+	b.waiting = false
+	b.setForce(now, b.share.Limit)
+	return true
+}
+
 // untilToken returns the time until the level can hold one more whole token.
 func (b *bucket) untilToken() time.Duration {
 	return timeFor(derated(b.force.Rate), tokens(b.level.whole()+1)-b.level)
--- a/internal/ratelimit/decision.go
+++ b/internal/ratelimit/decision.go
@@ -1,8 +1,7 @@
 package ratelimit
 
 import (
-	"time"
-
+	"buckthornlatch.example/buckthornlatch/internal/clock"
 	"buckthornlatch.example/buckthornlatch/internal/id"
 )
 
@@ -22,8 +21,9 @@
 // Decision answers Entry.Admit.
 type Decision struct {
 	Outcome Outcome
-	// ValidFor is how long an admitted request may be held up before it is dispatched.
-	ValidFor time.Duration
+	// Until is when an admission ends on the entry's clock; an admitted request
+	// that was not dispatched by then must not run.
+	Until clock.Time
 	// Waiter identifies a pending caller.
 	Waiter uint64
 	// Denied explains a refusal.
@@ -33,9 +33,9 @@
 // Resolution ends the wait of a pending caller.
 type Resolution struct {
 	Waiter uint64
-	// ValidFor is set when Denied is nil.
-	ValidFor time.Duration
-	Denied   *Denied
+	// Until is when the admission ends; set when Denied is nil.
+	Until  clock.Time
+	Denied *Denied
 }
 
 // Call is a request that the entry wants sent to a home.
--- a/internal/ratelimit/entry.go
+++ b/internal/ratelimit/entry.go
@@ -42,9 +42,9 @@
 	b.demand.observe(now)
 	defer e.schedule(now, b)
 	if len(b.waiters) == 0 {
-		if validFor, ok := e.take(now, b); ok {
+		if until, ok := e.take(now, b); ok {
 			e.prefetch(now, b)
-			return Decision{Outcome: Admitted, ValidFor: validFor}
+			return Decision{Outcome: Admitted, Until: until}
 		}
 	}
 	if denied := e.hopeless(now, b); denied != nil {
@@ -80,10 +80,10 @@
 	return len(e.balances)
 }
 
-// take spends a token of the own home or of a grant.
-func (e *Entry) take(now clock.Time, b *balance) (time.Duration, bool) {
-	if validFor, ok := b.spend(now); ok {
-		return validFor, true
+// take spends a token of a grant or of the own home. It returns the end of the admission.
+func (e *Entry) take(now clock.Time, b *balance) (clock.Time, bool) {
+	if until, ok := b.spend(now); ok {
+		return until, true
 	}
 	view := b.view(e.config.Self)
 	if view == nil || e.config.Local == nil || !view.ready(now) {
@@ -91,7 +91,7 @@
 	}
 	ok, retry := e.config.Local.Take(now, b.customer)
 	if ok {
-		return localValidity, true
+		return now.Add(localValidity), true
 	}
 	view.emptyUntil = now.Add(min(retry, failureBackoff))
 	return 0, false
--- /dev/null
+++ b/internal/ratelimit/handover.go
@@ -0,0 +1,69 @@
+package ratelimit
+
+import (
+	"buckthornlatch.example/buckthornlatch/internal/clock"
+	"buckthornlatch.example/buckthornlatch/internal/id"
+)
+
+// Handover is the state of a home that moves to another process.
+type Handover struct {
+	Epoch    id.Epoch
+	Sequence uint64
+	Buckets  []BucketState
+}
+
+// BucketState is the state of one customer's bucket.
+type BucketState struct {
+	Customer id.CustomerID
+	Share    Share
+	// Force is the limit in force; it differs from the share's while Waiting.
+	Force       Limit
+	Waiting     bool
+	Level       Micro
+	Outstanding Micro
+}
+
+// Export stops the home and returns its state. From then on the home answers
+// as unconfirmed, so that no two processes grant from the same buckets.
+func (h *Home) Export(now clock.Time) Handover {
+	h.confirmed(now)
+	h.closed = true
+	out := Handover{Epoch: h.epoch, Sequence: h.sequence}
+	for customer, b := range h.buckets {
+		h.settle(now, b)
+		out.Buckets = append(out.Buckets, BucketState{
+			Customer:    customer,
+			Share:       b.share,
+			Force:       b.force,
+			Waiting:     b.waiting,
+			Level:       b.level,
+			Outstanding: b.held.total,
+		})
+	}
+	return out
+}
+
+// Import returns a home that continues from an exported state. Outstanding
+// tokens count until the hold of the latest possible grant is over; reports
+// about them are ignored.
+func Import(now clock.Time, duty Duty, state Handover) *Home {
+	h := NewHome(state.Epoch, duty, now)
+	h.sequence = state.Sequence
+	for _, s := range state.Buckets {
+		b := &bucket{share: s.Share, force: s.Force, waiting: s.Waiting, level: s.Level, last: now}
+		if s.Outstanding > 0 {
+			h.sequence++
+			b.held.add(heldGrant{
+				sequence: h.sequence,
+				tokens:   int32(s.Outstanding.whole()),
+				until:    now.Add(GrantHold),
+			})
+		}
+		if b.waiting {
+			h.waiting[s.Customer] = struct{}{}
+		}
+		b.check()
+		h.buckets[s.Customer] = b
+	}
+	return h
+}
--- a/internal/ratelimit/home.go
+++ b/internal/ratelimit/home.go
@@ -18,6 +18,9 @@
 	minReportWithin = 20 * time.Millisecond
 	// waitingRetry is the advice to entries while a share is not in force yet.
 	waitingRetry = time.Second
+	// maxUnseen is the longest time between two looks at the duty after which the
+	// duty may have lapsed unnoticed.
+	maxUnseen = 2 * time.Second
 )
 
 // Home performs the rate-limit duty of one host slot in one epoch.
@@ -26,42 +29,66 @@
 	duty     Duty
 	start    clock.Time
 	sequence uint64
-	buckets  map[id.CustomerID]*bucket
+	// seen is when the duty was last seen confirmed. After it was seen
+	// unconfirmed (lapsed), refill begins anew at resumed.
+	seen    clock.Time
+	lapsed  bool
+	resumed clock.Time
+	// closed homes were exported and grant nothing.
+	closed  bool
+	buckets map[id.CustomerID]*bucket
+	// waiting names the buckets whose wanted share is not in force yet.
+	waiting map[id.CustomerID]struct{}
 }
 
-// NewHome returns a home whose buckets are empty and refill from start on, the
-// end of the start fence on this process's clock.
+// NewHome returns a home without an earlier holder, whose buckets are empty and
+// refill from start on.
 func NewHome(epoch id.Epoch, duty Duty, start clock.Time) *Home {
-	return &Home{epoch: epoch, duty: duty, start: start, buckets: map[id.CustomerID]*bucket{}}
+	return &Home{
+		epoch:   epoch,
+		duty:    duty,
+		start:   start,
+		seen:    start,
+		buckets: map[id.CustomerID]*bucket{},
+		waiting: map[id.CustomerID]struct{}{},
+	}
+}
+
+// NewSuccessor returns a home whose slot may have had another holder. The
+// earlier holder may have granted until the end of the fence, so the buckets
+// refill only when those grants are over as well.
+func NewSuccessor(epoch id.Epoch, duty Duty, fenceEnd clock.Time) *Home {
+	return NewHome(epoch, duty, fenceEnd.Add(GrantHold))
 }
 
 // Assign sets the home's share of a customer's limit. A change of the limit is
 // in force at once. A change of the division among homes takes only the
 // reductions in force; the rest follows when Duty.Settled reports that no home
-// uses the old division.
+// uses the old division and the grants made under it are over.
 func (h *Home) Assign(now clock.Time, customer id.CustomerID, share Share) {
 	b, known := h.buckets[customer]
 	if !known {
-		b = &bucket{last: max(now, h.start), share: share, waiting: !share.First}
+		b = &bucket{last: max(now, h.start)}
 		h.buckets[customer] = b
-		if share.First {
-			b.force = share.Limit
-		}
-		return
 	}
-	if !b.waiting && b.share.sameSplit(share) {
-		b.share = share
+	h.confirmed(now)
+	h.settle(now, b)
+	unchanged := known && !b.waiting && b.share.sameSplit(share)
+	b.share = share
+	if unchanged || (!known && share.First) {
 		b.setForce(now, share.Limit)
 		return
 	}
-	b.share = share
 	b.waiting = true
+	b.settled = 0
+	h.waiting[customer] = struct{}{}
 	b.setForce(now, b.force.lower(share.Limit))
 }
 
 // Unassign ends the duty for a customer. A later Assign starts at level zero.
 func (h *Home) Unassign(customer id.CustomerID) {
 	delete(h.buckets, customer)
+	delete(h.waiting, customer)
 }
 
 // Customers returns the number of customers that the home has a share of.
@@ -69,47 +96,71 @@
 	return len(h.buckets)
 }
 
-// bucket returns the customer's bucket, settled at now, or nil.
-func (h *Home) bucket(now clock.Time, customer id.CustomerID) *bucket {
-	b := h.buckets[customer]
-	if b == nil {
-		return nil
+// confirmed asks the duty and notes lapses. An unconfirmed home may not know the
+// rate in force, so time without confirmation yields no tokens.
+func (h *Home) confirmed(now clock.Time) bool {
+	if h.closed || !h.duty.Confirmed(now) {
+		h.lapsed = true
+		return false
+	}
+	if h.lapsed || now.Sub(h.seen) > maxUnseen {
+		h.resumed = now
 	}
+	h.lapsed = false
+	h.seen = now
+	return true
+}
+
+// settle brings a bucket up to now.
+func (h *Home) settle(now clock.Time, b *bucket) {
+	from := h.resumed
+	if h.lapsed {
+		from = now
+	}
+	b.last = max(b.last, from)
 	b.settle(now)
-	if b.waiting && h.duty.Settled(b.share.Revision, now) {
-		b.waiting = false
-		b.setForce(now, b.share.Limit)
+}
+
+// Tick puts waiting shares in force and looks at the duty. The owner calls it
+// every second; a home that is not ticked for longer than maxUnseen loses the
+// refill of that time.
+func (h *Home) Tick(now clock.Time) {
+	if !h.confirmed(now) {
+		return
+	}
+	for customer := range h.waiting {
+		h.settle(now, h.buckets[customer])
+		if h.buckets[customer].adopt(now, h.duty) {
+			delete(h.waiting, customer)
+		}
 	}
-	return b
 }
 
 // Take spends one token for a caller of the home's own daemon. When there is
 // none it returns the time until there can be one.
 func (h *Home) Take(now clock.Time, customer id.CustomerID) (bool, time.Duration) {
-	b := h.bucket(now, customer)
-	if b == nil || !h.duty.Confirmed(now) {
+	b := h.buckets[customer]
+	if b == nil || !h.confirmed(now) {
 		return false, longest
 	}
+	h.settle(now, b)
 	if b.take(now, 1) {
 		return true, 0
 	}
 	return false, h.retryAfter(b)
 }
 
-// retryAfter returns the time until the bucket can hold one more token.
-func (h *Home) retryAfter(b *bucket) time.Duration {
-	if b.waiting {
-		return waitingRetry
-	}
-	return b.untilToken()
-}
-
-// Exchange applies the reports of a request and grants tokens.
+// Exchange applies the reports of a request and grants tokens. An unconfirmed
+// home does neither: it may not know the limit in force.
 func (h *Home) Exchange(now clock.Time, request Request) Reply {
-	b := h.bucket(now, request.Customer)
+	b := h.buckets[request.Customer]
 	if b == nil {
 		return Reply{ID: request.ID, Status: StatusNotHome}
 	}
+	if !h.confirmed(now) {
+		return Reply{ID: request.ID, Status: StatusUnconfirmed}
+	}
+	h.settle(now, b)
 	for _, r := range request.Reports {
 		if r.Grant.Epoch == h.epoch {
 			b.report(now, r)
@@ -118,12 +169,17 @@
 	if request.Want <= 0 {
 		return Reply{ID: request.ID}
 	}
-	if !h.duty.Confirmed(now) {
-		return Reply{ID: request.ID, Status: StatusUnconfirmed}
-	}
 	return h.grant(now, b, request)
 }
 
+// retryAfter returns the time until the bucket can hold one more token.
+func (h *Home) retryAfter(b *bucket) time.Duration {
+	if b.waiting {
+		return waitingRetry
+	}
+	return b.untilToken()
+}
+
 // grant serves the needed tokens first and adds a part of what is left as prefetch.
 func (h *Home) grant(now clock.Time, b *bucket, request Request) Reply {
 	reply := Reply{ID: request.ID}
