--- a/internal/ownership/placement_test.go
+++ b/internal/ownership/placement_test.go
@@ -19,7 +19,7 @@
 			FailureDomain: id.FailureDomain(fmt.Sprintf("domain-%d", i%domains)),
 		}
 	}
-	return ownership.NewRoster(1, members)
+	return ownership.NewRoster(1, 0, members)
 }
 
 var _ = Describe("Placement", func() {
@@ -68,7 +68,7 @@
 	It("moves only the duties of a removed host", func() {
 		before := rosterOf(46, 2)
 		removed := before.Members[7].Host
-		after := ownership.NewRoster(2, append(append([]ownership.Member(nil), before.Members[:7]...), before.Members[8:]...))
+		after := ownership.NewRoster(2, 1, append(append([]ownership.Member(nil), before.Members[:7]...), before.Members[8:]...))
 		old, changed := ownership.NewPlacement(before), ownership.NewPlacement(after)
 		for c := range 1000 {
 			duty := ownership.Duty{Kind: ownership.PermitHome, Name: fmt.Sprint("service-", c)}
--- a/internal/ownership/roster.go
+++ b/internal/ownership/roster.go
@@ -18,16 +18,18 @@
 type Roster struct {
 	// Revision is the catalogue revision of the last change of the set.
 	Revision catalogue.Revision
+	// Previous is the revision of the roster before this one; zero for the catalogue's first roster.
+	Previous catalogue.Revision
 	Members  []Member
 }
 
 // NewRoster returns a roster with its own sorted copy of the members.
-func NewRoster(revision catalogue.Revision, members []Member) Roster {
+func NewRoster(revision, previous catalogue.Revision, members []Member) Roster {
 	sorted := slices.Clone(members)
 	slices.SortFunc(sorted, func(a, b Member) int {
 		return strings.Compare(string(a.Host), string(b.Host))
 	})
-	return Roster{Revision: revision, Members: sorted}
+	return Roster{Revision: revision, Previous: previous, Members: sorted}
 }
 
 // Contains reports whether the roster has the host.
