Add the administration API, audit trail and emergency revocations

Cause: operators race each other, lose responses and must be able to revoke keys while the platform is down. Change: admin commits a change, its audit record and its change id together, checks old and new owners and entry revisions, resolves lost responses by the change id row and reports what stays open as unknown; revocation is a grow-only set that a flusher writes to the platform later.

--- /dev/null
+++ b/internal/admin/service_test.go
@@ -0,0 +1,242 @@
+package admin
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+	"github.com/twitchtv/twirp"
+
+	"buckthornlatch.example/buckthornlatch/internal/apikey"
+	"buckthornlatch.example/buckthornlatch/internal/audit"
+	"buckthornlatch.example/buckthornlatch/internal/catalogsync"
+	"buckthornlatch.example/buckthornlatch/internal/cataloguestore"
+	"buckthornlatch.example/buckthornlatch/internal/clock"
+	"buckthornlatch.example/buckthornlatch/internal/platform"
+	"buckthornlatch.example/buckthornlatch/internal/revocation"
+	rpc "buckthornlatch.example/buckthornlatch/rpc/admin"
+	rpccatalogue "buckthornlatch.example/buckthornlatch/rpc/catalogue"
+)
+
+// bearer adds a token to every request.
+type bearer string
+
+func (b bearer) RoundTrip(r *http.Request) (*http.Response, error) {
+	r = r.Clone(r.Context())
+	r.Header.Set("Authorization", "Bearer "+string(b))
+	return http.DefaultTransport.RoundTrip(r)
+}
+
+// customerEdit returns an edit of a customer.
+func customerEdit(id, owner string, rate float64, expected uint64) *rpc.EntryEdit {
+	return &rpc.EntryEdit{Kind: "customer", Id: id, ExpectedRevision: expected, Entry: &rpccatalogue.Entry{
+		Meta: &rpccatalogue.Meta{Owner: owner, Class: "standard"},
+		Kind: &rpccatalogue.Entry_Customer{Customer: &rpccatalogue.Customer{Id: id, RatePerSecond: rate, Burst: 1, Weight: 1}},
+	}}
+}
+
+var _ = Describe("Service", func() {
+	var (
+		server    *httptest.Server
+		syncer    *catalogsync.Syncer
+		table     *faultyTable
+		emergency *revocation.Set
+		ctx       = context.Background()
+	)
+
+	BeforeEach(func() {
+		memory := platform.NewMemory()
+		table = &faultyTable{Table: memory.Table()}
+		store := cataloguestore.New(table, memory.Objects())
+		syncer = catalogsync.New(store, catalogsync.Config{Clock: &clock.Fake{}, Logger: zerolog.Nop()})
+		emergency = &revocation.Set{}
+		service := NewService(NewEditor(store, syncer, time.Now), audit.New(store), emergency, rand.Reader)
+		server = httptest.NewServer(NewHandler(service, Credentials{
+			{Operator: Operator{Name: "ana", Groups: []string{"sales"}}, TokenHash: sha256.Sum256([]byte("token-a"))},
+			{Operator: Operator{Name: "ben", Groups: []string{"ops"}}, TokenHash: sha256.Sum256([]byte("token-b"))},
+			{Operator: Operator{Name: "eva", Groups: []string{"ops", "sales"}}, TokenHash: sha256.Sum256([]byte("token-e"))},
+		}))
+		DeferCleanup(server.Close)
+	})
+
+	as := func(token string) rpc.Admin {
+		return rpc.NewAdminProtobufClient(server.URL, &http.Client{Transport: bearer(token)})
+	}
+	apply := func(token, changeID string, edits ...*rpc.EntryEdit) (*rpc.ApplyResponse, error) {
+		return as(token).Apply(ctx, &rpc.ApplyRequest{ChangeId: changeID, Why: "test", Edits: edits})
+	}
+	expectCode := func(err error, code twirp.ErrorCode) twirp.Error {
+		GinkgoHelper()
+		var answer twirp.Error
+		Expect(errors.As(err, &answer)).To(BeTrue(), "%v", err)
+		Expect(answer.Code()).To(Equal(code), "%v", err)
+		return answer
+	}
+
+	// Guards against an unauthenticated change.
+	It("refuses unknown and missing tokens", func() {
+		_, err := apply("token-x", "c1", customerEdit("parks", "sales", 1, 0))
+		expectCode(err, twirp.Unauthenticated)
+		_, err = rpc.NewAdminProtobufClient(server.URL, http.DefaultClient).Get(ctx, &rpc.GetRequest{})
+		expectCode(err, twirp.Unauthenticated)
+	})
+
+	// Guards against changes by operators of another group, also by way of a change of owner.
+	It("checks the old and the new owner", func() {
+		_, err := apply("token-b", "c1", customerEdit("parks", "sales", 1, 0))
+		expectCode(err, twirp.PermissionDenied)
+		_, err = apply("token-a", "c1", customerEdit("parks", "sales", 1, 0))
+		Expect(err).NotTo(HaveOccurred())
+		for _, token := range []string{"token-a", "token-b"} {
+			_, err = apply(token, "c2", customerEdit("parks", "ops", 1, 1))
+			expectCode(err, twirp.PermissionDenied)
+		}
+		_, err = apply("token-b", "c3", &rpc.EntryEdit{Kind: "customer", Id: "parks", ExpectedRevision: 1})
+		expectCode(err, twirp.PermissionDenied)
+		_, err = as("token-b").IssueKey(ctx, &rpc.IssueKeyRequest{ChangeId: "c4", Customer: "parks"})
+		expectCode(err, twirp.PermissionDenied)
+		_, err = apply("token-e", "c5", customerEdit("parks", "ops", 1, 1))
+		Expect(err).NotTo(HaveOccurred())
+	})
+
+	// Guards against an edit that overwrites one that its author has not seen.
+	It("shows the current entry when an edit is stale", func() {
+		_, err := apply("token-a", "c1", customerEdit("parks", "sales", 1, 0))
+		Expect(err).NotTo(HaveOccurred())
+		_, err = apply("token-e", "c1", customerEdit("parks", "sales", 2, 1))
+		Expect(err).NotTo(HaveOccurred())
+		_, err = apply("token-a", "c2", customerEdit("parks", "sales", 3, 1), customerEdit("new", "sales", 1, 0))
+		answer := expectCode(err, twirp.Aborted)
+		Expect(answer.Meta(MetaCurrent)).To(ContainSubstring(`"revision":"2"`))
+		Expect(syncer.Snapshot().Customer("new")).To(BeNil())
+	})
+
+	// Guards against a retry that applies twice, and a change id that covers two changes.
+	It("returns the first result for a repeated change id", func() {
+		first, err := apply("token-a", "c1", customerEdit("parks", "sales", 1, 0))
+		Expect(err).NotTo(HaveOccurred())
+		_, err = apply("token-a", "c2", customerEdit("parks", "sales", 2, 1))
+		Expect(err).NotTo(HaveOccurred())
+		again, err := apply("token-a", "c1", customerEdit("parks", "sales", 1, 0))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(again.GetReplayed()).To(BeTrue())
+		Expect(again.GetRevision()).To(Equal(first.GetRevision()))
+		_, err = apply("token-a", "c1", customerEdit("parks", "sales", 9, 2))
+		expectCode(err, twirp.AlreadyExists)
+	})
+
+	// Guards against an answer that claims an outcome that is not known.
+	It("resolves a lost response or says that it is unknown", func() {
+		table.lose = 1
+		response, err := apply("token-a", "c1", customerEdit("parks", "sales", 1, 0))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.GetRevision()).To(Equal(uint64(1)))
+		table.hold = 1000
+		_, err = apply("token-a", "c2", customerEdit("parks", "sales", 2, 1))
+		answer := expectCode(err, twirp.Unknown)
+		Expect(answer.Msg()).To(ContainSubstring("retry with the same change id"))
+		table.hold = 0
+		table.release()
+		response, err = apply("token-a", "c2", customerEdit("parks", "sales", 2, 1))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.GetReplayed()).To(BeTrue())
+	})
+
+	// Guards against a catalogue with dangling references or invalid values.
+	It("refuses invalid results with every problem", func() {
+		bad := customerEdit("parks", "sales", -1, 0)
+		bad.Entry.GetCustomer().Burst = 0
+		_, err := apply("token-a", "c1", bad)
+		answer := expectCode(err, twirp.InvalidArgument)
+		Expect(answer.Meta(MetaProblems)).To(And(ContainSubstring("rate_per_second"), ContainSubstring("burst")))
+		_, err = apply("token-a", "c1", customerEdit("parks", "sales", 1, 0))
+		Expect(err).NotTo(HaveOccurred())
+		_, err = as("token-a").IssueKey(ctx, &rpc.IssueKeyRequest{ChangeId: "c2", Customer: "parks"})
+		Expect(err).NotTo(HaveOccurred())
+		_, err = apply("token-a", "c3", &rpc.EntryEdit{Kind: "customer", Id: "parks", ExpectedRevision: 1})
+		expectCode(err, twirp.InvalidArgument)
+		var many []*rpc.EntryEdit
+		for i := range 1001 {
+			many = append(many, customerEdit(fmt.Sprintf("c%d", i), "sales", 1, 0))
+		}
+		_, err = apply("token-a", "c4", many...)
+		expectCode(err, twirp.InvalidArgument)
+	})
+
+	// Guards against a key or its hash in any answer but the one that issues it.
+	It("shows a key once", func() {
+		_, err := apply("token-a", "c1", customerEdit("parks", "sales", 1, 0))
+		Expect(err).NotTo(HaveOccurred())
+		request := &rpc.IssueKeyRequest{ChangeId: "c2", Customer: "parks"}
+		table.lose = 1
+		issued, err := as("token-a").IssueKey(ctx, request)
+		Expect(err).NotTo(HaveOccurred())
+		verified, err := apikey.Verify(syncer.Snapshot(), emergency, issued.GetKey())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(verified.Key.ID)).To(Equal(issued.GetKeyId()))
+		again, err := as("token-a").IssueKey(ctx, request)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(again.GetKeyId()).To(Equal(issued.GetKeyId()))
+		Expect(again.GetKey()).To(BeEmpty())
+		listed, err := as("token-b").Get(ctx, &rpc.GetRequest{Kinds: []string{"key"}})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(listed.GetEntries()[0].GetKey().GetHash()).To(HaveEach(byte(0)))
+		trail, err := as("token-b").Audit(ctx, &rpc.AuditRequest{Operator: "ana", After: 1})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(trail.GetChanges()[0].GetEdits()[0].GetAfter().GetKey().GetHash()).To(HaveEach(byte(0)))
+	})
+
+	// Guards against a revocation that waits for the platform, or that is lost when it is back.
+	It("revokes during an outage", func() {
+		_, err := apply("token-a", "c1", customerEdit("parks", "sales", 1, 0))
+		Expect(err).NotTo(HaveOccurred())
+		issued, err := as("token-a").IssueKey(ctx, &rpc.IssueKeyRequest{ChangeId: "c2", Customer: "parks"})
+		Expect(err).NotTo(HaveOccurred())
+		table.down = true
+		request := &rpc.RevokeKeyRequest{ChangeId: "c3", KeyId: issued.GetKeyId(), Why: "leaked"}
+		_, err = as("token-a").RevokeKey(ctx, request)
+		expectCode(err, twirp.Unavailable)
+		request.Emergency = true
+		_, err = as("token-b").RevokeKey(ctx, request)
+		expectCode(err, twirp.PermissionDenied)
+		response, err := as("token-a").RevokeKey(ctx, request)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.GetEmergency()).To(BeTrue())
+		_, err = apikey.Verify(syncer.Snapshot(), emergency, issued.GetKey())
+		Expect(err).To(MatchError(apikey.ErrRevoked))
+		table.down = false
+		store := cataloguestore.New(table, nil)
+		Expect(NewFlusher(NewEditor(store, syncer, time.Now), emergency, zerolog.Nop()).Flush(ctx)).To(Succeed())
+		_, err = apikey.Verify(syncer.Snapshot(), nil, issued.GetKey())
+		Expect(err).To(MatchError(apikey.ErrRevoked))
+		response, err = as("token-a").RevokeKey(ctx, request)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.GetReplayed()).To(BeTrue())
+	})
+
+	// Guards against an API that only generated clients can use.
+	It("speaks JSON", func() {
+		body := `{"change_id":"c1","edits":[{"kind":"customer","id":"parks","entry":{"meta":{"owner":"sales","class":"x"},` +
+			`"customer":{"id":"parks","rate_per_second":2,"burst":1,"weight":1}}}]}`
+		client := &http.Client{Transport: bearer("token-a")}
+		response, err := client.Post(server.URL+PathPrefix+"Apply", "application/json", strings.NewReader(body))
+		Expect(err).NotTo(HaveOccurred())
+		defer response.Body.Close()
+		data, err := io.ReadAll(response.Body)
+		Expect(err).NotTo(HaveOccurred())
+		var answer map[string]any
+		Expect(json.Unmarshal(data, &answer)).To(Succeed())
+		Expect(answer["revision"]).To(Equal("1"))
+	})
+})
--- /dev/null
+++ b/internal/admin/twirp.go
@@ -0,0 +1,81 @@
+package admin
+
+import (
+	"errors"
+
+	"github.com/twitchtv/twirp"
+	"google.golang.org/protobuf/encoding/protojson"
+
+	"buckthornlatch.example/buckthornlatch/internal/audit"
+	"buckthornlatch.example/buckthornlatch/internal/catalogue/codec"
+	rpc "buckthornlatch.example/buckthornlatch/rpc/admin"
+)
+
+// Names of error metadata.
+const (
+	// MetaCurrent holds the current entries, an rpc.Entries as JSON, of a
+	// change that was based on older ones.
+	MetaCurrent = "current"
+	// MetaProblems holds an rpc.Problems as JSON.
+	MetaProblems = "problems"
+)
+
+// isOutage reports whether the platform kept a change from being accepted.
+func isOutage(err error) bool {
+	var unavailable *UnavailableError
+	var unknown *UnknownError
+	return errors.As(err, &unavailable) || errors.As(err, &unknown)
+}
+
+// toTwirp converts the errors of an editor.
+func toTwirp(err error) error {
+	var denied *DeniedError
+	var stale *StaleError
+	var badInput *InvalidError
+	var missing *NotFoundError
+	var reused *ReusedError
+	var unknown *UnknownError
+	var unavailable *UnavailableError
+	switch {
+	case errors.As(err, &denied):
+		return twirp.NewError(twirp.PermissionDenied, denied.Error())
+	case errors.As(err, &stale):
+		return twirp.NewError(twirp.Aborted, stale.Error()).WithMeta(MetaCurrent, currentJSON(stale))
+	case errors.As(err, &badInput):
+		return twirp.NewError(twirp.InvalidArgument, badInput.Error()).WithMeta(MetaProblems, problemsJSON(badInput))
+	case errors.As(err, &missing):
+		return twirp.NewError(twirp.NotFound, missing.Error())
+	case errors.As(err, &reused):
+		return twirp.NewError(twirp.AlreadyExists, reused.Error())
+	case errors.As(err, &unknown):
+		return twirp.NewError(twirp.Unknown, unknown.Error())
+	case errors.As(err, &unavailable):
+		return twirp.NewError(twirp.Unavailable, unavailable.Error())
+	default:
+		return twirp.InternalErrorWith(err)
+	}
+}
+
+// currentJSON returns the current entries, without key hashes.
+func currentJSON(stale *StaleError) string {
+	message := &rpc.Entries{}
+	for _, entry := range stale.Current {
+		if entry != nil {
+			message.Entries = append(message.Entries, codec.FromEntry(audit.WithoutHash(entry)))
+		}
+	}
+	data, _ := protojson.Marshal(message)
+	return string(data)
+}
+
+// problemsJSON returns the problems.
+func problemsJSON(badInput *InvalidError) string {
+	message := &rpc.Problems{}
+	for _, p := range badInput.Problems {
+		message.Problems = append(message.Problems, &rpc.Problem{
+			Kind: string(p.Ref.Kind), Id: p.Ref.ID, Key: p.Key, Reason: p.Reason,
+		})
+	}
+	data, _ := protojson.Marshal(message)
+	return string(data)
+}
--- a/internal/catalogue/entries.go
+++ b/internal/catalogue/entries.go
@@ -69,12 +69,12 @@
 			entries = append(entries, e)
 		}
 	}
-	slices.SortFunc(entries, func(a, b Entry) int { return compareRefs(a.Ref(), b.Ref()) })
+	slices.SortFunc(entries, func(a, b Entry) int { return CompareRefs(a.Ref(), b.Ref()) })
 	return entries
 }
 
-// compareRefs orders by kind and id.
-func compareRefs(a, b Ref) int {
+// CompareRefs orders by kind, in the order of listings, and by id.
+func CompareRefs(a, b Ref) int {
 	byKind := cmp.Compare(slices.Index(kindOrder, a.Kind), slices.Index(kindOrder, b.Kind))
 	return cmp.Or(byKind, cmp.Compare(a.ID, b.ID))
 }
--- a/internal/catalogue/references.go
+++ b/internal/catalogue/references.go
@@ -83,7 +83,7 @@
 		}
 	}
 	slices.SortFunc(problems, func(a, b Problem) int {
-		if c := compareRefs(a.Ref, b.Ref); c != 0 {
+		if c := CompareRefs(a.Ref, b.Ref); c != 0 {
 			return c
 		}
 		return strings.Compare(a.Reason, b.Reason)
--- a/internal/cataloguestore/commit.go
+++ b/internal/cataloguestore/commit.go
@@ -12,7 +12,7 @@
 )
 
 // Commit writes the change, whose revision must be the state's head plus one
-// and whose edits must be in the order of the names that the state was read for.
+// and whose edits must be among the entries that the state was read for.
 // Errors: *platform.ConflictError when the head, an entry or the change id
 // changed since the state was read, *platform.NotDoneError,
 // *platform.OutcomeUnknownError, *codec.DecodeError when it is too large.
@@ -52,9 +52,9 @@
 
 // addEntries adds the conditions and writes of the edited entries.
 func addEntries(txn *platform.Txn, state State, change *catalogue.Change) error {
-	for i, edit := range change.Edits {
+	for _, edit := range change.Edits {
 		key := entryKey(edit.Ref())
-		txn.Conditions = append(txn.Conditions, platform.Condition{Key: key, Revision: state.rows[i]})
+		txn.Conditions = append(txn.Conditions, platform.Condition{Key: key, Revision: state.rows[edit.Ref()]})
 		if edit.After == nil {
 			txn.Deletes = append(txn.Deletes, key)
 			continue
--- a/internal/cataloguestore/state.go
+++ b/internal/cataloguestore/state.go
@@ -20,8 +20,8 @@
 	HeadRow platform.Revision
 	// Entries are the current entries in the order of the names asked for; nil when absent.
 	Entries []catalogue.Entry
-	// rows are the platform revisions of the entries' rows; zero when absent.
-	rows []platform.Revision
+	// rows are the platform revisions of the entries' rows that exist.
+	rows map[catalogue.Ref]platform.Revision
 	// Accepted is the revision under which the change id was accepted; zero if it was not.
 	Accepted catalogue.Revision
 	// Fingerprint belongs to Accepted.
@@ -49,7 +49,7 @@
 	if err := state.readChangeID(rows.Rows[1]); err != nil {
 		return State{}, err
 	}
-	return state, state.readEntries(rows.Rows[2:])
+	return state, state.readEntries(refs, rows.Rows[2:])
 }
 
 // readChangeID decodes the change id row.
@@ -67,11 +67,11 @@
 }
 
 // readEntries decodes the entry rows.
-func (s *State) readEntries(rows []platform.Row) error {
-	for _, row := range rows {
+func (s *State) readEntries(refs []catalogue.Ref, rows []platform.Row) error {
+	s.rows = make(map[catalogue.Ref]platform.Revision, len(rows))
+	for i, row := range rows {
 		if !row.Exists() {
 			s.Entries = append(s.Entries, nil)
-			s.rows = append(s.rows, 0)
 			continue
 		}
 		entry, err := codec.DecodeEntry(row.Value)
@@ -79,7 +79,7 @@
 			return err
 		}
 		s.Entries = append(s.Entries, entry)
-		s.rows = append(s.rows, row.Revision)
+		s.rows[refs[i]] = row.Revision
 	}
 	return nil
 }
