--- a/internal/gossip/service_test.go
+++ b/internal/gossip/service_test.go
@@ -64,7 +64,11 @@
 		b, _ := startDaemon("b", address)
 		c, _ := startDaemon("c", address)
 		target := membership.Target{Name: "t1", Service: "catalogo", State: membership.TargetServing, Slots: 5}
-		b.Update(func(t *membership.Table) { t.SetTargets([]membership.Target{target}) })
+		b.Update(func(t *membership.Table) {
+			t.SetTargets([]membership.Target{target})
+			// A fresh daemon's heartbeats count; the test has no freshness rule.
+			t.Confirm()
+		})
 
 		Eventually(func() []membership.Target { return targetsOf(a, "b") }, "5s").Should(ConsistOf(target))
 		Eventually(func() []membership.Target { return targetsOf(c, "b") }, "5s").Should(ConsistOf(target))
--- a/internal/membership/config.go
+++ b/internal/membership/config.go
@@ -23,8 +23,7 @@
 	Self          id.HostID
 	FailureDomain id.FailureDomain
 	Addresses     Addresses
-	// Incarnation orders the processes of one host. Use the start time in Unix milliseconds;
-	// a host whose wall clock went backwards is corrected within JoinWindow.
+	// Incarnation orders the processes of one host, see NewIncarnation.
 	Incarnation    id.Incarnation
 	Period         time.Duration
 	SuspectPeriods int
@@ -36,6 +35,13 @@
 	Riders []Rider
 }
 
+// NewIncarnation returns an incarnation for a process that started at a wall-clock time. The
+// wall clock only orders the processes of one host, and is corrected within JoinWindow when it
+// went backwards. The random bits keep two processes apart that started at the same reading.
+func NewIncarnation(started time.Time, random uint16) id.Incarnation {
+	return id.Incarnation(uint64(started.UnixMilli())<<16 | uint64(random))
+}
+
 // withDefaults fills the zero fields.
 func (c Config) withDefaults() Config {
 	if c.Period <= 0 {
--- a/internal/membership/digest.go
+++ b/internal/membership/digest.go
@@ -90,6 +90,14 @@
 	}
 }
 
+// sawSender records that the sender of a message was alive at a local time.
+func (t *Table) sawSender(s Sender, at clock.Time) {
+	record := t.Record(s.Host)
+	if record != nil && record.Incarnation == s.Incarnation {
+		t.sawHeartbeat(s.Host, at, false)
+	}
+}
+
 // mergePlatformRead takes over a relayed platform read; age counts from the local time base.
 func (t *Table) mergePlatformRead(age time.Duration, base clock.Time) {
 	if age >= 0 {
--- a/internal/membership/doc.go
+++ b/internal/membership/doc.go
@@ -12,6 +12,9 @@
 // with it (Rider) was accepted as well. Alive and covered times are kept
 // apart: target choice uses the first, the freshness rule the second.
 //
+// A process counts as heard only after it was fresh without counting itself
+// (Confirm), because it starts without what its predecessor acknowledged.
+//
 // Failure behaviour: lost, repeated and reordered messages delay knowledge
 // and never make a host look more recent than it is. A host that is not heard
 // is suspected by this observer only, and forgotten after Config.ForgetAfter.
--- a/internal/membership/exchange.go
+++ b/internal/membership/exchange.go
@@ -26,6 +26,7 @@
 	}
 	covered := t.coversAll(req.Riders)
 	if base, ok := t.sentNoEarlierThan(req.Sender, now); ok {
+		t.sawSender(req.Sender, base)
 		t.mergeAges(hosts, req.Digest, base, covered)
 		if covered {
 			t.mergePlatformRead(req.Sender.PlatformReadAge, base)
@@ -37,7 +38,7 @@
 		Digest:     t.ages(now, keyed),
 		WantRiders: !covered,
 	}
-	res.Records, res.Wanted = t.compare(hosts, req.Digest, now)
+	res.Records, res.Wanted = t.compare(req.Sender, hosts, req.Digest, now)
 	res.Riders = t.deltas(req.Riders)
 	return res
 }
@@ -51,6 +52,7 @@
 	}
 	t.mergeUpdates(res.Records, now)
 	t.readPeerClock(res.Sender, now)
+	t.sawSender(res.Sender, startedAt)
 	t.mergeCovered(res.Sender, res.Digest, res.Riders, startedAt)
 	if len(res.Wanted) == 0 && !res.WantRiders {
 		return nil, false
@@ -73,6 +75,9 @@
 func (t *Table) HandlePush(push Push, now clock.Time) Sender {
 	t.mergeUpdates(push.Records, now)
 	t.readPeerClock(push.Sender, now)
+	if base, ok := t.sentNoEarlierThan(push.Sender, now); ok {
+		t.sawSender(push.Sender, base)
+	}
 	if len(push.Digest.Ages) > 0 {
 		if base, ok := t.sentNoEarlierThan(push.Sender, now); ok {
 			t.mergeCovered(push.Sender, push.Digest, push.Riders, base)
--- a/internal/membership/merge.go
+++ b/internal/membership/merge.go
@@ -6,8 +6,9 @@
 )
 
 // compare returns the updates that the owner of a digest lacks and the keys of the hosts whose
-// records are newer there. Hosts whose keys are ambiguous are sent whole.
-func (t *Table) compare(hosts []id.HostID, d Digest, now clock.Time) (updates []Update, wanted []uint32) {
+// records are newer there. Hosts whose keys are ambiguous are sent whole. The sender's own
+// incarnation is compared in full, because tags of different incarnations can be equal.
+func (t *Table) compare(sender Sender, hosts []id.HostID, d Digest, now clock.Time) (updates []Update, wanted []uint32) {
 	listed := make(map[id.HostID]bool, len(hosts))
 	for i, host := range hosts {
 		if host == "" {
@@ -18,7 +19,8 @@
 		}
 		listed[host] = true
 		record := t.Record(host)
-		if d.Tags[i] != incarnationTag(record.Incarnation) {
+		other := host == sender.Host && sender.Incarnation != record.Incarnation
+		if other || d.Tags[i] != incarnationTag(record.Incarnation) {
 			// The tag does not tell which incarnation is newer, so both records travel.
 			updates = append(updates, Update{Record: record})
 			wanted = append(wanted, hostKey(host))
--- a/internal/membership/self.go
+++ b/internal/membership/self.go
@@ -62,8 +62,14 @@
 	t.changes++
 }
 
-// hearSelf handles another version of the own host: a record that a former process left behind, or a newer process.
+// hearSelf handles another version of the own host: a record that a former process left behind,
+// or a newer process. A former incarnation with an equal tag could not be told apart in digests.
 func (t *Table) hearSelf(v Version, now clock.Time) {
+	older := v.Incarnation < t.self.Incarnation
+	if older && incarnationTag(v.Incarnation) == incarnationTag(t.self.Incarnation) {
+		t.publish(func(r *Record) { r.Incarnation++ }, true)
+		return
+	}
 	if !v.Newer(t.self.Version()) {
 		return
 	}
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -27,6 +27,7 @@
 	// platformRead is the latest local time at which a covered platform read is known to have begun.
 	platformRead clock.Time
 	superseded   bool
+	confirmed    bool
 	// partners are the hosts of the next exchanges; exchanges counts the choices.
 	partners  []id.HostID
 	exchanges uint64
@@ -121,10 +122,10 @@
 }
 
 // CoveredAt returns the latest local time of a heartbeat that was accepted together with its
-// riders, for the freshness rule. The own host is covered now.
+// riders, for the freshness rule. The own host is covered now, but only after Confirm.
 func (t *Table) CoveredAt(host id.HostID, now clock.Time) (clock.Time, bool) {
 	if host == t.config.Self {
-		return now, true
+		return now, t.confirmed
 	}
 	e := t.entries[host]
 	if e == nil || e.covered == never {
@@ -133,6 +134,13 @@
 	return e.covered, true
 }
 
+// Confirm lets the own heartbeats count, here and at the peers. Call it once the daemon is fresh
+// without counting itself. A process that just started has forgotten what its predecessor
+// acknowledged; if it counted, a majority could be made of hosts that all lack a revocation.
+func (t *Table) Confirm() {
+	t.confirmed = true
+}
+
 // NotePlatformRead records an own confirmed read of the platform's changes that began at startedAt.
 func (t *Table) NotePlatformRead(startedAt clock.Time) {
 	t.platformRead = max(t.platformRead, startedAt)
