Wire token grants, slot ownership and the administration API into the daemon

Duties need the registrations of all slots as well as the catalogue: a platform read that shows only the catalogue would confirm a slot that a newer process holds. A read is therefore reported to the freshness rule only when both were read, as of the earlier one.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -7,17 +7,21 @@
 
 	"github.com/rs/zerolog"
 
+	"buckthornlatch.example/buckthornlatch/internal/admin"
 	"buckthornlatch.example/buckthornlatch/internal/balancer"
 	"buckthornlatch.example/buckthornlatch/internal/catalogsync"
+	"buckthornlatch.example/buckthornlatch/internal/catalogue"
 	"buckthornlatch.example/buckthornlatch/internal/cataloguestore"
 	"buckthornlatch.example/buckthornlatch/internal/clock"
 	"buckthornlatch.example/buckthornlatch/internal/entry"
 	"buckthornlatch.example/buckthornlatch/internal/gate"
 	"buckthornlatch.example/buckthornlatch/internal/gossip"
+	"buckthornlatch.example/buckthornlatch/internal/grants"
 	"buckthornlatch.example/buckthornlatch/internal/hop"
 	"buckthornlatch.example/buckthornlatch/internal/id"
 	"buckthornlatch.example/buckthornlatch/internal/platform"
 	"buckthornlatch.example/buckthornlatch/internal/registration"
+	"buckthornlatch.example/buckthornlatch/internal/revocation"
 	"buckthornlatch.example/buckthornlatch/internal/settings"
 )
 
@@ -37,6 +41,14 @@
 	fresh     *freshKeeper
 	balancer  *balancer.Shared
 	registrar *registration.Registrar
+	owners    *ownerWatch
+	peers     *peerBook
+	duties    *duties
+	limits    *limits
+	grants    *grants.Service
+	revoked   *revocation.Set
+	admin     *admin.Service
+	flusher   *admin.Flusher
 	hop       *hop.Client
 	gate      *gate.Gate
 	entry     *entry.Entry
@@ -46,6 +58,8 @@
 	// targetsChanged wakes the upkeep after a target appeared, changed or disappeared.
 	targetsChanged chan struct{}
 	state          state
+	// acted is the catalogue revision that the limits act on. Only the upkeep uses it.
+	acted catalogue.Revision
 }
 
 // listeners are the daemon's open addresses.
@@ -60,6 +74,7 @@
 		log:            log,
 		clock:          clock.NewSystem(),
 		incarnation:    id.Incarnation(time.Now().UnixMilli()),
+		revoked:        &revocation.Set{},
 		applied:        make(chan struct{}, 1),
 		targetsChanged: make(chan struct{}, 1),
 	}
--- /dev/null
+++ b/internal/daemon/duties.go
@@ -0,0 +1,141 @@
+package daemon
+
+import (
+	"sync"
+	"sync/atomic"
+
+	"github.com/rs/zerolog"
+
+	"buckthornlatch.example/buckthornlatch/internal/catalogue"
+	"buckthornlatch.example/buckthornlatch/internal/clock"
+	"buckthornlatch.example/buckthornlatch/internal/freshness"
+	"buckthornlatch.example/buckthornlatch/internal/id"
+	"buckthornlatch.example/buckthornlatch/internal/membership"
+	"buckthornlatch.example/buckthornlatch/internal/ownership"
+)
+
+// duties guards the ownership state of the daemon's host slot and the placement
+// of all duties. It is safe for concurrent use.
+type duties struct {
+	self      id.HostID
+	log       zerolog.Logger
+	placement atomic.Pointer[ownership.Placement]
+
+	mu        sync.Mutex
+	state     *ownership.State
+	revisions revisionFence
+	// epoch is the registered epoch; zero before the registration.
+	epoch id.Epoch
+	// firstFresh is the time of the first confirmation of this process.
+	firstFresh clock.Time
+	seenFresh  bool
+	// held is set once the state took the registration over.
+	held bool
+}
+
+// newDuties returns duties that hold nothing.
+func newDuties(self id.HostID, log zerolog.Logger) *duties {
+	d := &duties{self: self, log: log, state: ownership.New(self)}
+	d.placement.Store(ownership.NewPlacement(ownership.NewRoster(0, 0, nil)))
+	return d
+}
+
+// registered notes the epoch that the platform gave.
+func (d *duties) registered(epoch id.Epoch) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.epoch = epoch
+}
+
+// rosterChanged takes over the roster of a catalogue snapshot.
+func (d *duties) rosterChanged(roster ownership.Roster, now clock.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(roster.Members) == 0 || roster.Revision == d.state.RosterRevision() {
+		return
+	}
+	d.state.RosterChanged(roster, now)
+	d.revisions.setRoster(roster)
+	d.placement.Store(ownership.NewPlacement(roster))
+}
+
+// heard takes over what the membership table and the freshness rule say. The
+// catalogue that came with them must have been taken over before.
+func (d *duties) heard(view membershipView, verdict freshness.Verdict, now clock.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.state.HeardEpoch(d.self, view.highestEpoch)
+	for _, record := range view.records {
+		d.revisions.acknowledge(record.Host, record.Status.CatalogueRevision, now)
+		if record.Status.EpochsMark != view.ownMark {
+			continue
+		}
+		d.state.Acknowledged(ownership.Acknowledgement{
+			From:   record.Host,
+			Slot:   d.self,
+			Epoch:  view.highestEpoch,
+			Roster: record.Status.RosterAcknowledged,
+		}, now)
+	}
+	if verdict.Basis == freshness.None {
+		return
+	}
+	if !d.seenFresh {
+		d.seenFresh, d.firstFresh = true, now
+	}
+	d.state.Fresh(verdict.Until.Add(-freshness.Window))
+	d.take(now)
+}
+
+// take starts the holding once no earlier holder can use an older roster than
+// this process knows. The first epoch of a slot has no earlier holder.
+func (d *duties) take(now clock.Time) {
+	placement := d.placement.Load()
+	if d.held || d.epoch == 0 || len(placement.Roster().Members) == 0 {
+		return
+	}
+	if d.epoch > 1 && now.Sub(d.firstFresh) < ownership.Fence {
+		return
+	}
+	d.held = true
+	d.state.Registered(ownership.Registration{
+		Epoch:   d.epoch,
+		Rosters: []ownership.Roster{placement.Roster()},
+	}, now)
+	d.log.Info().Uint64("epoch", uint64(d.epoch)).Msg("ownership: holding starts")
+}
+
+// Confirmed implements ratelimit.Duty.
+func (d *duties) Confirmed(now clock.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.state.ConfirmSlot(d.self, now).OK()
+}
+
+// Settled implements ratelimit.Duty.
+func (d *duties) Settled(revision catalogue.Revision, now clock.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.revisions.isSettled(revision, now)
+}
+
+// rosterRevision returns the revision of the roster that this process acts on.
+func (d *duties) rosterRevision() catalogue.Revision {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.state.RosterRevision()
+}
+
+// leave stops all duties for good.
+func (d *duties) leave() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.state.Leave()
+}
+
+// membershipView is what the duties need of the membership table, read at once.
+type membershipView struct {
+	highestEpoch id.Epoch
+	ownMark      uint64
+	records      []*membership.Record
+}
--- a/internal/daemon/provision.go
+++ b/internal/daemon/provision.go
@@ -2,12 +2,13 @@
 
 import (
 	"crypto/rand"
+	"encoding/hex"
 	"net"
 	"net/http"
 	"time"
 
-	"golang.org/x/time/rate"
-
+	"buckthornlatch.example/buckthornlatch/internal/admin"
+	"buckthornlatch.example/buckthornlatch/internal/audit"
 	"buckthornlatch.example/buckthornlatch/internal/balancer"
 	"buckthornlatch.example/buckthornlatch/internal/catalogsync"
 	"buckthornlatch.example/buckthornlatch/internal/catalogue"
@@ -16,6 +17,7 @@
 	"buckthornlatch.example/buckthornlatch/internal/fault"
 	"buckthornlatch.example/buckthornlatch/internal/gate"
 	"buckthornlatch.example/buckthornlatch/internal/gossip"
+	"buckthornlatch.example/buckthornlatch/internal/grants"
 	"buckthornlatch.example/buckthornlatch/internal/hop"
 	"buckthornlatch.example/buckthornlatch/internal/id"
 	"buckthornlatch.example/buckthornlatch/internal/ledger"
@@ -47,7 +49,6 @@
 		Timeout:   d.settings.Platform.Timeout,
 	})
 	d.store = cataloguestore.New(d.platform.Table(), d.platform.Objects())
-	d.registrar = registration.New(d.platform.Table())
 	d.syncer = catalogsync.New(d.store, catalogsync.Config{
 		Clock:        d.clock,
 		Logger:       d.log,
@@ -57,9 +58,69 @@
 		CallTimeout:  d.settings.Platform.Timeout,
 	})
 	d.provisionMembership()
+	d.provisionDuties()
+	d.provisionAdmin()
 	return d.provisionPath()
 }
 
+// provisionDuties builds the registration, the ownership state and the limits.
+func (d *Daemon) provisionDuties() {
+	host := id.HostID(d.settings.Host.Name)
+	d.duties = newDuties(host, d.log)
+	d.peers = &peerBook{scheme: d.peerScheme(), gossip: d.gossip}
+	d.registrar = registration.New(d.platform.Table())
+	d.owners = &ownerWatch{
+		registrar: d.registrar,
+		clock:     d.clock,
+		log:       d.log,
+		interval:  d.settings.Platform.PollInterval,
+		learn:     d.learnOwners,
+	}
+	d.limits = newLimits(host, d.syncer, d.duties)
+	d.grants = grants.New(grants.Config{
+		Clock:     d.clock,
+		Self:      host,
+		Placement: d.limits,
+		Peers:     d.peers,
+		HTTP:      d.client,
+		Distance:  d.distance,
+	}, &d.limits.holder)
+}
+
+// distance orders hosts by failure domain: own host, own domain, elsewhere.
+func (d *Daemon) distance(host id.HostID) int {
+	if host == d.duties.self {
+		return 0
+	}
+	found := d.syncer.Snapshot().Host(host)
+	if found != nil && string(found.FailureDomain) == d.settings.Host.FailureDomain {
+		return 1
+	}
+	return 2
+}
+
+// provisionAdmin builds the administration API.
+func (d *Daemon) provisionAdmin() {
+	editor := admin.NewEditor(d.store, d.syncer, time.Now)
+	d.admin = admin.NewService(editor, audit.New(d.store), d.revoked, rand.Reader)
+	d.flusher = admin.NewFlusher(editor, d.revoked, d.log)
+}
+
+// credentials returns the operators of the settings.
+func (d *Daemon) credentials() admin.Credentials {
+	var out admin.Credentials
+	for _, operator := range d.settings.Operators {
+		var hash admin.TokenHash
+		// The settings were checked to hold a hash of the right length.
+		_, _ = hex.Decode(hash[:], []byte(operator.TokenHash))
+		out = append(out, admin.Credential{
+			Operator:  admin.Operator{Name: operator.Name, Groups: operator.Groups},
+			TokenHash: hash,
+		})
+	}
+	return out
+}
+
 // provisionMembership builds gossip, freshness and target choice.
 func (d *Daemon) provisionMembership() {
 	host := id.HostID(d.settings.Host.Name)
@@ -78,7 +139,10 @@
 			Incarnation:   d.incarnation,
 			Period:        d.settings.Peers.GossipInterval,
 			Seed:          uint64(d.incarnation),
-			Riders:        []membership.Rider{&catalogueRider{replica: d.syncer.Replica}},
+			Riders: []membership.Rider{
+				&catalogueRider{replica: d.syncer.Replica},
+				&revocationRider{set: d.revoked},
+			},
 		},
 		Seeds:    d.settings.Peers.Seeds,
 		Scheme:   d.peerScheme(),
@@ -95,7 +159,7 @@
 func (d *Daemon) provisionPath() error {
 	host := id.HostID(d.settings.Host.Name)
 	routes := &router{catalogue: d.syncer}
-	keys := &authenticator{catalogue: d.syncer, fresh: d.fresh}
+	keys := &authenticator{catalogue: d.syncer, revoked: d.revoked, fresh: d.fresh}
 	tickets, err := newLocalLedger(d.clock, ledger.Location{Host: host, Epoch: id.Epoch(d.incarnation)})
 	if err != nil {
 		return fault.New("create ledger", "", err)
@@ -115,7 +179,7 @@
 		Authenticator: keys,
 		Router:        routes,
 		Quarantine:    noQuarantine{},
-		Admitter:      &fixedShare{catalogue: d.syncer, buckets: make(map[id.CustomerID]*rate.Limiter)},
+		Admitter:      &admitter{grants: d.grants},
 		Ledger:        tickets,
 		Tickets:       tickets,
 		Picker:        &picker{balancer: d.balancer},
@@ -153,6 +217,9 @@
 			_ = listener.Close()
 		}
 	}
+	if d.grants != nil {
+		d.grants.Close()
+	}
 	if d.hop != nil {
 		d.hop.Close()
 	}
--- /dev/null
+++ b/internal/daemon/rosterof.go
@@ -0,0 +1,17 @@
+package daemon
+
+import (
+	"buckthornlatch.example/buckthornlatch/internal/catalogue"
+	"buckthornlatch.example/buckthornlatch/internal/ownership"
+)
+
+// rosterOf returns the roster of a snapshot.
+func rosterOf(snapshot *catalogue.Snapshot) ownership.Roster {
+	var members []ownership.Member
+	revision := catalogue.Revision(0)
+	for _, host := range snapshot.Roster() {
+		members = append(members, ownership.Member{Host: host.ID, FailureDomain: host.FailureDomain})
+		revision = max(revision, host.Revision)
+	}
+	return ownership.NewRoster(revision, 0, members)
+}
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -26,6 +26,8 @@
 	group.Go(func() error { return d.syncer.Run(running) })
 	group.Go(func() error { return d.upkeep(running) })
 	group.Go(func() error { return d.register(running) })
+	group.Go(func() error { return d.owners.run(running) })
+	group.Go(func() error { return d.flusher.Run(running) })
 	group.Go(func() error { d.gossip.Run(running); return nil })
 	d.log.Info().Str("callers", d.listeners.caller.Addr().String()).Msg("daemon: serving")
 
--- a/internal/daemon/servers.go
+++ b/internal/daemon/servers.go
@@ -5,12 +5,14 @@
 	"net/http"
 	"net/http/pprof"
 
+	"buckthornlatch.example/buckthornlatch/internal/admin"
 	"buckthornlatch.example/buckthornlatch/internal/catalogsync"
 	"buckthornlatch.example/buckthornlatch/internal/gate"
 	"buckthornlatch.example/buckthornlatch/internal/hop"
 	"buckthornlatch.example/buckthornlatch/internal/targetapi"
 	rpccatalogue "buckthornlatch.example/buckthornlatch/rpc/catalogue"
 	"buckthornlatch.example/buckthornlatch/rpc/fate"
+	rpcgrants "buckthornlatch.example/buckthornlatch/rpc/grants"
 )
 
 // servers returns the daemon's HTTP servers.
@@ -39,6 +41,7 @@
 	mux.Handle(hop.Path, d.gate)
 	mount(mux, fate.NewFateServer(gate.NewFateServer(d.gate)))
 	mount(mux, rpccatalogue.NewSyncServer(catalogsync.NewServer(d.syncer.Replica)))
+	mux.Handle(rpcgrants.GrantsPathPrefix, d.grants.Handler())
 	mux.Handle("/", d.gossip.Handler())
 	return mux
 }
@@ -66,6 +69,7 @@
 // adminHandler serves operators.
 func (d *Daemon) adminHandler() http.Handler {
 	mux := http.NewServeMux()
+	mux.Handle(admin.PathPrefix, admin.NewHandler(d.admin, d.credentials()))
 	mux.HandleFunc("/healthz", d.healthz)
 	mux.HandleFunc("/readyz", d.readyz)
 	mux.HandleFunc("/debug/pprof/", pprof.Index)
--- a/internal/daemon/upkeep.go
+++ b/internal/daemon/upkeep.go
@@ -16,7 +16,7 @@
 	registerBackoff = 2 * time.Second
 )
 
-// upkeep publishes the daemon's own state and evaluates freshness until ctx ends.
+// upkeep publishes the daemon's own state and evaluates what depends on time until ctx ends.
 func (d *Daemon) upkeep(ctx context.Context) error {
 	ticker := time.NewTicker(upkeepPeriod)
 	defer ticker.Stop()
@@ -27,31 +27,68 @@
 		case <-d.targetsChanged:
 			d.publishTargets()
 		case <-d.applied:
-			d.publishStatus()
+			d.catalogueApplied()
 		case <-ticker.C:
-			d.publishStatus()
-			d.recordsChanged()
+			d.tick()
 		}
 	}
 }
 
+// tick evaluates what changes with time alone.
+func (d *Daemon) tick() {
+	d.publishStatus()
+	d.recordsChanged()
+	now := d.clock.Now()
+	d.limits.start(d.state.Epoch(), now)
+	if d.limits.hasHome && len(d.limits.assigned) == 0 {
+		d.limits.apply(d.syncer.Snapshot(), d.syncer.Status().Confirmed, now)
+	}
+	d.limits.tick(now)
+}
+
+// catalogueApplied takes a new catalogue over into the parts that keep state by
+// it, and acknowledges it only then.
+func (d *Daemon) catalogueApplied() {
+	complete := d.syncer.Status().Confirmed
+	snapshot := d.syncer.Snapshot()
+	d.recordsChanged()
+	now := d.clock.Now()
+	d.limits.start(d.state.Epoch(), now)
+	d.limits.apply(snapshot, complete, now)
+	d.acted = snapshot.Revision()
+	d.publishStatus()
+}
+
 // recordsChanged takes over membership changes. It is called without locks.
 func (d *Daemon) recordsChanged() {
 	d.gossip.View(d.balancer.Sync)
-	d.fresh.update()
+	verdict := d.fresh.update()
+	// The catalogue is read after the verdict: what the evidence came with is in it.
+	d.duties.rosterChanged(rosterOf(d.syncer.Snapshot()), d.clock.Now())
+	var view membershipView
+	d.gossip.View(func(t *membership.Table) {
+		view = membershipView{
+			highestEpoch: t.Epochs().Highest(d.duties.self),
+			ownMark:      t.Epochs().Mark(),
+			records:      t.Records(),
+		}
+	})
+	d.duties.heard(view, verdict, d.clock.Now())
 }
 
 // publishStatus publishes the revision, the epoch and the last platform read.
 func (d *Daemon) publishStatus() {
 	status := d.syncer.Status()
+	ownersAt, ownersRead := d.owners.confirmedAt()
 	d.gossip.Update(func(t *membership.Table) {
-		if status.Confirmed {
-			t.NotePlatformRead(status.ConfirmedAt)
+		if status.Confirmed && ownersRead {
+			t.NotePlatformRead(min(status.ConfirmedAt, ownersAt))
 		}
 		t.SetStatus(membership.Status{
 			Epoch:              d.state.Epoch(),
-			CatalogueRevision:  status.Revision,
-			RosterAcknowledged: status.Revision,
+			CatalogueRevision:  d.acted,
+			RosterAcknowledged: d.duties.rosterRevision(),
+			RevocationsMark:    d.revoked.Digest().Low,
 		})
 	})
 }
@@ -108,25 +145,16 @@
 	if err != nil {
 		return err
 	}
-	owners, err := d.registrar.All(ctx)
-	if err != nil {
-		return err
-	}
-	d.learnOwners(owners)
 	d.state.epoch.Store(uint64(own.Epoch))
-	d.log.Info().Uint64("epoch", uint64(own.Epoch)).Int("hosts", len(owners)).Msg("registration: host slot registered")
+	d.duties.registered(own.Epoch)
+	d.log.Info().Uint64("epoch", uint64(own.Epoch)).Msg("registration: host slot registered")
 	return nil
 }
 
-// learnOwners takes over the registrations of all slots.
+// learnOwners takes over new registrations.
 func (d *Daemon) learnOwners(owners []registration.Owner) {
-	seeds := append([]string(nil), d.settings.Peers.Seeds...)
-	for _, owner := range owners {
-		if string(owner.Host) != d.settings.Host.Name {
-			seeds = append(seeds, owner.Peer)
-		}
-	}
-	d.gossip.SetSeeds(seeds)
+	d.peers.learn(owners)
+	d.gossip.SetSeeds(append(d.peers.addresses(d.duties.self), d.settings.Peers.Seeds...))
 	d.gossip.Update(func(t *membership.Table) {
 		for _, owner := range owners {
 			t.RaiseEpoch(owner.Host, owner.Epoch)
--- a/internal/problem/code.go
+++ b/internal/problem/code.go
@@ -13,6 +13,7 @@
 	RouteUnknown          Code = "route-unknown"
 	RouteForbidden        Code = "route-forbidden"
 	RateExceeded          Code = "rate-exceeded"
+	RateUnconfirmed       Code = "rate-unconfirmed"
 	QueueFull             Code = "queue-full"
 	DeadlineTooShort      Code = "deadline-too-short"
 	NoTarget              Code = "no-target"
@@ -47,6 +48,7 @@
 	RouteUnknown:          {http.StatusNotFound, "No route matches the request"},
 	RouteForbidden:        {http.StatusForbidden, "The route is not open to this customer"},
 	RateExceeded:          {http.StatusTooManyRequests, "The customer's rate is used up"},
+	RateUnconfirmed:       {http.StatusServiceUnavailable, "The homes of the customer's rate cannot be reached"},
 	QueueFull:             {http.StatusServiceUnavailable, "The queue before the targets is full"},
 	DeadlineTooShort:      {http.StatusGatewayTimeout, "The remaining time is too short"},
 	NoTarget:              {http.StatusServiceUnavailable, "No target can take the request"},
--- a/internal/registration/registrar.go
+++ b/internal/registration/registrar.go
@@ -5,15 +5,14 @@
 	"errors"
 
 	"buckthornlatch.example/buckthornlatch/internal/fault"
-	"buckthornlatch.example/buckthornlatch/internal/id"
 	"buckthornlatch.example/buckthornlatch/internal/platform"
 )
 
 const (
 	// keyPrefix begins the key of every registration row.
 	keyPrefix = "owner/"
-	// scanLimit bounds the rows of one read.
-	scanLimit = 1000
+	// readLimit bounds the rows of one read.
+	readLimit = 1000
 )
 
 // ErrSuperseded reports that a newer process registered for the slot.
@@ -70,35 +69,28 @@
 	return fault.New("commit registration", "", err)
 }
 
-// All reads the registrations of all slots. Error: *fault.Error.
-func (r *Registrar) All(ctx context.Context) ([]Owner, error) {
+// Changes reads the registrations that changed after a platform revision, and
+// the revision that the reading covers. Error: *fault.Error.
+func (r *Registrar) Changes(ctx context.Context, since platform.Revision) ([]Owner, platform.Revision, error) {
 	var owners []Owner
-	after := ""
 	for {
-		rows, err := r.table.Scan(ctx, keyPrefix, after, scanLimit)
+		rows, err := r.table.Changes(ctx, keyPrefix, since, readLimit)
 		if err != nil {
-			return nil, fault.New("read registrations", "", err)
+			return nil, 0, fault.New("read registrations", "", err)
 		}
 		for _, row := range rows.Rows {
+			if !row.Exists() {
+				continue
+			}
 			owner, err := decode(row.Value)
 			if err != nil {
-				return nil, fault.New("decode registration", row.Key, err)
+				return nil, 0, fault.New("decode registration", row.Key, err)
 			}
 			owners = append(owners, owner)
-			after = row.Key
 		}
+		since = rows.Through
 		if !rows.More {
-			return owners, nil
-		}
-	}
-}
-
-// Latest returns the highest epoch of a slot among the registrations, or zero.
-func Latest(owners []Owner, host id.HostID) id.Epoch {
-	for _, owner := range owners {
-		if owner.Host == host {
-			return owner.Epoch
+			return owners, since, nil
 		}
 	}
-	return 0
 }
