--- a/internal/grants/delivery.go
+++ b/internal/grants/delivery.go
@@ -63,9 +63,9 @@
 
 // loop does the timed work of the entry and the home until Close.
 func (s *Service) loop() {
-	home := time.NewTicker(homeTick)
+	home := time.NewTicker(ratelimit.TickPeriod)
 	defer home.Stop()
-	timer := time.NewTimer(homeTick)
+	timer := time.NewTimer(longestSleep)
 	defer timer.Stop()
 	for {
 		timer.Reset(s.untilDue())
@@ -88,7 +88,7 @@
 	defer s.mu.Unlock()
 	due, any := s.entry.NextDue()
 	if !any {
-		return homeTick
+		return longestSleep
 	}
 	return max(due.Sub(s.config.Clock.Now()), 0)
 }
--- a/internal/grants/service.go
+++ b/internal/grants/service.go
@@ -13,8 +13,8 @@
 	rpc "buckthornlatch.example/buckthornlatch/rpc/grants"
 )
 
-// homeTick is the period of Home.Tick.
-const homeTick = time.Second
+// longestSleep bounds the time between two looks for timed work of the entry.
+const longestSleep = time.Second
 
 // Service admits requests at one daemon and serves its home's grants.
 type Service struct {
--- a/internal/grants/service_test.go
+++ b/internal/grants/service_test.go
@@ -69,7 +69,10 @@
 		DeferCleanup(server.Close)
 		addresses["home"] = server.URL
 		elsewhere := start("other", &grants.Holder{}, c)
-		c.Advance(time.Second)
+		for range 10 {
+			c.Advance(100 * time.Millisecond)
+			holder.Do(func(h *ratelimit.Home) { h.Tick(c.Now()) })
+		}
 
 		var admitted, denied atomic.Int32
 		var group sync.WaitGroup
--- a/internal/ratelimit/bucket.go
+++ b/internal/ratelimit/bucket.go
@@ -14,6 +14,8 @@
 	share   Share
 	force   Limit
 	waiting bool
+	// assigned is when the share was set last.
+	assigned clock.Time
 	// settled is when the older division was first known to be out of use; zero before.
 	settled clock.Time
 	level   Micro
--- a/internal/ratelimit/daemon_test.go
+++ b/internal/ratelimit/daemon_test.go
@@ -55,8 +55,8 @@
 func (d *daemon) Confirmed(now clock.Time) bool { return now.Sub(d.confirmed) <= confirmation }
 
 // Settled implements ratelimit.Duty.
-func (d *daemon) Settled(r catalogue.Revision, now clock.Time) bool {
-	return d.heard >= r && now.Sub(d.heardAt) >= fence
+func (d *daemon) Settled(r catalogue.Revision, _ clock.Time) bool {
+	return d.heard >= r && d.confirmed.Sub(d.heardAt) >= fence
 }
 
 // Version implements ratelimit.Placement.
--- a/internal/ratelimit/duty.go
+++ b/internal/ratelimit/duty.go
@@ -10,7 +10,8 @@
 	// Confirmed reports whether the slot's duties are confirmed at now.
 	Confirmed(now clock.Time) bool
 	// Settled reports whether no home can still act on a revision older than
-	// revision: more than half of the roster acknowledged it, and the fence of
-	// a new duty holder has passed since.
+	// revision: more than half of the roster acknowledged it, the fence of a new
+	// duty holder has passed since, and the duty was confirmed after that without
+	// a newer revision becoming known.
 	Settled(revision catalogue.Revision, now clock.Time) bool
 }
--- a/internal/ratelimit/home.go
+++ b/internal/ratelimit/home.go
@@ -7,6 +7,9 @@
 	"buckthornlatch.example/buckthornlatch/internal/id"
 )
 
+// TickPeriod is how often the owner of a Home calls Tick.
+const TickPeriod = 200 * time.Millisecond
+
 const (
 	// prefetchDivisor bounds a prefetch to this part of the tokens left, so that
 	// one entry cannot empty the bucket in advance.
@@ -18,9 +21,10 @@
 	minReportWithin = 20 * time.Millisecond
 	// waitingRetry is the advice to entries while a share is not in force yet.
 	waitingRetry = time.Second
-	// maxUnseen is the longest time between two looks at the duty after which the
-	// duty may have lapsed unnoticed.
-	maxUnseen = 2 * time.Second
+	// maxUnseen is the time without a look at the duty after which the duty counts
+	// as lapsed. Together with the duration of a confirmation it has to be shorter
+	// than the fence of Duty.Settled.
+	maxUnseen = TickPeriod * 3 / 2
 )
 
 // Home performs the rate-limit duty of one host slot in one epoch.
@@ -62,9 +66,11 @@
 }
 
 // Assign sets the home's share of a customer's limit. A change of the limit is
-// in force at once. A change of the division among homes takes only the
+// in force at once. A change of the division among homes puts only the
 // reductions in force; the rest follows when Duty.Settled reports that no home
-// uses the old division and the grants made under it are over.
+// uses the old division and the grants made under it are over. After a lapse of
+// the duty, every change is treated in this way, because the home may have
+// missed another division in between.
 func (h *Home) Assign(now clock.Time, customer id.CustomerID, share Share) {
 	b, known := h.buckets[customer]
 	if !known {
@@ -73,8 +79,9 @@
 	}
 	h.confirmed(now)
 	h.settle(now, b)
-	unchanged := known && !b.waiting && b.share.sameSplit(share)
+	unchanged := known && !b.waiting && b.share.sameSplit(share) && !h.lapsed && h.resumed <= b.assigned
 	b.share = share
+	b.assigned = now
 	if unchanged || (!known && share.First) {
 		b.setForce(now, share.Limit)
 		return
@@ -121,9 +128,8 @@
 	b.settle(now)
 }
 
-// Tick puts waiting shares in force and looks at the duty. The owner calls it
-// every second; a home that is not ticked for longer than maxUnseen loses the
-// refill of that time.
+// Tick puts waiting shares in force and looks at the duty. A home that is not
+// called for longer than maxUnseen loses the refill of that time.
 func (h *Home) Tick(now clock.Time) {
 	if !h.confirmed(now) {
 		return
--- a/internal/ratelimit/local_test.go
+++ b/internal/ratelimit/local_test.go
@@ -29,20 +29,24 @@
 	limit := ratelimit.NewLimit(10, 5)
 	at := func(d time.Duration) clock.Time { return clock.Time(d) }
 
-	setup := func() (*ratelimit.Entry, *duty) {
+	// setup returns an entry whose home was ticked for the time.
+	setup := func(ticked time.Duration) (*ratelimit.Entry, *duty) {
 		d := &duty{confirmed: true, settled: true}
 		home := ratelimit.NewHome(1, d, 0)
 		share := ratelimit.NewShare(limit, 0, 1, 1)
 		share.First = true
 		home.Assign(0, "c", share)
+		for now := clock.Time(0); now <= at(ticked); now = now.Add(ratelimit.TickPeriod) {
+			home.Tick(now)
+		}
 		return ratelimit.NewEntry(ratelimit.EntryConfig{Self: "self", Placement: oneHome{limit}, Local: home}), d
 	}
 
 	// Guards against a new epoch that starts full, and against a wrong burst.
 	It("starts empty and admits the burst after it refilled", func() {
-		entry, _ := setup()
-		Expect(entry.Admit(0, "c").Outcome).NotTo(Equal(ratelimit.Admitted))
-		entry, _ = setup()
+		entry, _ := setup(0)
+		Expect(entry.Admit(at(time.Millisecond), "c").Outcome).NotTo(Equal(ratelimit.Admitted))
+		entry, _ = setup(time.Second)
 		for range 5 {
 			Expect(entry.Admit(at(time.Second), "c").Outcome).To(Equal(ratelimit.Admitted))
 		}
@@ -53,7 +57,7 @@
 
 	// Guards against a paused or replaced daemon that goes on spending.
 	It("admits nothing while the duty is not confirmed", func() {
-		entry, d := setup()
+		entry, d := setup(time.Second)
 		d.confirmed = false
 		Expect(entry.Admit(at(time.Second), "c").Outcome).NotTo(Equal(ratelimit.Admitted))
 	})
