--- /dev/null
+++ b/internal/claims/fake_table_test.go
@@ -0,0 +1,99 @@
+package claims
+
+import (
+	"context"
+	"errors"
+)
+
+// fault is what happens to one call of the fake table.
+type fault int
+
+const (
+	// faultNone lets the call succeed.
+	faultNone fault = iota
+	// faultDown refuses the call.
+	faultDown
+	// faultLost applies the call and loses its response.
+	faultLost
+	// faultDelayed loses the response and applies the call when Arrive is called.
+	faultDelayed
+	// faultReadLost is faultLost with the next read failing too.
+	faultReadLost
+)
+
+var errFake = errors.New("fake table fault")
+
+// fakeTable is a table in memory that fails as told.
+type fakeTable struct {
+	rows     map[string]Row
+	revision Revision
+	next     fault
+	readDown bool
+	delayed  []Txn
+	commits  int
+}
+
+func newFakeTable() *fakeTable {
+	return &fakeTable{rows: map[string]Row{}}
+}
+
+// Commit implements Table.
+func (f *fakeTable) Commit(_ context.Context, txn Txn) (Revision, error) {
+	f.commits++
+	switch f.next {
+	case faultDown:
+		return 0, &NotDoneError{errFake}
+	case faultLost, faultReadLost:
+		_, _ = f.apply(txn)
+		f.readDown = f.next == faultReadLost
+		return 0, &OutcomeUnknownError{errFake}
+	case faultDelayed:
+		f.delayed = append(f.delayed, txn)
+		return 0, &OutcomeUnknownError{errFake}
+	}
+	return f.apply(txn)
+}
+
+// Arrive applies a delayed commit.
+func (f *fakeTable) Arrive(i int) {
+	txn := f.delayed[i]
+	f.delayed = append(f.delayed[:i:i], f.delayed[i+1:]...)
+	_, _ = f.apply(txn)
+}
+
+// apply checks the conditions and writes.
+func (f *fakeTable) apply(txn Txn) (Revision, error) {
+	var conflict ConflictError
+	for _, c := range txn.Conditions {
+		if row := f.rows[c.Key]; row.Revision != c.Revision {
+			row.Key = c.Key
+			conflict.Current = append(conflict.Current, row)
+		}
+	}
+	if len(conflict.Current) > 0 {
+		return 0, &conflict
+	}
+	f.revision++
+	for _, p := range txn.Puts {
+		f.rows[p.Key] = Row{Key: p.Key, Value: p.Value, Revision: f.revision}
+	}
+	for _, k := range txn.Deletes {
+		delete(f.rows, k)
+	}
+	return f.revision, nil
+}
+
+// Get implements Table.
+func (f *fakeTable) Get(_ context.Context, keys []string) ([]Row, error) {
+	if f.readDown || f.next == faultDown {
+		f.readDown = false
+		return nil, errFake
+	}
+	var rows []Row
+	for _, k := range keys {
+		if r, ok := f.rows[k]; ok {
+			rows = append(rows, r)
+		}
+	}
+	return rows, nil
+}
