--- a/internal/gossip/decode.go
+++ b/internal/gossip/decode.go
@@ -26,11 +26,24 @@
 		Digest:            decodeDigest(r.GetDigest()),
 		Riders:            decodeRiders(r.GetRiders()),
 		Records:           decodeUpdates(r.GetRecords()),
-		Wanted:            r.GetWanted(),
+		Wanted:            decodeWanted(r),
 		WantRiders:        r.GetWantRiders(),
 	}
 }
 
+// decodeWanted reads the requests for records; a missing sequence asks for the whole record.
+func decodeWanted(r *rpc.ExchangeResponse) []membership.Wanted {
+	wanted := make([]membership.Wanted, 0, len(r.GetWanted()))
+	for i, key := range r.GetWanted() {
+		w := membership.Wanted{Key: key}
+		if i < len(r.GetWantedSince()) {
+			w.Since = r.GetWantedSince()[i]
+		}
+		wanted = append(wanted, w)
+	}
+	return wanted
+}
+
 // decodePush reads the wire form of a push.
 func decodePush(p *rpc.PushRequest) membership.Push {
 	return membership.Push{
@@ -82,13 +95,42 @@
 	updates := make([]membership.Update, 0, len(records))
 	for _, r := range records {
 		if r.GetHost() != "" {
-			updates = append(updates, membership.Update{Record: decodeRecord(r), StatusOnly: r.GetStatusOnly()})
+			updates = append(updates, decodeUpdate(r))
 		}
 	}
 	return updates
 }
 
-// decodeRecord reads the wire form of a record.
+// decodeUpdate reads the wire form of one record.
+func decodeUpdate(r *rpc.Record) membership.Update {
+	record := decodeRecord(r)
+	summaries := decodeSummaries(r.GetSummaries())
+	if r.GetStatusOnly() {
+		record.Targets = summaries
+		return membership.Update{Record: record, StatusOnly: true}
+	}
+	record.Targets = decodeTargets(r.GetTargets())
+	for i := range min(len(summaries), len(record.Targets)) {
+		record.Targets[i].TargetSummary = summaries[i].TargetSummary
+	}
+	return membership.Update{Record: record}
+}
+
+// decodeSummaries reads the wire form of the targets' summaries.
+func decodeSummaries(encoded []byte) []membership.Target {
+	targets := make([]membership.Target, len(encoded)/2)
+	for i := range targets {
+		second := encoded[2*i+1]
+		targets[i].TargetSummary = membership.TargetSummary{
+			Latency:      membership.CoarseLatency(encoded[2*i]),
+			ErrorPercent: second &^ suspectedBit,
+			Suspected:    second&suspectedBit != 0,
+		}
+	}
+	return targets
+}
+
+// decodeRecord reads the wire form of a record without its targets.
 func decodeRecord(r *rpc.Record) *membership.Record {
 	return &membership.Record{
 		Host:            id.HostID(r.GetHost()),
@@ -104,7 +146,6 @@
 			EpochsMark:         r.GetEpochsMark(),
 			RevocationsMark:    r.GetRevocationsMark(),
 		},
-		Targets:  decodeTargets(r.GetTargets()),
 		Suspects: decodeSuspects(r.GetSuspects()),
 	}
 }
@@ -114,13 +155,10 @@
 	decoded := make([]membership.Target, 0, len(targets))
 	for _, t := range targets {
 		decoded = append(decoded, membership.Target{
-			Name:         t.GetName(),
-			Service:      id.ServiceName(t.GetService()),
-			State:        membership.TargetState(t.GetState()),
-			Slots:        int(t.GetSlots()),
-			Latency:      membership.CoarseLatency(t.GetLatency()),
-			ErrorPercent: uint8(t.GetErrorPercent()),
-			Suspected:    t.GetSuspected(),
+			Name:    t.GetName(),
+			Service: id.ServiceName(t.GetService()),
+			State:   membership.TargetState(t.GetState()),
+			Slots:   int(t.GetSlots()),
 		})
 	}
 	return decoded
--- a/internal/gossip/encode.go
+++ b/internal/gossip/encode.go
@@ -22,15 +22,19 @@
 
 // encodeResponse returns the wire form of a response.
 func encodeResponse(r membership.Response) *rpc.ExchangeResponse {
-	return &rpc.ExchangeResponse{
+	encoded := &rpc.ExchangeResponse{
 		Sender:            encodeSender(r.Sender),
 		UnknownDictionary: r.UnknownDictionary,
 		Digest:            encodeDigest(r.Digest),
 		Riders:            encodeRiders(r.Riders),
 		Records:           encodeUpdates(r.Records),
-		Wanted:            r.Wanted,
 		WantRiders:        r.WantRiders,
 	}
+	for _, w := range r.Wanted {
+		encoded.Wanted = append(encoded.Wanted, w.Key)
+		encoded.WantedSince = append(encoded.WantedSince, w.Since)
+	}
+	return encoded
 }
 
 // encodePush returns the wire form of a push.
@@ -92,12 +96,16 @@
 	for _, u := range updates {
 		record := encodeRecord(u.Record)
 		record.StatusOnly = u.StatusOnly
+		if !u.StatusOnly {
+			record.Targets = encodeTargets(u.Record.Targets)
+			record.Suspects = encodeSuspects(u.Record.Suspects)
+		}
 		records = append(records, record)
 	}
 	return records
 }
 
-// encodeRecord returns the wire form of a record.
+// encodeRecord returns the wire form of a record without its content.
 func encodeRecord(r *membership.Record) *rpc.Record {
 	return &rpc.Record{
 		Host:               string(r.Host),
@@ -112,9 +120,24 @@
 		RosterAcknowledged: uint64(r.Status.RosterAcknowledged),
 		EpochsMark:         r.Status.EpochsMark,
 		RevocationsMark:    r.Status.RevocationsMark,
-		Targets:            encodeTargets(r.Targets),
-		Suspects:           encodeSuspects(r.Suspects),
+		Summaries:          encodeSummaries(r.Targets),
+	}
+}
+
+// suspectedBit marks a suspected target in the second byte of its summary.
+const suspectedBit = 0x80
+
+// encodeSummaries returns the wire form of the targets' summaries.
+func encodeSummaries(targets []membership.Target) []byte {
+	encoded := make([]byte, 0, 2*len(targets))
+	for _, t := range targets {
+		second := min(t.ErrorPercent, 100)
+		if t.Suspected {
+			second |= suspectedBit
+		}
+		encoded = append(encoded, byte(t.Latency), second)
 	}
+	return encoded
 }
 
 // encodeTargets returns the wire form of targets.
@@ -122,13 +145,10 @@
 	encoded := make([]*rpc.Target, 0, len(targets))
 	for _, t := range targets {
 		encoded = append(encoded, &rpc.Target{
-			Name:         t.Name,
-			Service:      string(t.Service),
-			State:        uint32(t.State),
-			Slots:        uint32(t.Slots),
-			Latency:      uint32(t.Latency),
-			ErrorPercent: uint32(t.ErrorPercent),
-			Suspected:    t.Suspected,
+			Name:    t.Name,
+			Service: string(t.Service),
+			State:   uint32(t.State),
+			Slots:   uint32(t.Slots),
 		})
 	}
 	return encoded
--- a/internal/membership/epochs.go
+++ b/internal/membership/epochs.go
@@ -9,6 +9,10 @@
 	"buckthornlatch.example/buckthornlatch/internal/id"
 )
 
+// epochHistory is the number of earlier states that are recognised by their marks. Peers differ by
+// a few recent registrations at most times, and the whole set is several kilobytes.
+const epochHistory = 64
+
 // errEpochDelta reports a malformed delta of the highest epochs.
 var errEpochDelta = errors.New("malformed epoch delta")
 
@@ -17,6 +21,14 @@
 type Epochs struct {
 	highest map[id.HostID]id.Epoch
 	mark    uint64
+	// history lists the latest changes, oldest first.
+	history []epochChange
+}
+
+// epochChange is one change of the set and the mark before it.
+type epochChange struct {
+	before uint64
+	host   id.HostID
 }
 
 // NewEpochs returns an empty set.
@@ -36,6 +48,10 @@
 		return false
 	}
 	e.highest[host] = epoch
+	e.history = append(e.history, epochChange{e.mark, host})
+	if len(e.history) > epochHistory {
+		e.history = slices.Delete(e.history, 0, 1)
+	}
 	e.mark ^= epochHash(host, old) ^ epochHash(host, epoch)
 	return true
 }
@@ -53,18 +69,37 @@
 	return binary.BigEndian.AppendUint64(nil, e.mark)
 }
 
-// Covers implements Rider. Only equal sets are known to cover each other.
+// Covers implements Rider. The present and the latest earlier states are recognised.
 func (e *Epochs) Covers(summary []byte) bool {
-	return len(summary) == 8 && binary.BigEndian.Uint64(summary) == e.mark
+	_, known := e.changedSince(summary)
+	return known
+}
+
+// changedSince returns the hosts whose epochs changed since an earlier state, and false when the
+// state is not recognised.
+func (e *Epochs) changedSince(summary []byte) ([]id.HostID, bool) {
+	if len(summary) != 8 {
+		return nil, false
+	}
+	mark := binary.BigEndian.Uint64(summary)
+	var changed []id.HostID
+	for i := len(e.history) - 1; i >= 0 && mark != e.mark; i-- {
+		changed = append(changed, e.history[i].host)
+		if e.history[i].before == mark {
+			return changed, true
+		}
+	}
+	return nil, mark == e.mark
 }
 
 // Delta implements Rider.
 func (e *Epochs) Delta(summary []byte) ([]byte, error) {
-	if e.Covers(summary) {
-		return nil, nil
+	changed, known := e.changedSince(summary)
+	if !known {
+		changed = e.hosts()
 	}
 	var delta []byte
-	for _, host := range e.hosts() {
+	for _, host := range changed {
 		delta = binary.AppendUvarint(delta, uint64(len(host)))
 		delta = append(delta, host...)
 		delta = binary.AppendUvarint(delta, uint64(e.highest[host]))
--- a/internal/membership/exchange.go
+++ b/internal/membership/exchange.go
@@ -60,7 +60,7 @@
 	digest := Digest{}
 	var riders []RiderState
 	if res.WantRiders {
-		digest = t.ages(now, true)
+		digest = t.ages(now, len(res.Digest.Keys) > 0)
 		riders = t.deltas(res.Riders)
 	}
 	return &Push{
--- a/internal/membership/merge.go
+++ b/internal/membership/merge.go
@@ -8,12 +8,12 @@
 // compare returns the updates that the owner of a digest lacks and the keys of the hosts whose
 // records are newer there. Hosts whose keys are ambiguous are sent whole. The sender's own
 // incarnation is compared in full, because tags of different incarnations can be equal.
-func (t *Table) compare(sender Sender, hosts []id.HostID, d Digest, now clock.Time) (updates []Update, wanted []uint32) {
+func (t *Table) compare(sender Sender, hosts []id.HostID, d Digest, now clock.Time) (updates []Update, wanted []Wanted) {
 	listed := make(map[id.HostID]bool, len(hosts))
 	for i, host := range hosts {
 		if host == "" {
 			if t.isUnknownKey(d, i) {
-				wanted = append(wanted, d.Keys[i])
+				wanted = append(wanted, Wanted{Key: d.Keys[i]})
 			}
 			continue
 		}
@@ -23,14 +23,14 @@
 		if other || d.Tags[i] != incarnationTag(record.Incarnation) {
 			// The tag does not tell which incarnation is newer, so both records travel.
 			updates = append(updates, Update{Record: record})
-			wanted = append(wanted, hostKey(host))
+			wanted = append(wanted, Wanted{Key: hostKey(host)})
 			continue
 		}
 		if record.Sequence > d.Sequences[i] {
 			updates = append(updates, updateSince(record, d.Sequences[i]))
 		}
 		if record.Sequence < d.Sequences[i] {
-			wanted = append(wanted, hostKey(host))
+			wanted = append(wanted, Wanted{hostKey(host), record.Sequence})
 		}
 	}
 	for _, host := range t.names {
@@ -65,6 +65,10 @@
 	if sequence < record.ContentSequence {
 		return Update{Record: record}
 	}
+	summaries := make([]Target, len(record.Targets))
+	for i, target := range record.Targets {
+		summaries[i].TargetSummary = target.TargetSummary
+	}
 	return Update{
 		Record: &Record{
 			Host:            record.Host,
@@ -72,17 +76,18 @@
 			Sequence:        record.Sequence,
 			ContentSequence: record.ContentSequence,
 			Status:          record.Status,
+			Targets:         summaries,
 		},
 		StatusOnly: true,
 	}
 }
 
-// recordsFor returns the whole records of the hosts with the given keys.
-func (t *Table) recordsFor(keys []uint32) []Update {
+// recordsFor returns what a peer asked for.
+func (t *Table) recordsFor(wanted []Wanted) []Update {
 	var updates []Update
-	for _, key := range keys {
-		if host := t.byKey[key]; host != "" {
-			updates = append(updates, Update{Record: t.Record(host)})
+	for _, w := range wanted {
+		if host := t.byKey[w.Key]; host != "" {
+			updates = append(updates, updateSince(t.Record(host), w.Since))
 		}
 	}
 	return updates
@@ -122,13 +127,11 @@
 		return false
 	}
 	if u.StatusOnly {
-		if e.record.Incarnation != u.Record.Incarnation || e.record.Sequence < u.Record.ContentSequence {
+		merged, ok := withStatus(e.record, u.Record)
+		if !ok {
 			return false
 		}
-		merged := *e.record
-		merged.Sequence = u.Record.Sequence
-		merged.Status = u.Record.Status
-		e.record = &merged
+		e.record = merged
 	} else {
 		e.record = u.Record
 	}
@@ -136,6 +139,24 @@
 	return false
 }
 
+// withStatus returns a copy of a record with a newer status and newer summaries, and false when
+// the record's content is too old for them.
+func withStatus(old, status *Record) (*Record, bool) {
+	if old.Incarnation != status.Incarnation || old.Sequence < status.ContentSequence {
+		return nil, false
+	}
+	if len(old.Targets) != len(status.Targets) {
+		return nil, false
+	}
+	merged := old.clone()
+	merged.Sequence = status.Sequence
+	merged.Status = status.Status
+	for i, target := range status.Targets {
+		merged.Targets[i].TargetSummary = target.TargetSummary
+	}
+	return merged, true
+}
+
 // noteRecord draws the consequences of a record that was taken over.
 func (t *Table) noteRecord(r *Record) {
 	t.changes++
--- a/internal/membership/message.go
+++ b/internal/membership/message.go
@@ -50,12 +50,20 @@
 	Riders            []RiderState
 	// Records are newer than what the request's digest listed.
 	Records []Update
-	// Wanted are the hosts whose records are newer at the requester, by key.
-	Wanted []uint32
+	// Wanted are the hosts whose records are newer at the requester.
+	Wanted []Wanted
 	// WantRiders says that the requester's riders were not covered, so that its heartbeats do not count yet.
 	WantRiders bool
 }
 
+// Wanted asks for what changed of a host's record.
+type Wanted struct {
+	// Key is the hash of the host name.
+	Key uint32
+	// Since is the sequence that the asking side has; zero asks for the whole record.
+	Since uint64
+}
+
 // Push sends records, and on request the riders with the heartbeats that they cover.
 type Push struct {
 	Sender  Sender
@@ -68,6 +76,7 @@
 // Update carries a record, or only its status when the receiver has the content.
 type Update struct {
 	Record *Record
-	// StatusOnly says that the record's content fields are empty and unchanged since ContentSequence.
+	// StatusOnly says that the record's content fields are empty and unchanged since ContentSequence;
+	// its targets carry their summaries only, in the order of the content's targets.
 	StatusOnly bool
 }
--- a/internal/membership/model_test.go
+++ b/internal/membership/model_test.go
@@ -331,9 +331,10 @@
 				f.nodes[any.Draw(t, "host")].set.refuse = rapid.Bool().Draw(t, "refuse")
 			},
 			"change": func(t *rapid.T) {
-				slots := rapid.IntRange(1, 9).Draw(t, "slots")
+				slots := rapid.IntRange(1, 3).Draw(t, "slots")
+				summary := membership.TargetSummary{Latency: membership.CoarseLatency(rapid.IntRange(1, 3).Draw(t, "latency"))}
 				n := f.nodes[any.Draw(t, "host")]
-				n.table.SetTargets([]membership.Target{{Name: "t", Service: "s", Slots: slots}})
+				n.table.SetTargets([]membership.Target{{Name: "t", Service: "s", Slots: slots, TargetSummary: summary}})
 			},
 			"status": func(t *rapid.T) {
 				n := f.nodes[any.Draw(t, "host")]
--- a/internal/membership/record.go
+++ b/internal/membership/record.go
@@ -23,7 +23,7 @@
 	Incarnation   id.Incarnation
 	// Sequence numbers the changes within an incarnation.
 	Sequence uint64
-	// ContentSequence is the sequence of the last change to anything but Status.
+	// ContentSequence is the sequence of the last change to anything but Status and the targets' summaries.
 	ContentSequence uint64
 	Status          Status
 	Targets         []Target
--- a/internal/membership/self.go
+++ b/internal/membership/self.go
@@ -12,10 +12,17 @@
 	if slices.Equal(t.self.Targets, targets) {
 		return false
 	}
-	t.publish(func(r *Record) { r.Targets = slices.Clone(targets) }, true)
+	content := !slices.EqualFunc(t.self.Targets, targets, sameButSummary)
+	t.publish(func(r *Record) { r.Targets = slices.Clone(targets) }, content)
 	return true
 }
 
+// sameButSummary compares two targets without their summaries.
+func sameButSummary(a, b Target) bool {
+	a.TargetSummary = b.TargetSummary
+	return a == b
+}
+
 // SetSuspects publishes the own evidence about crashing requests and reports whether the record changed.
 func (t *Table) SetSuspects(suspects []Suspect) bool {
 	if slices.EqualFunc(t.self.Suspects, suspects, sameSuspect) {
--- a/internal/membership/target.go
+++ b/internal/membership/target.go
@@ -35,6 +35,11 @@
 	State   TargetState
 	// Slots is the target's concurrency.
 	Slots int
+	TargetSummary
+}
+
+// TargetSummary is the part of a Target that changes with the work. It travels with the status.
+type TargetSummary struct {
 	// Latency is the coarse service time; zero when nothing was measured.
 	Latency CoarseLatency
 	// ErrorPercent is the part of recent work that failed, 0 to 100.
