--- a/internal/daemon/servers.go
+++ b/internal/daemon/servers.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"encoding/json"
 	"net"
 	"net/http"
 	"net/http/pprof"
@@ -72,6 +73,7 @@
 	mux.Handle(admin.PathPrefix, admin.NewHandler(d.admin, d.credentials()))
 	mux.HandleFunc("/healthz", d.healthz)
 	mux.HandleFunc("/readyz", d.readyz)
+	mux.HandleFunc("/status", d.status)
 	mux.HandleFunc("/debug/pprof/", pprof.Index)
 	mux.HandleFunc("/debug/pprof/profile", pprof.Profile)
 	mux.HandleFunc("/debug/pprof/trace", pprof.Trace)
@@ -94,3 +96,11 @@
 		w.WriteHeader(http.StatusNoContent)
 	}
 }
+
+// status writes the daemon's state as JSON.
+func (d *Daemon) status(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	_ = encoder.Encode(d.Status())
+}
