Take the catalogue over before the first change, so that new customers are known to be new

Cause: a daemon that had not seen the empty catalogue treated the customers of the first change as possibly placed elsewhere and refused them for 12.6 s.

--- a/internal/daemon/limits.go
+++ b/internal/daemon/limits.go
@@ -80,6 +80,12 @@
 	l.holder.Set(home)
 }
 
+// behind reports whether the catalogue must be taken over without a change of it:
+// before the first complete one, and after the home started.
+func (l *limits) behind() bool {
+	return !l.confirmed || (l.hasHome && len(l.assigned) == 0)
+}
+
 // tick keeps the home's shares in step with its duty.
 func (l *limits) tick(now clock.Time) {
 	l.holder.Do(func(h *ratelimit.Home) { h.Tick(now) })
--- a/internal/daemon/upkeep.go
+++ b/internal/daemon/upkeep.go
@@ -40,7 +40,7 @@
 	d.recordsChanged()
 	now := d.clock.Now()
 	d.limits.start(d.state.Epoch(), now)
-	if d.limits.hasHome && len(d.limits.assigned) == 0 {
+	if d.limits.behind() {
 		d.limits.apply(d.syncer.Snapshot(), d.syncer.Status().Confirmed, now)
 	}
 	d.limits.tick(now)
--- a/internal/experiment/fleet.go
+++ b/internal/experiment/fleet.go
@@ -5,8 +5,10 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -28,7 +30,7 @@
 	operatorName  = "experiment"
 	operatorToken = "experiment-operator-token"
 	// readyTimeout bounds the start of a fleet.
-	readyTimeout = 40 * time.Second
+	readyTimeout = 15 * time.Second
 	// readyPoll is the time between two looks at a starting fleet.
 	readyPoll = 20 * time.Millisecond
 )
@@ -173,7 +175,11 @@
 		}
 		time.Sleep(readyPoll)
 	}
-	return errNotReady
+	var states []string
+	for _, node := range f.Nodes {
+		states = append(states, fmt.Sprintf("%+v", node.Daemon.Status()))
+	}
+	return fmt.Errorf("%w: %s", errNotReady, strings.Join(states, "; "))
 }
 
 // ready reports whether every daemon is ready.
