Grant tokens for waiting callers with a short hold

Cause: a token for a caller that waits is spent when the reply arrives, yet the home counted it as outstanding for 2.1 s or until a separate report. That cost a second exchange per admission, and the bucket did not refill meanwhile.

Change: such tokens are spent on arrival within 250 ms or never, and are held for 262.5 ms. The next request to the home states their age, so that the refill since then counts.

--- a/internal/grants/wire.go
+++ b/internal/grants/wire.go
@@ -54,25 +54,29 @@
 // replyToWire encodes a reply.
 func replyToWire(r ratelimit.Reply) *rpc.Reply {
 	return &rpc.Reply{
-		Id:             r.ID,
-		Status:         rpc.Status(r.Status),
-		Epoch:          uint64(r.Grant.Epoch),
-		Sequence:       r.Grant.Sequence,
-		Tokens:         uint32(r.Tokens),
-		RetryAfterUs:   durationToWire(r.RetryAfter),
-		ReportWithinUs: durationToWire(r.ReportWithin),
+		Id:                r.ID,
+		Status:            rpc.Status(r.Status),
+		Epoch:             uint64(max(r.Grant.Epoch, r.ImmediateGrant.Epoch)),
+		Sequence:          r.Grant.Sequence,
+		Tokens:            uint32(r.Tokens),
+		Immediate:         uint32(r.Immediate),
+		ImmediateSequence: r.ImmediateGrant.Sequence,
+		RetryAfterUs:      durationToWire(r.RetryAfter),
+		ReportWithinUs:    durationToWire(r.ReportWithin),
 	}
 }
 
 // replyFromWire decodes a reply.
 func replyFromWire(r *rpc.Reply) ratelimit.Reply {
 	return ratelimit.Reply{
-		ID:           r.GetId(),
-		Status:       ratelimit.Status(r.GetStatus()),
-		Grant:        ratelimit.GrantID{Epoch: id.Epoch(r.GetEpoch()), Sequence: r.GetSequence()},
-		Tokens:       tokensFromWire(r.GetTokens()),
-		RetryAfter:   durationFromWire(r.GetRetryAfterUs()),
-		ReportWithin: durationFromWire(r.GetReportWithinUs()),
+		ID:             r.GetId(),
+		Status:         ratelimit.Status(r.GetStatus()),
+		Grant:          ratelimit.GrantID{Epoch: id.Epoch(r.GetEpoch()), Sequence: r.GetSequence()},
+		Tokens:         tokensFromWire(r.GetTokens()),
+		Immediate:      tokensFromWire(r.GetImmediate()),
+		ImmediateGrant: ratelimit.GrantID{Epoch: id.Epoch(r.GetEpoch()), Sequence: r.GetImmediateSequence()},
+		RetryAfter:     durationFromWire(r.GetRetryAfterUs()),
+		ReportWithin:   durationFromWire(r.GetReportWithinUs()),
 	}
 }
 
--- a/internal/ratelimit/answering.go
+++ b/internal/ratelimit/answering.go
@@ -23,7 +23,7 @@
 	if reply.RetryAfter > 0 && asked > 0 {
 		v.emptyUntil = now.Add(reply.RetryAfter)
 	}
-	if asked == 0 && reply.Tokens == 0 {
+	if reply.Tokens == 0 {
 		v.prefetchFrom = now.Add(prefetchBackoff)
 	}
 	if reply.Tokens > 0 {
@@ -32,10 +32,22 @@
 			expiry: sentAt.Add(GrantValidity), reportWithin: reply.ReportWithin,
 		})
 	}
+	v.spent, v.tokens, v.spentAt = reply.ImmediateGrant, reply.Immediate, now
+	if now.Sub(sentAt) <= ImmediateValidity {
+		e.serveImmediate(now, b, reply.Immediate)
+	}
 	e.ask(now, b)
 	e.schedule(now, b)
 }
 
+// serveImmediate gives n tokens to waiting callers. Tokens for callers that left
+// are lost: the home does not hear of them.
+func (e *Entry) serveImmediate(now clock.Time, b *balance, n int) {
+	for ; n > 0 && len(b.waiters) > 0; n-- {
+		e.resolve(b, Resolution{Waiter: b.waiters[0].id, Until: now.Add(admissionValidity)})
+	}
+}
+
 // Failed notes that a request was not answered in time or could not be sent.
 func (e *Entry) Failed(now clock.Time, customer id.CustomerID, home id.HostID, requestID uint64) {
 	b, v := e.unanswered(customer, home, requestID)
--- a/internal/ratelimit/asking.go
+++ b/internal/ratelimit/asking.go
@@ -85,7 +85,7 @@
 		Customer: b.customer,
 		Need:     need,
 		Want:     want,
-		Reports:  b.reports(now, v.host),
+		Reports:  append(b.reports(now, v.host), v.report(now)...),
 	}})
 }
 
--- a/internal/ratelimit/bucket.go
+++ b/internal/ratelimit/bucket.go
@@ -19,30 +19,49 @@
 	// settled is when the older division was first known to be out of use; zero before.
 	settled clock.Time
 	level   Micro
-	held    outstanding
+	// held are the grants that entries keep, immediate those that they spend on arrival.
+	held      outstanding
+	immediate outstanding
 	// last is the time up to which refill was credited. It stays behind while
 	// outstanding tokens fill the bucket: a report that some were spent earlier
 	// then makes the time since that spend count.
 	last clock.Time
 }
 
+// outstanding returns the tokens that entries may still spend.
+func (b *bucket) outstanding() Micro {
+	return b.held.total + b.immediate.total
+}
+
 // room returns how much the bucket may still refill.
 func (b *bucket) room() Micro {
-	return b.force.capacity() - b.level - b.held.total
+	return b.force.capacity() - b.level - b.outstanding()
 }
 
 // settle ends the holds that are over and refills up to now.
 func (b *bucket) settle(now clock.Time) {
-	for g := b.held.expired(now); g != nil; g = b.held.expired(now) {
-		end := g.until
+	for list := b.expired(now); list != nil; list = b.expired(now) {
+		end := list.grants[0].until
 		b.refill(end)
 		b.skip(end)
-		b.held.dropOldest()
+		list.dropOldest()
 	}
 	b.refill(now)
 	b.check()
 }
 
+// expired returns the list whose oldest hold ended first, if it ended by now, or nil.
+func (b *bucket) expired(now clock.Time) *outstanding {
+	held, immediate := b.held.expired(now), b.immediate.expired(now)
+	if immediate != nil && (held == nil || immediate.until < held.until) {
+		return &b.immediate
+	}
+	if held != nil {
+		return &b.held
+	}
+	return nil
+}
+
 // refill credits the time since last as far as there is room.
 func (b *bucket) refill(now clock.Time) {
 	rate := derated(b.force.Rate)
@@ -52,7 +71,7 @@
 	amount := earned(rate, now.Sub(b.last), b.room())
 	b.level += amount
 	b.last = b.last.Add(min(timeFor(rate, amount), now.Sub(b.last)))
-	if b.room() <= 0 && b.held.total == 0 {
+	if b.room() <= 0 && b.outstanding() == 0 {
 		b.last = now
 	}
 }
@@ -82,15 +101,27 @@
 	b.check()
 }
 
+// grantImmediate moves n tokens that an entry spends on arrival.
+func (b *bucket) grantImmediate(now clock.Time, sequence uint64, n int) {
+	b.level -= tokens(n)
+	b.immediate.add(heldGrant{sequence: sequence, tokens: int32(n), until: now.Add(immediateHold)})
+	b.check()
+}
+
 // report applies an entry's report; the bucket is settled at now.
 func (b *bucket) report(now clock.Time, r Report) {
-	g := b.held.find(r.Grant.Sequence)
+	list := &b.held
+	g := list.find(r.Grant.Sequence)
+	if g == nil {
+		list = &b.immediate
+		g = list.find(r.Grant.Sequence)
+	}
 	if g == nil || g.closed {
 		return
 	}
 	if spent := int32(min(max(r.Spent, 0), int(g.tokens))); spent > g.spent {
 		b.skip(now.Add(-shrunk(max(r.Age, 0))))
-		b.held.total -= tokens(int(spent - g.spent))
+		list.total -= tokens(int(spent - g.spent))
 		g.spent = spent
 		b.refill(now)
 	}
@@ -98,10 +129,10 @@
 	if r.Closed && !g.closed {
 		unspent := g.unspent()
 		g.closed = true
-		b.held.total -= unspent
-		b.level += min(unspent, max(b.force.capacity()-b.level-b.held.total, 0))
+		list.total -= unspent
+		b.level += min(unspent, max(b.room(), 0))
 	}
-	b.held.dropClosed()
+	list.dropClosed()
 	b.check()
 }
 
@@ -111,7 +142,7 @@
 	b.settle(now)
 	b.skip(now)
 	b.force = limit
-	b.level = max(min(b.level, limit.capacity()-b.held.total), 0)
+	b.level = max(min(b.level, limit.capacity()-b.outstanding()), 0)
 	b.check()
 }
 
@@ -137,9 +168,9 @@
 // check asserts that the tokens that can be spent never exceed the capacity.
 // After a reduction the outstanding grants alone may exceed it; the level is zero then.
 func (b *bucket) check() {
-	fits := b.level+b.held.total <= b.force.capacity()
-	invariant.Check(b.level >= 0 && b.held.total >= 0 && (fits || b.level == 0), "rate-capacity",
-		"level %d + outstanding %d exceed capacity %d", b.level, b.held.total, b.force.capacity())
+	fits := b.level+b.outstanding() <= b.force.capacity()
+	invariant.Check(b.level >= 0 && b.held.total >= 0 && b.immediate.total >= 0 && (fits || b.level == 0), "rate-capacity",
+		"level %d + outstanding %d exceed capacity %d", b.level, b.outstanding(), b.force.capacity())
 }
 
 // reportWithin returns how soon spends should be reported so that unreported
--- a/internal/ratelimit/entry.go
+++ b/internal/ratelimit/entry.go
@@ -11,8 +11,9 @@
 )
 
 const (
-	// localValidity is how long an admission from the daemon's own home is valid.
-	localValidity = GrantValidity
+	// admissionValidity is how long an admission is valid whose token was spent
+	// when it was decided.
+	admissionValidity = GrantValidity
 	// idleAfter is how long an entry remembers the demand of an idle customer.
 	idleAfter = 5 * time.Second
 )
@@ -91,7 +92,7 @@
 	}
 	ok, retry := e.config.Local.Take(now, b.customer)
 	if ok {
-		return now.Add(localValidity), true
+		return now.Add(admissionValidity), true
 	}
 	view.emptyUntil = now.Add(min(retry, failureBackoff))
 	return 0, false
--- a/internal/ratelimit/export_test.go
+++ b/internal/ratelimit/export_test.go
@@ -6,7 +6,7 @@
 // that the checks notice.
 func (h *Home) ForgetOutstanding(customer id.CustomerID) {
 	if b := h.buckets[customer]; b != nil {
-		b.held = outstanding{}
+		b.held, b.immediate = outstanding{}, outstanding{}
 	}
 }
 
@@ -14,7 +14,7 @@
 // It exists to show that the checks notice.
 func (h *Home) Fill(customer id.CustomerID) {
 	if b := h.buckets[customer]; b != nil {
-		b.level = b.force.capacity() - b.held.total
+		b.level = b.force.capacity() - b.outstanding()
 		b.last = 0
 	}
 }
--- a/internal/ratelimit/handover.go
+++ b/internal/ratelimit/handover.go
@@ -37,7 +37,7 @@
 			Force:       b.force,
 			Waiting:     b.waiting,
 			Level:       b.level,
-			Outstanding: b.held.total,
+			Outstanding: b.outstanding(),
 		})
 	}
 	return out
--- a/internal/ratelimit/home.go
+++ b/internal/ratelimit/home.go
@@ -190,11 +190,17 @@
 func (h *Home) grant(now clock.Time, b *bucket, request Request) Reply {
 	reply := Reply{ID: request.ID}
 	available := b.level.whole()
-	n := min(max(request.Need, 0), available)
-	n += min(max(request.Want-request.Need, 0), (available-n)/prefetchDivisor)
-	if n < request.Need {
+	reply.Immediate = min(max(request.Need, 0), available)
+	if reply.Immediate > 0 {
+		h.sequence++
+		reply.ImmediateGrant = GrantID{Epoch: h.epoch, Sequence: h.sequence}
+		b.grantImmediate(now, h.sequence, reply.Immediate)
+	}
+	if reply.Immediate < request.Need {
 		reply.RetryAfter = h.retryAfter(b)
+		return reply
 	}
+	n := min(max(request.Want-request.Need, 0), (available-reply.Immediate)/prefetchDivisor)
 	if n == 0 {
 		return reply
 	}
--- a/internal/ratelimit/homeview.go
+++ b/internal/ratelimit/homeview.go
@@ -19,6 +19,22 @@
 	prefetchFrom clock.Time
 	// failed says that emptyUntil follows from a failed call, not from an empty bucket.
 	failed bool
+	// spent is the last immediate grant and spentAt when it was spent, until the
+	// home was told; reporting it early lets the bucket refill from then on.
+	spent   GrantID
+	tokens  int
+	spentAt clock.Time
+}
+
+// report returns what is left to tell the home about immediate tokens. Later
+// than the home's hold there is nothing to tell.
+func (v *homeView) report(now clock.Time) []Report {
+	if v.tokens == 0 || now.Sub(v.spentAt) >= immediateHold {
+		return nil
+	}
+	r := Report{Grant: v.spent, Spent: v.tokens, Age: now.Sub(v.spentAt), Closed: true}
+	v.tokens = 0
+	return []Report{r}
 }
 
 // ready reports whether the home can be asked for waiting callers.
--- a/internal/ratelimit/message.go
+++ b/internal/ratelimit/message.go
@@ -57,6 +57,10 @@
 	Grant  GrantID
 	// Tokens is the size of the grant; zero when there is none.
 	Tokens int
+	// Immediate is the number of tokens that the entry spends when the reply
+	// arrives, or never.
+	Immediate      int
+	ImmediateGrant GrantID
 	// RetryAfter is the time until the bucket can hold the next token, when fewer
 	// tokens than needed were granted.
 	RetryAfter time.Duration
