Add the operators' subcommands

Cause: operators edit the catalogue as files and issue and revoke keys while traffic runs, and must see what a change does before it is made. Change: catalogue get, apply, diff and history, key issue, revoke and list, audit and check, as go-arg structs; the catalogue's TOML form with revisions.

--- a/internal/catalogue/file.go
+++ b/internal/catalogue/file.go
@@ -1,6 +1,9 @@
 package catalogue
 
-import "slices"
+import (
+	"fmt"
+	"slices"
+)
 
 // File is the content of one or more catalogue files.
 type File struct {
@@ -39,6 +42,25 @@
 	return refs
 }
 
+// Add appends another file's content and returns a mistake for each entry that both have.
+func (f *File) Add(other *File) FileErrors {
+	known := map[Ref]bool{}
+	for _, ref := range f.Refs() {
+		known[ref] = true
+	}
+	var mistakes FileErrors
+	for _, e := range other.Entries {
+		if ref := e.Entry.Ref(); known[ref] {
+			mistakes = append(mistakes, FileError{
+				File: e.file, Line: e.at.line, Key: string(ref.Kind), Reason: fmt.Sprintf("%q is in another file too", ref.ID),
+			})
+		}
+	}
+	f.Entries = append(f.Entries, other.Entries...)
+	f.Deletes = append(f.Deletes, other.Deletes...)
+	return mistakes
+}
+
 // Locate turns problems with the file's entries into file errors. A problem
 // with an entry that the file does not contain has line zero.
 func (f *File) Locate(problems []Problem) error {
--- a/internal/catalogue/load_test.go
+++ b/internal/catalogue/load_test.go
@@ -96,6 +96,24 @@
 		}))
 	})
 
+	// Guards against a listing that does not read back as the same entries.
+	It("reads what Render writes", func() {
+		file, err := catalogue.Load("c.toml", []byte(validFile))
+		Expect(err).NotTo(HaveOccurred())
+		var entries []catalogue.Entry
+		for i, e := range file.Entries {
+			entries = append(entries, catalogue.WithRevision(e.Entry, catalogue.Revision(i+1)))
+		}
+		data, err := catalogue.Render(entries)
+		Expect(err).NotTo(HaveOccurred())
+		again, err := catalogue.Load("r.toml", data)
+		Expect(err).NotTo(HaveOccurred())
+		for i, e := range again.Entries {
+			Expect(catalogue.SameContent(e.Entry, entries[i])).To(BeTrue())
+			Expect(e.Base).To(Equal(catalogue.Revision(i + 1)))
+		}
+	})
+
 	// Guards against a syntax error without position.
 	It("reports the line of a syntax error", func() {
 		_, err := catalogue.Load("c.toml", []byte("[[host]]\nid = \n"))
--- /dev/null
+++ b/internal/command/connection.go
@@ -0,0 +1,74 @@
+package command
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"buckthornlatch.example/buckthornlatch/internal/fault"
+	rpc "buckthornlatch.example/buckthornlatch/rpc/admin"
+)
+
+// callTimeout bounds one call of the administration API.
+const callTimeout = 15 * time.Second
+
+// Connection says how to reach the administration API.
+type Connection struct {
+	Admin     string `arg:"--admin,env:BUCKTHORNLATCH_ADMIN" placeholder:"URL" help:"administration API of any daemon, e.g. https://10.0.0.1:9443"`
+	TokenFile string `arg:"--token-file,env:BUCKTHORNLATCH_TOKEN_FILE" placeholder:"FILE" help:"file with the operator's token"`
+	CAFile    string `arg:"--ca-file,env:BUCKTHORNLATCH_CA_FILE" placeholder:"FILE" help:"certificate authority of the daemons; default: the system's"`
+}
+
+// tokenTransport adds the operator's token to every request.
+type tokenTransport struct {
+	token string
+	next  http.RoundTripper
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t tokenTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	r = r.Clone(r.Context())
+	r.Header.Set("Authorization", "Bearer "+t.token)
+	return t.next.RoundTrip(r)
+}
+
+// client returns a client of the API. Error: *InputError.
+func (c Connection) client() (rpc.Admin, error) {
+	if c.Admin == "" || c.TokenFile == "" {
+		return nil, &InputError{Err: errors.New("--admin and --token-file are required")}
+	}
+	token, err := os.ReadFile(c.TokenFile)
+	if err != nil {
+		return nil, &InputError{Err: fault.New("read token", c.TokenFile, err)}
+	}
+	transport := http.DefaultTransport.(*http.Transport).Clone()
+	if c.CAFile != "" {
+		if transport.TLSClientConfig, err = tlsConfig(c.CAFile); err != nil {
+			return nil, &InputError{Err: err}
+		}
+	}
+	httpClient := &http.Client{
+		Transport: tokenTransport{token: strings.TrimSpace(string(token)), next: transport},
+		Timeout:   callTimeout,
+		// A redirect would carry the token to another server.
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+	return rpc.NewAdminProtobufClient(strings.TrimSuffix(c.Admin, "/"), httpClient), nil
+}
+
+// tlsConfig trusts the authority in the file.
+func tlsConfig(file string) (*tls.Config, error) {
+	pem, err := os.ReadFile(file)
+	if err != nil {
+		return nil, fault.New("read certificate authority", file, err)
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return nil, fault.New("read certificate authority", file, errors.New("no PEM certificate"))
+	}
+	return &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12}, nil
+}
