Count the own heartbeat only after the first evidence of freshness

Cause: a record of a process that was never confirmed is not passed on, so daemons did not learn each other. The daemon confirms itself as soon as the freshness rule holds without it.

--- a/internal/daemon/upkeep.go
+++ b/internal/daemon/upkeep.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"buckthornlatch.example/buckthornlatch/internal/freshness"
 	"buckthornlatch.example/buckthornlatch/internal/membership"
 	"buckthornlatch.example/buckthornlatch/internal/registration"
 	"buckthornlatch.example/buckthornlatch/internal/targetapi"
@@ -65,6 +66,9 @@
 	verdict := d.fresh.update()
 	// The catalogue is read after the verdict: what the evidence came with is in it.
 	d.duties.rosterChanged(rosterOf(d.syncer.Snapshot()), d.clock.Now())
+	if verdict.Basis != freshness.None {
+		d.gossip.Update((*membership.Table).Confirm)
+	}
 	var view membershipView
 	d.gossip.View(func(t *membership.Table) {
 		view = membershipView{
--- a/internal/experiment/fleet_test.go
+++ b/internal/experiment/fleet_test.go
@@ -50,7 +50,9 @@
 		})
 		Expect(err).NotTo(HaveOccurred())
 	}
-	Eventually(func() error { return fleet.Apply(ctx, entries) }).WithTimeout(10 * time.Second).Should(Succeed())
+	// A daemon that has read the empty catalogue knows that the customers are new.
+	Expect(fleet.AwaitReady(0)).To(Succeed())
+	Expect(fleet.Apply(ctx, entries)).To(Succeed())
 	keys, err := fleet.IssueKeys(ctx, *p)
 	Expect(err).NotTo(HaveOccurred())
 	Expect(fleet.AwaitReady(len(hosts))).To(Succeed())
