Let an entry prefetch half of a home's level

Change: at most half.

Conclusion: small customers keep waiting for a round trip, because their burst leaves nothing to hold in advance.

--- a/internal/ratelimit/home.go
+++ b/internal/ratelimit/home.go
@@ -13,7 +13,7 @@
 const (
 	// prefetchDivisor bounds a prefetch to this part of the tokens left, so that
 	// one entry cannot empty the bucket in advance.
-	prefetchDivisor = 4
+	prefetchDivisor = 2
 	// reportDivisor asks for reports before unreported spends can fill this part
 	// of the burst.
 	reportDivisor = 4
