Space out requests to an empty home

Cause: a customer over its limit made every entry ask again as soon as one token could be there: 887.4 messages per daemon and second with 8 daemons at load 3.

Change: a home that has too few tokens is asked again after 60 ms at the earliest.

--- a/internal/ratelimit/home.go
+++ b/internal/ratelimit/home.go
@@ -19,6 +19,9 @@
 	reportDivisor = 4
 	// minReportWithin bounds the frequency of reports.
 	minReportWithin = 20 * time.Millisecond
+	// minRetry bounds how often an entry asks an empty home again, which otherwise
+	// grows with the rate of a customer that is over its limit.
+	minRetry = 60 * time.Millisecond
 	// waitingRetry is the advice to entries while a share is not in force yet.
 	waitingRetry = time.Second
 	// maxUnseen is the time without a look at the duty after which the duty counts
@@ -197,7 +200,7 @@
 		b.grantImmediate(now, h.sequence, reply.Immediate)
 	}
 	if reply.Immediate < request.Need {
-		reply.RetryAfter = h.retryAfter(b)
+		reply.RetryAfter = max(h.retryAfter(b), minRetry)
 		return reply
 	}
 	n := min(max(request.Want-request.Need, 0), (available-reply.Immediate)/prefetchDivisor)
