Ask the fullest of equally near homes

Cause: entries asked the homes in a fixed order, so the first one ran empty while the others were full and their refill was lost.

Change: replies state the level; the entry estimates the present level and asks the fullest home among those at the same distance.

--- a/internal/grants/wire.go
+++ b/internal/grants/wire.go
@@ -61,6 +61,7 @@
 		Tokens:            uint32(r.Tokens),
 		Immediate:         uint32(r.Immediate),
 		ImmediateSequence: r.ImmediateGrant.Sequence,
+		LevelMicro:        uint64(max(r.Level, 0)),
 		RetryAfterUs:      durationToWire(r.RetryAfter),
 		ReportWithinUs:    durationToWire(r.ReportWithin),
 	}
@@ -75,6 +76,7 @@
 		Tokens:         tokensFromWire(r.GetTokens()),
 		Immediate:      tokensFromWire(r.GetImmediate()),
 		ImmediateGrant: ratelimit.GrantID{Epoch: id.Epoch(r.GetEpoch()), Sequence: r.GetImmediateSequence()},
+		Level:          ratelimit.Micro(min(r.GetLevelMicro(), maxTokens*uint64(ratelimit.Token))),
 		RetryAfter:     durationFromWire(r.GetRetryAfterUs()),
 		ReportWithin:   durationFromWire(r.GetReportWithinUs()),
 	}
--- a/internal/ratelimit/answering.go
+++ b/internal/ratelimit/answering.go
@@ -23,6 +23,9 @@
 	if reply.RetryAfter > 0 && asked > 0 {
 		v.emptyUntil = now.Add(reply.RetryAfter)
 	}
+	if !v.failed {
+		v.level, v.levelAt = reply.Level, now
+	}
 	if reply.Tokens == 0 {
 		v.prefetchFrom = now.Add(prefetchBackoff)
 	}
--- a/internal/ratelimit/asking.go
+++ b/internal/ratelimit/asking.go
@@ -27,12 +27,9 @@
 	if need == 0 {
 		return
 	}
-	for i := range b.homes {
-		v := &b.homes[i]
-		if v.ready(now) && !e.isLocal(v) {
-			e.call(now, b, v, need, need+b.demand.within(now, prefetchHorizon))
-			return
-		}
+	if v := b.best(now); v != nil {
+		e.call(now, b, v, need, need+b.demand.within(now, prefetchHorizon))
+		return
 	}
 	if !b.busy() {
 		e.denyLate(now, b)
--- a/internal/ratelimit/balance.go
+++ b/internal/ratelimit/balance.go
@@ -80,6 +80,29 @@
 	return nil
 }
 
+// share returns the share of an average home.
+func (b *balance) share() Limit {
+	n := max(len(b.homes), 1)
+	return Limit{Rate: b.limit.Rate / Micro(n), Burst: b.limit.Burst / n}
+}
+
+// best returns the nearest home that can be asked for waiting callers, the
+// fullest one of several at the same distance, or nil.
+func (b *balance) best(now clock.Time) *homeView {
+	var best *homeView
+	share := b.share()
+	for i := range b.homes {
+		v := &b.homes[i]
+		if !v.ready(now) {
+			continue
+		}
+		if best == nil || (v.distance == best.distance && v.expected(now, share) > best.expected(now, share)) {
+			best = v
+		}
+	}
+	return best
+}
+
 // unasked returns the number of waiting callers that no unanswered request covers.
 func (b *balance) unasked() int {
 	n := len(b.waiters)
--- a/internal/ratelimit/entry.go
+++ b/internal/ratelimit/entry.go
@@ -119,15 +119,16 @@
 	old := b.homes
 	b.homes = nil
 	for _, host := range e.config.Placement.Homes(b.customer) {
-		view := homeView{host: host}
+		view := homeView{host: host, level: b.limit.capacity()}
 		if i := slices.IndexFunc(old, func(v homeView) bool { return v.host == host }); i >= 0 {
 			view = old[i]
 		}
+		view.distance = e.distance(host)
 		b.homes = append(b.homes, view)
 	}
 	slices.SortStableFunc(b.homes, func(x, y homeView) int {
 		return cmp.Or(
-			cmp.Compare(e.distance(x.host), e.distance(y.host)),
+			cmp.Compare(x.distance, y.distance),
 			cmp.Compare(e.spread(x.host), e.spread(y.host)))
 	})
 }
--- a/internal/ratelimit/home.go
+++ b/internal/ratelimit/home.go
@@ -178,7 +178,9 @@
 	if request.Want <= 0 {
 		return Reply{ID: request.ID}
 	}
-	return h.grant(now, b, request)
+	reply := h.grant(now, b, request)
+	reply.Level = b.level
+	return reply
 }
 
 // retryAfter returns the time until the bucket can hold one more token.
--- a/internal/ratelimit/homeview.go
+++ b/internal/ratelimit/homeview.go
@@ -7,7 +7,11 @@
 
 // homeView is what an entry knows about one home of a customer.
 type homeView struct {
-	host id.HostID
+	host     id.HostID
+	distance int
+	// level is what the home had at levelAt.
+	level   Micro
+	levelAt clock.Time
 	// inFlight is the id of the unanswered request; zero when there is none.
 	inFlight uint64
 	sentAt   clock.Time
@@ -26,6 +30,12 @@
 	spentAt clock.Time
 }
 
+// expected estimates the home's level, given its share.
+func (v *homeView) expected(now clock.Time, share Limit) Micro {
+	room := max(share.capacity()-v.level, 0)
+	return v.level + earned(derated(share.Rate), now.Sub(v.levelAt), room)
+}
+
 // report returns what is left to tell the home about immediate tokens. Later
 // than the home's hold there is nothing to tell.
 func (v *homeView) report(now clock.Time) []Report {
--- a/internal/ratelimit/message.go
+++ b/internal/ratelimit/message.go
@@ -61,6 +61,8 @@
 	// arrives, or never.
 	Immediate      int
 	ImmediateGrant GrantID
+	// Level is what is left in the bucket; it only helps to choose a home.
+	Level Micro
 	// RetryAfter is the time until the bucket can hold the next token, when fewer
 	// tokens than needed were granted.
 	RetryAfter time.Duration
