--- a/internal/ratelimit/home.go
+++ b/internal/ratelimit/home.go
@@ -13,12 +13,15 @@
 const (
 	// prefetchDivisor bounds a prefetch to this part of the tokens left, so that
 	// one entry cannot empty the bucket in advance.
-	prefetchDivisor = 4
+	prefetchDivisor = 2
 	// reportDivisor asks for reports before unreported spends can fill this part
 	// of the burst.
 	reportDivisor = 4
 	// minReportWithin bounds the frequency of reports.
 	minReportWithin = 20 * time.Millisecond
+	// minRetry bounds how often an entry asks an empty home again, which otherwise
+	// grows with the rate of a customer that is over its limit.
+	minRetry = 60 * time.Millisecond
 	// waitingRetry is the advice to entries while a share is not in force yet.
 	waitingRetry = time.Second
 	// maxUnseen is the time without a look at the duty after which the duty counts
@@ -175,7 +178,9 @@
 	if request.Want <= 0 {
 		return Reply{ID: request.ID}
 	}
-	return h.grant(now, b, request)
+	reply := h.grant(now, b, request)
+	reply.Level = b.level
+	return reply
 }
 
 // retryAfter returns the time until the bucket can hold one more token.
@@ -197,7 +202,7 @@
 		b.grantImmediate(now, h.sequence, reply.Immediate)
 	}
 	if reply.Immediate < request.Need {
-		reply.RetryAfter = h.retryAfter(b)
+		reply.RetryAfter = max(h.retryAfter(b), minRetry)
 		return reply
 	}
 	n := min(max(request.Want-request.Need, 0), (available-reply.Immediate)/prefetchDivisor)
