Hand ticket records over and decide tickets of other daemons

Cause: a planned restart must keep tickets answerable, and a resend may arrive at any daemon. Change: handover moves a ledger and its epoch's duties through a session that either completes at the receiver or never does; ledgerrun finds the holder of a ticket, cancels calls that got no answer and forwards outcomes.

--- /dev/null
+++ b/internal/handover/return.go
@@ -0,0 +1,67 @@
+package handover
+
+import (
+	"context"
+
+	"buckthornlatch.example/buckthornlatch/internal/id"
+	"buckthornlatch.example/buckthornlatch/internal/ledger"
+	handoverpb "buckthornlatch.example/buckthornlatch/rpc/handover"
+)
+
+// Return implements the service. The handover runs after the answer; the requester may ask
+// again when nothing arrived. The transport must
+// admit only a daemon with the slot's identity.
+func (s *Server) Return(_ context.Context, m *handoverpb.ReturnRequest) (*handoverpb.ReturnResponse, error) {
+	at := ledger.Location{Host: id.HostID(m.Slot), Epoch: id.Epoch(m.Epoch)}
+	if at.Host == s.sender.Self || id.Epoch(m.NextEpoch) <= at.Epoch {
+		return &handoverpb.ReturnResponse{}, nil
+	}
+	records, ok := s.holder.Find(at)
+	if !ok {
+		return &handoverpb.ReturnResponse{}, nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, busy := s.returning[at]; !busy {
+		s.returning[at] = struct{}{}
+		s.returns.Add(1)
+		s.background(func() {
+			defer s.returns.Done()
+			s.giveBack(at, records)
+		})
+	}
+	return &handoverpb.ReturnResponse{Started: true}, nil
+}
+
+// giveBack hands a ledger to its slot's next incarnation. When the incarnation certainly does not
+// have it, the tickets stay here; the duties do not.
+func (s *Server) giveBack(at ledger.Location, records Records) {
+	unit := s.unsureUnit(at)
+	if unit == nil {
+		unit = Prepare(records, s.duties)
+	}
+	result, _ := s.sender.HandOver(context.Background(), unit, at.Host)
+	if result == NotTaken {
+		unit.Reopen()
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if result == Unsure {
+		s.unsure[at] = unit
+	}
+	delete(s.returning, at)
+}
+
+// unsureUnit takes the unit of an earlier return that is not resolved.
+func (s *Server) unsureUnit(at ledger.Location) *Unit {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	unit := s.unsure[at]
+	delete(s.unsure, at)
+	return unit
+}
+
+// Wait returns when no return is in progress, at most Settings.Total after the last one began.
+func (s *Server) Wait() {
+	s.returns.Wait()
+}
--- /dev/null
+++ b/internal/handover/settings.go
@@ -0,0 +1,31 @@
+package handover
+
+import "time"
+
+// Default limits of handovers.
+const (
+	DefaultChunkBytes  = 256 << 10
+	DefaultCallTimeout = time.Second
+	DefaultTotal       = 10 * time.Second
+	DefaultMaxSessions = 8
+)
+
+// Settings are the limits of handovers.
+type Settings struct {
+	// ChunkBytes is the approximate size of the records in one message.
+	ChunkBytes int
+	// CallTimeout bounds one call.
+	CallTimeout time.Duration
+	// Total bounds one handover at the sender. A session at the receiver is aborted after twice that.
+	Total time.Duration
+	// MaxSessions is the number of open sessions at a receiver.
+	MaxSessions int
+}
+
+// DefaultSettings returns the default limits.
+func DefaultSettings() Settings {
+	return Settings{
+		ChunkBytes: DefaultChunkBytes, CallTimeout: DefaultCallTimeout,
+		Total: DefaultTotal, MaxSessions: DefaultMaxSessions,
+	}
+}
--- a/internal/ledger/copy.go
+++ b/internal/ledger/copy.go
@@ -62,12 +62,23 @@
 	return nil
 }
 
+// Location returns the slot and epoch whose records are copied.
+func (c *Copy) Location() Location {
+	return c.ledger.at
+}
+
+// Len returns the number of records that arrived.
+func (c *Copy) Len() int {
+	return len(c.ledger.index)
+}
+
 // Activate returns the ledger, which decides from now on. It must be called
 // only when every record arrived and before the sender is told so.
 func (c *Copy) Activate(end Completion, now clock.Time) *Ledger {
 	l := c.ledger
 	l.offset = end.LedgerTime.Sub(now)
 	l.nextSerial = end.NextSerial
+	l.received, l.receivedAt = true, end.LedgerTime
 	l.advance(now)
 	return l
 }
--- a/internal/ledger/decision.go
+++ b/internal/ledger/decision.go
@@ -52,6 +52,8 @@
 		return notThisSend(problem.IssuerLost, "no daemon has the records of the ticket"), true
 	case StoreUnavailable:
 		return retry(notThisSend(problem.ClaimStoreUnavailable, "the platform does not answer")), true
+	case Unreachable:
+		return retry(notThisSend(problem.OutcomeUnknown, "the holder of the ticket's records does not answer")), true
 	default:
 		return problem.Details{}, false
 	}
--- a/internal/ledger/export.go
+++ b/internal/ledger/export.go
@@ -1,12 +1,12 @@
 package ledger
 
-import "buckthornlatch.example/buckthornlatch/internal/invariant"
-
 // Export returns the next records of a sealed ledger, of about limit bytes
 // together but at least one, and the position after them. done is true when no
-// record follows.
-func (l *Ledger) Export(from Cursor, limit int) (records []Record, next Cursor, done bool) {
-	invariant.Check(l.phase != phaseActive, "ledger-export-sealed", "active ledger %v exported", l.at)
+// record follows. It returns ErrSeal when the sealing ended.
+func (l *Ledger) Export(seal SealID, from Cursor, limit int) (records []Record, next Cursor, done bool, err error) {
+	if !l.sealedUnder(seal) {
+		return nil, from, false, ErrSeal
+	}
 	slot, bytes := uint32(from), 0
 	for ; slot < l.slab.limit(); slot++ {
 		c := l.slab.at(slot)
@@ -15,12 +15,12 @@
 		}
 		r := l.record(c)
 		if len(records) > 0 && bytes+r.size() > limit {
-			return records, Cursor(slot), false
+			return records, Cursor(slot), false, nil
 		}
 		records = append(records, r)
 		bytes += r.size()
 	}
-	return records, Cursor(slot), true
+	return records, Cursor(slot), true, nil
 }
 
 // record returns the exported form of a claim.
--- a/internal/ledger/finish_result.go
+++ b/internal/ledger/finish_result.go
@@ -1,6 +1,6 @@
 package ledger
 
-// FinishResult says what Finish did.
+// FinishResult says what Finish did; the numbers are part of the protocol between daemons.
 type FinishResult uint8
 
 const (
--- a/internal/ledger/handover_test.go
+++ b/internal/ledger/handover_test.go
@@ -13,16 +13,17 @@
 
 // handOver copies a sealed ledger to a receiver whose clock reads there.
 func handOver(l *ledger.Ledger, here, there clock.Time) *ledger.Ledger {
-	l.Seal()
+	seal := l.Seal()
 	c, err := ledger.NewCopy(l.Manifest(), ledger.DefaultSettings())
 	Expect(err).NotTo(HaveOccurred())
 	var cursor ledger.Cursor
 	for done := false; !done; {
 		var records []ledger.Record
-		records, cursor, done = l.Export(cursor, 300)
+		records, cursor, done, err = l.Export(seal, cursor, 300)
+		Expect(err).NotTo(HaveOccurred())
 		Expect(c.Add(records)).To(Succeed())
 	}
-	l.Commit()
+	Expect(l.Commit(seal)).To(Succeed())
 	received := c.Activate(l.Completion(here), there)
 	l.HandOver("gaiman-1")
 	return received
@@ -68,7 +69,8 @@
 		Expect(received.Begin("chubut", tickets[11], "f", 6).Kind).To(Equal(ledger.Run))
 		Expect(received.Finish(running.Claim, ledger.NotRun(ledger.GateVerdict), 7)).To(Equal(ledger.Recorded))
 		Expect(received.Begin("chubut", tickets[10], "f", 8).Kind).To(Equal(ledger.Run))
-		Expect(l.Reopen(true)).To(BeFalse())
+		l.Aborted()
+		Expect(l.Reopen(1)).To(BeFalse())
 	})
 
 	// Guards against a receiver that runs a ticket whose dropped claim it never got.
@@ -83,14 +85,20 @@
 	// Guards against both sides running after a handover whose end is unsure.
 	It("reopens only when the receiver cannot complete", func() {
 		t := issue(1, 0)
-		l.Seal()
+		first := l.Seal()
 		Expect(l.Begin("chubut", t, "f", 1).Kind).To(Equal(ledger.HandedOver))
-		Expect(l.Reopen(false)).To(BeTrue())
-		l.Seal()
-		l.Commit()
-		Expect(l.Reopen(false)).To(BeFalse())
+		Expect(l.Reopen(first)).To(BeTrue())
+		Expect(l.Commit(first)).To(MatchError(ledger.ErrSeal))
+		second := l.Seal()
+		third := l.Seal()
+		Expect(l.Commit(second)).To(MatchError(ledger.ErrSeal))
+		Expect(l.Reopen(second)).To(BeFalse())
+		Expect(l.Commit(third)).To(Succeed())
+		Expect(l.Reopen(third)).To(BeFalse())
+		Expect(l.Seal()).To(BeZero())
 		Expect(l.Begin("chubut", t, "f", 1).Kind).To(Equal(ledger.HandedOver))
-		Expect(l.Reopen(true)).To(BeTrue())
+		l.Aborted()
+		Expect(l.Reopen(third)).To(BeTrue())
 		Expect(l.Begin("chubut", t, "f", 1).Kind).To(Equal(ledger.Run))
 	})
 })
--- a/internal/ledger/kind.go
+++ b/internal/ledger/kind.go
@@ -3,7 +3,7 @@
 // Kind is the kind of a Decision.
 type Kind uint8
 
-// The kinds of decisions. Only Run allows a dispatch; every other kind states
+// The kinds of decisions; their numbers are part of the protocol between daemons. Only Run allows a dispatch; every other kind states
 // that this send was not run.
 const (
 	// Run allows the request to be dispatched under Decision.Claim.
@@ -32,12 +32,14 @@
 	IssuerLost
 	// StoreUnavailable means that the platform cannot record the claim.
 	StoreUnavailable
+	// Unreachable means that the daemon that holds the records does not answer now.
+	Unreachable
 )
 
 // kindNames are used in logs.
 var kindNames = [...]string{
 	"none", "run", "replay", "ran-not-kept", "in-progress", "unknown", "expired", "invalid",
-	"key-reused", "forward", "full", "handed-over", "issuer-lost", "store-unavailable",
+	"key-reused", "forward", "full", "handed-over", "issuer-lost", "store-unavailable", "unreachable",
 }
 
 // String returns the name used in logs.
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -26,7 +26,11 @@
 	latest     clock.Time
 	nextSerial uint64
 	phase      phase
+	seal       SealID
 	receiver   id.HostID
+	// received is set for a ledger that was handed over to this process at receivedAt, in ledger time.
+	received   bool
+	receivedAt clock.Time
 	balance    runBalance
 }
 
@@ -76,7 +80,7 @@
 // It returns *IssueError or ErrNameTooLong.
 func (l *Ledger) Issue(customer id.CustomerID, random Random, now clock.Time) (string, error) {
 	at := l.advance(now)
-	if l.phase != phaseActive {
+	if l.phase != phaseActive || l.received {
 		return "", &IssueError{Kind: HandedOver}
 	}
 	if l.full(customer) {
--- a/internal/ledger/outcome.go
+++ b/internal/ledger/outcome.go
@@ -1,6 +1,6 @@
 package ledger
 
-// Proof states how a not-run was proved.
+// Proof states how a not-run was proved; the numbers are part of the protocol between daemons.
 type Proof uint8
 
 const (
@@ -12,7 +12,7 @@
 	GateVerdict
 )
 
-// Result is the kind of an Outcome.
+// Result is the kind of an Outcome; the numbers are part of the protocol between daemons.
 type Result uint8
 
 const (
--- a/internal/ledger/table.go
+++ b/internal/ledger/table.go
@@ -92,3 +92,12 @@
 	c.stored = nil
 	l.stored.remove(entry)
 }
+
+// clear frees all claims.
+func (l *Ledger) clear() {
+	l.slab = slab{}
+	l.index = map[Random]uint32{}
+	l.expiry = newExpiryLists(l.settings.keep())
+	l.stored = storedResponses{}
+	l.clients = customers{index: map[id.CustomerID]uint32{}}
+}
