Search catalogue indexes by stored hashes

Cause: the first benchmarks showed route match growing from 430 ns at 37 routes to 1,100-1,390 ns at 3,700, and key lookup from 570 ns at 420 keys to 1,300 ns at 42,000: binary searches by string touched an entry at every step. Change: shards hold (hash, entry) pairs sorted by hash, the position is estimated from the hash, and request hosts that no route names are not searched.

--- a/internal/catalogue/builder.go
+++ b/internal/catalogue/builder.go
@@ -17,6 +17,8 @@
 	keys      *indexEditor[KeyID, Key]
 	hashes    *indexEditor[*KeyHash, Key]
 	groups    *indexEditor[point, RouteGroup]
+
+	virtualHosts *indexEditor[string, virtualHost]
 }
 
 // newBuilder returns a builder that starts from the snapshot.
@@ -30,6 +32,8 @@
 		keys:      s.keys.edit(),
 		hashes:    s.hashes.edit(),
 		groups:    s.groups.edit(),
+
+		virtualHosts: s.virtualHosts.edit(),
 	}
 }
 
@@ -79,7 +83,8 @@
 // regroup replaces the route in the group at the point; a nil route removes it.
 func (b *builder) regroup(p point, r id.RouteID, route *Route) {
 	var routes []*Route
-	if group := b.groups.find(p); group != nil {
+	group := b.groups.find(p)
+	if group != nil {
 		routes = slices.DeleteFunc(slices.Clone(group.Routes), func(x *Route) bool { return x.ID == r })
 	}
 	if route != nil {
@@ -87,9 +92,29 @@
 	}
 	if len(routes) == 0 {
 		b.groups.remove(p)
+		b.countHost(p.host, -1)
 		return
 	}
 	b.groups.set(&RouteGroup{Host: p.host, PathPrefix: p.prefix, Routes: routes})
+	if group == nil {
+		b.countHost(p.host, 1)
+	}
+}
+
+// countHost adjusts the number of groups of a request host.
+func (b *builder) countHost(host string, by int) {
+	if host == "" {
+		return
+	}
+	groups := by
+	if known := b.virtualHosts.find(host); known != nil {
+		groups += known.groups
+	}
+	if groups <= 0 {
+		b.virtualHosts.remove(host)
+		return
+	}
+	b.virtualHosts.set(&virtualHost{name: host, groups: groups})
 }
 
 // done returns the new snapshot.
@@ -103,7 +128,9 @@
 		keys:      b.keys.done(),
 		hashes:    b.hashes.done(),
 		groups:    b.groups.done(),
-		roster:    b.base.roster,
+
+		virtualHosts: b.virtualHosts.done(),
+		roster:       b.base.roster,
 	}
 	if b.hosts.changed {
 		s.roster = slices.SortedFunc(s.hosts.all(), func(x, y *Host) int {
--- a/internal/catalogue/indexeditor.go
+++ b/internal/catalogue/indexeditor.go
@@ -29,21 +29,23 @@
 // set inserts the value or replaces the one with the same key.
 func (e *indexEditor[K, V]) set(v *V) {
 	key := e.spec.keyOf(v)
-	n := e.spec.hash(key) % shardCount
+	hash := e.spec.hash(key)
+	n := hash % shardCount
 	e.own(n)
-	at, found := slices.BinarySearchFunc(e.shards[n], key, e.spec.compare)
+	at, found := e.search(e.shards[n], hash, key)
 	if found {
-		e.shards[n][at] = v
+		e.shards[n][at].value = v
 		return
 	}
-	e.shards[n] = slices.Insert(e.shards[n], at, v)
+	e.shards[n] = slices.Insert(e.shards[n], at, slot[V]{hash: hash, value: v})
 	e.size++
 }
 
 // remove deletes the value with the key, if any.
 func (e *indexEditor[K, V]) remove(key K) {
-	n := e.spec.hash(key) % shardCount
-	at, found := slices.BinarySearchFunc(e.shards[n], key, e.spec.compare)
+	hash := e.spec.hash(key)
+	n := hash % shardCount
+	at, found := e.search(e.shards[n], hash, key)
 	if !found {
 		return
 	}
@@ -53,10 +55,11 @@
 }
 
 // done returns the changed index; the editor must not be used afterwards.
+// Shards that grew are cut to size, since an index is kept far longer than it is edited.
 func (e *indexEditor[K, V]) done() index[K, V] {
 	for n, owned := range e.owned {
-		if owned {
-			e.shards[n] = slices.Clip(e.shards[n])
+		if shard := e.shards[n]; owned && cap(shard)-len(shard) > len(shard)/8 {
+			e.shards[n] = append(make([]slot[V], 0, len(shard)), shard...)
 		}
 	}
 	return e.index
--- a/internal/catalogue/routegroup.go
+++ b/internal/catalogue/routegroup.go
@@ -1,7 +1,5 @@
 package catalogue
 
-import "strings"
-
 // point is the place in request space at which routes apply.
 type point struct {
 	host   string
@@ -21,10 +19,9 @@
 	return point{host: r.Host, prefix: r.PathPrefix}
 }
 
-// comparePoint orders a group against a point.
-func comparePoint(g *RouteGroup, p point) int {
-	if c := strings.Compare(g.PathPrefix, p.prefix); c != 0 {
-		return c
-	}
-	return strings.Compare(g.Host, p.host)
+// virtualHost is a request host that routes name.
+type virtualHost struct {
+	name string
+	// groups counts the route groups of the host.
+	groups int
 }
--- a/internal/catalogue/snapshot.go
+++ b/internal/catalogue/snapshot.go
@@ -18,6 +18,8 @@
 	keys      index[KeyID, Key]
 	hashes    index[*KeyHash, Key]
 	groups    index[point, RouteGroup]
+	// virtualHosts holds the request hosts that routes name.
+	virtualHosts index[string, virtualHost]
 	// roster holds the hosts sorted by id.
 	roster []*Host
 }
@@ -32,6 +34,8 @@
 		keys:      newIndex(keySpec),
 		hashes:    newIndex(hashSpec),
 		groups:    newIndex(groupSpec),
+
+		virtualHosts: newIndex(virtualHostSpec),
 	}
 }
 
@@ -67,6 +71,9 @@
 	return group.Routes
 }
 
+// NamesHost reports whether any route names the request host.
+func (s *Snapshot) NamesHost(host string) bool { return s.virtualHosts.find(host) != nil }
+
 // Roster returns all host slots sorted by id. The slice must not be modified.
 func (s *Snapshot) Roster() []*Host { return s.roster }
 
--- a/internal/catalogue/specs.go
+++ b/internal/catalogue/specs.go
@@ -1,9 +1,7 @@
 package catalogue
 
 import (
-	"bytes"
 	"encoding/binary"
-	"strings"
 
 	"github.com/twmb/murmur3"
 
@@ -13,9 +11,9 @@
 // named returns the spec of an index whose key is a string type.
 func named[K ~string, V any](keyOf func(*V) K) *indexSpec[K, V] {
 	return &indexSpec[K, V]{
-		hash:    func(k K) uint32 { return murmur3.StringSum32(string(k)) },
-		keyOf:   keyOf,
-		compare: func(v *V, k K) int { return strings.Compare(string(keyOf(v)), string(k)) },
+		hash:  func(k K) uint32 { return murmur3.StringSum32(string(k)) },
+		keyOf: keyOf,
+		has:   func(v *V, k K) bool { return keyOf(v) == k },
 	}
 }
 
@@ -27,13 +25,14 @@
 	keySpec      = named(func(k *Key) KeyID { return k.ID })
 	// hashSpec needs no hash function of its own: key hashes are uniformly distributed.
 	hashSpec = &indexSpec[*KeyHash, Key]{
-		hash:    func(h *KeyHash) uint32 { return binary.LittleEndian.Uint32(h[:4]) },
-		keyOf:   func(k *Key) *KeyHash { return &k.Hash },
-		compare: func(k *Key, h *KeyHash) int { return bytes.Compare(k.Hash[:], h[:]) },
+		hash:  func(h *KeyHash) uint32 { return binary.LittleEndian.Uint32(h[:4]) },
+		keyOf: func(k *Key) *KeyHash { return &k.Hash },
+		has:   func(k *Key, h *KeyHash) bool { return k.Hash == *h },
 	}
 	groupSpec = &indexSpec[point, RouteGroup]{
-		hash:    func(p point) uint32 { return murmur3.SeedStringSum32(murmur3.StringSum32(p.host), p.prefix) },
-		keyOf:   func(g *RouteGroup) point { return point{host: g.Host, prefix: g.PathPrefix} },
-		compare: comparePoint,
+		hash:  func(p point) uint32 { return murmur3.SeedStringSum32(murmur3.StringSum32(p.host), p.prefix) },
+		keyOf: func(g *RouteGroup) point { return point{host: g.Host, prefix: g.PathPrefix} },
+		has:   func(g *RouteGroup, p point) bool { return g.Host == p.host && g.PathPrefix == p.prefix },
 	}
+	virtualHostSpec = named(func(v *virtualHost) string { return v.name })
 )
--- a/internal/routing/match.go
+++ b/internal/routing/match.go
@@ -19,7 +19,7 @@
 	if !ok {
 		return nil
 	}
-	if host := canonicalHost(request.Host); host != "" {
+	if host := canonicalHost(request.Host); s.NamesHost(host) {
 		if route := matchHost(s, host, path, request.Method); route != nil {
 			return route
 		}
