--- a/cmd/buckthornlatch/main.go
+++ b/cmd/buckthornlatch/main.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -16,18 +15,16 @@
 	"buckthornlatch.example/buckthornlatch/internal/command"
 )
 
-const (
-	// exitFailure is the exit code of a command that failed.
-	exitFailure = 1
-	// exitUsage is the exit code for bad arguments, settings or catalogue files.
-	exitUsage = 2
-)
-
 // arguments is the command line.
 type arguments struct {
-	Serve   *command.Serve   `arg:"subcommand:serve" help:"run a daemon"`
-	Emulate *command.Emulate `arg:"subcommand:emulate" help:"run a stand-in for the platform or for targets"`
-	Load    *command.Load    `arg:"subcommand:load" help:"send traffic and check the answers"`
+	Serve     *command.Serve     `arg:"subcommand:serve" help:"run a daemon"`
+	Catalogue *command.Catalogue `arg:"subcommand:catalogue" help:"get, compare and change the catalogue"`
+	Key       *command.Key       `arg:"subcommand:key" help:"issue, revoke and list callers' keys"`
+	Status    *command.Status    `arg:"subcommand:status" help:"show the state of a daemon"`
+	Audit     *command.Audit     `arg:"subcommand:audit" help:"list accepted changes"`
+	Check     *command.Check     `arg:"subcommand:check" help:"check settings and catalogue files"`
+	Emulate   *command.Emulate   `arg:"subcommand:emulate" help:"run a stand-in for the platform or for targets"`
+	Load      *command.Load      `arg:"subcommand:load" help:"send traffic and check the answers"`
 }
 
 // Description implements arg.Described.
@@ -46,22 +43,13 @@
 	chosen, ok := parser.Subcommand().(runner)
 	if !ok {
 		parser.WriteHelp(os.Stderr)
-		os.Exit(exitUsage)
+		os.Exit(command.ExitBadInput)
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	err := chosen.Run(ctx, os.Stdout)
 	stop()
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "buckthornlatch:", err)
-		os.Exit(exitCode(err))
-	}
-}
-
-// exitCode returns the exit code for an error.
-func exitCode(err error) int {
-	var usage command.UsageError
-	if errors.As(err, &usage) {
-		return exitUsage
 	}
-	return exitFailure
+	os.Exit(command.ExitCode(err))
 }
--- a/internal/command/check.go
+++ b/internal/command/check.go
@@ -2,19 +2,50 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 
 	"buckthornlatch.example/buckthornlatch/internal/catalogue"
+	"buckthornlatch.example/buckthornlatch/internal/settings"
 )
 
 // Check is the subcommand "check".
 type Check struct {
 	Catalogue []string `arg:"--catalogue" placeholder:"FILE" help:"catalogue files, checked as one catalogue"`
+	Settings  []string `arg:"--settings" placeholder:"FILE" help:"settings files of daemons"`
 }
 
+// errNothingToCheck reports a check without files.
+var errNothingToCheck = errors.New("--catalogue or --settings is required")
+
 // Run checks the files without calling any daemon. Error: every mistake found.
 func (c *Check) Run(_ context.Context, stdout io.Writer) error {
+	if len(c.Catalogue) == 0 && len(c.Settings) == 0 {
+		return &InputError{Err: errNothingToCheck}
+	}
+	err := c.checkSettings(stdout)
+	if len(c.Catalogue) > 0 {
+		err = errors.Join(err, c.checkCatalogue(stdout))
+	}
+	return err
+}
+
+// checkSettings checks every settings file by itself.
+func (c *Check) checkSettings(stdout io.Writer) error {
+	var errs []error
+	for _, name := range c.Settings {
+		if _, err := settings.Load(name); err != nil {
+			errs = append(errs, err)
+			continue
+		}
+		fmt.Fprintf(stdout, "settings: %s is valid\n", name)
+	}
+	return errors.Join(errs...)
+}
+
+// checkCatalogue checks the catalogue files as one catalogue.
+func (c *Check) checkCatalogue(stdout io.Writer) error {
 	file, err := loadFiles(c.Catalogue)
 	if err != nil {
 		return err
--- a/internal/command/exit.go
+++ b/internal/command/exit.go
@@ -4,13 +4,14 @@
 	"errors"
 
 	"buckthornlatch.example/buckthornlatch/internal/catalogue"
+	"buckthornlatch.example/buckthornlatch/internal/tomlfile"
 )
 
 // Exit codes of the binary.
 const (
-	exitOK       = 0
-	exitFailure  = 1
-	exitBadInput = 2
+	ExitOK       = 0
+	ExitFailure  = 1
+	ExitBadInput = 2
 )
 
 // InputError reports bad input: nothing was sent or applied.
@@ -32,12 +33,13 @@
 func ExitCode(err error) int {
 	var input *InputError
 	var file catalogue.FileErrors
+	var faults tomlfile.Faults
 	switch {
 	case err == nil:
-		return exitOK
-	case errors.As(err, &input), errors.As(err, &file):
-		return exitBadInput
+		return ExitOK
+	case errors.As(err, &input), errors.As(err, &file), errors.As(err, &faults):
+		return ExitBadInput
 	default:
-		return exitFailure
+		return ExitFailure
 	}
 }
--- a/internal/load/operation.go
+++ b/internal/load/operation.go
@@ -15,3 +15,12 @@
 	// AnswerBytes asks the emulated target for an answer of that size; 0 for a short one.
 	AnswerBytes int `toml:"answer_bytes"`
 }
+
+// cost returns the tokens of the customer's rate that the operation takes: one
+// for the request and, when it is not idempotent, one for its ticket.
+func (o Operation) cost() float64 {
+	if o.Idempotent {
+		return 1
+	}
+	return 2
+}
--- a/internal/load/runner.go
+++ b/internal/load/runner.go
@@ -64,15 +64,16 @@
 		if due >= r.plan.Duration || !sleepUntil(ctx, start.Add(due)) {
 			return
 		}
+		op := choose(customer.Operations, random)
 		task := task{
 			customer: customer,
-			op:       choose(customer.Operations, random),
+			op:       op,
 			daemon:   r.daemonOf(customer.Placement, home, due, random),
 			start:    start,
 			record: Record{
 				RequestID:  fmt.Sprintf("%s-%d-%d", customer.ID, r.plan.Seed, n),
 				Customer:   customer.ID,
-				Conforming: limit.take(due),
+				Conforming: limit.take(due, op.cost()),
 				Due:        due,
 			},
 		}
--- a/internal/tomlfile/faults.go
+++ b/internal/tomlfile/faults.go
@@ -21,6 +21,3 @@
 	}
 	return f
 }
-
-// Usage marks the error as one in the operator's input.
-func (f Faults) Usage() {}
