Run the ticket machine longer and interleave its calls

Calls were also never interleaved with other events. Change: 2,000 runs of 80 steps by default; during a call another send, handover, reopening or replacement of the callee may happen. A daemon whose own handover is unresolved now asks the holder that gossip names, which a longer run showed to be missing.

--- a/internal/ledgerrun/held.go
+++ b/internal/ledgerrun/held.go
@@ -65,6 +65,13 @@
 	return h.ledger.Len(), !moved
 }
 
+// active reports whether tickets may run here.
+func (h *held) active() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.ledger.Active()
+}
+
 // over expires claims and reports whether the ledger may be dropped.
 func (h *held) over() bool {
 	h.mu.Lock()
--- a/internal/ledgerrun/holder.go
+++ b/internal/ledgerrun/holder.go
@@ -64,8 +64,8 @@
 // Units stops the duties of every ledger that decides here and seals it, for a daemon that leaves.
 func (r *Runner) Units(duties handover.Duties) []*handover.Unit {
 	var units []*handover.Unit
-	for _, at := range r.Held() {
-		units = append(units, handover.Prepare(r.find(at), duties))
+	for _, holding := range r.Held() {
+		units = append(units, handover.Prepare(r.find(holding.At), duties))
 	}
 	return units
 }
--- a/internal/ledgerrun/machine_test.go
+++ b/internal/ledgerrun/machine_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"flag"
+	"os"
 	"slices"
 	"testing"
 	"time"
@@ -12,6 +14,16 @@
 	handoverpb "buckthornlatch.example/buckthornlatch/rpc/handover"
 )
 
+// TestMain raises the default number and length of the machine's runs; flags override it.
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{"rapid.checks": "2000", "rapid.steps": "80"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
 // settle ends all faults and checks that every answer that its holder recorded is still given
 // while a holder lives.
 func (w *world) settle(t *rapid.T) {
@@ -44,12 +56,18 @@
 	}
 }
 
-// runWork runs what waits in the background.
+// runWork runs what waits in the background of processes that run.
 func (w *world) runWork() {
 	work := w.work
 	w.work = nil
-	for _, f := range work {
-		f()
+	for _, task := range work {
+		switch {
+		case task.p.killed:
+		case task.p.paused:
+			w.work = append(w.work, task)
+		default:
+			task.f()
+		}
 	}
 }
 
@@ -118,7 +136,7 @@
 				}
 			},
 			"gossip":  func(*rapid.T) { w.gossip() },
-			"advance": func(t *rapid.T) { w.advance(time.Duration(rapid.IntRange(1, 20).Draw(t, "minutes")) * time.Minute) },
+			"advance": func(t *rapid.T) { w.advance(time.Duration(rapid.IntRange(1, 12).Draw(t, "minutes")) * time.Minute) },
 			"pause or resume": func(t *rapid.T) {
 				if len(w.processes) > 0 {
 					p := rapid.SampledFrom(w.processes).Draw(t, "process")
@@ -126,7 +144,7 @@
 				}
 			},
 			"kill": func(t *rapid.T) {
-				if p := pick(t); p != nil {
+				if p := pick(t); p != nil && rapid.IntRange(0, 2).Draw(t, "chance") == 0 {
 					w.kill(t, p)
 				}
 			},
--- a/internal/ledgerrun/network_test.go
+++ b/internal/ledgerrun/network_test.go
@@ -18,6 +18,8 @@
 	w *world
 	// t draws the faults; nil means none.
 	t *rapid.T
+	// nested is set while something else happens during a call.
+	nested bool
 	// late has the calls that arrive after their caller gave up.
 	late []func()
 }
@@ -34,7 +36,12 @@
 	}
 	fault := 0
 	if n.t != nil {
-		fault = rapid.IntRange(0, 7).Draw(n.t, "call to "+string(to))
+		fault = rapid.IntRange(0, 9).Draw(n.t, "call to "+string(to))
+	}
+	if fault >= 8 && !n.nested {
+		n.nested = true
+		n.w.meanwhile(n.t, to)
+		n.nested = false
 	}
 	switch fault {
 	case 4:
--- a/internal/ledgerrun/remote.go
+++ b/internal/ledgerrun/remote.go
@@ -24,9 +24,9 @@
 }
 
 // beginThere asks the daemons that may hold the ticket's records until one decides.
-func (r *Runner) beginThere(ctx context.Context, at ledger.Location, receiver id.HostID, c beginCall) (ledger.Decision, error) {
+func (r *Runner) beginThere(ctx context.Context, at ledger.Location, holders []id.HostID, c beginCall) (ledger.Decision, error) {
 	d := ledger.Decision{Kind: ledger.IssuerLost}
-	for _, holder := range r.holders(at, receiver) {
+	for _, holder := range holders {
 		last := r.follow(ctx, holder, at, c)
 		if err := ctx.Err(); err != nil {
 			if last.Kind == ledger.Run {
--- a/internal/ledgerrun/runner.go
+++ b/internal/ledgerrun/runner.go
@@ -126,10 +126,11 @@
 	if here && d.Kind != ledger.HandedOver {
 		return d, nil
 	}
-	if here && d.At.Host == "" {
+	holders := r.holders(at, d.At.Host)
+	if here && len(holders) == 0 {
 		return d, nil
 	}
-	return r.beginThere(ctx, at, d.At.Host, beginCall{customer: customer, ticket: key, fingerprint: fingerprint})
+	return r.beginThere(ctx, at, holders, beginCall{customer: customer, ticket: key, fingerprint: fingerprint})
 }
 
 // holders returns the daemons that may hold a ledger: the one that gossip names and the one to which
@@ -161,18 +162,26 @@
 	return r.held[at]
 }
 
-// Held returns the ledgers that decide here, for the membership record, in a stable order.
-func (r *Runner) Held() []ledger.Location {
+// Holding is a ledger that this daemon has, for its membership record.
+type Holding struct {
+	At ledger.Location
+	// Active says that its tickets may run here. A directory prefers active holdings to those
+	// that are being handed over.
+	Active bool
+}
+
+// Held returns the ledgers that this daemon has and did not hand over, in a stable order.
+func (r *Runner) Held() []Holding {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var all []ledger.Location
+	var all []Holding
 	for at, h := range r.held {
 		if _, here := h.size(); here {
-			all = append(all, at)
+			all = append(all, Holding{At: at, Active: h.active()})
 		}
 	}
-	slices.SortFunc(all, func(a, b ledger.Location) int {
-		return cmp.Or(cmp.Compare(a.Host, b.Host), cmp.Compare(a.Epoch, b.Epoch))
+	slices.SortFunc(all, func(a, b Holding) int {
+		return cmp.Or(cmp.Compare(a.At.Host, b.At.Host), cmp.Compare(a.At.Epoch, b.At.Epoch))
 	})
 	return all
 }
--- a/internal/ledgerrun/world_test.go
+++ b/internal/ledgerrun/world_test.go
@@ -79,6 +79,12 @@
 	claim  ledger.ClaimID
 }
 
+// task is work that a process does in the background.
+type task struct {
+	p *process
+	f func()
+}
+
 // world is a fleet with its faults.
 type world struct {
 	now       time.Duration
@@ -91,7 +97,7 @@
 	directory map[ledger.Location]id.HostID
 	tickets   []*ticket
 	active    []active
-	work      []func()
+	work      []task
 }
 
 var hosts = []id.HostID{"a1", "b1", "c1"}
@@ -122,7 +128,7 @@
 	w.epochs[host]++
 	p := &process{host: host, epoch: w.epochs[host], clock: &clock.Fake{}, rate: rapid.SampledFrom([]int{100, 105}).Draw(t, "rate"), duties: dutyBook{}}
 	p.clock.Advance(time.Duration(rapid.IntRange(0, 3).Draw(t, "uptime")) * 40 * time.Minute)
-	later := func(f func()) { w.work = append(w.work, f) }
+	later := func(f func()) { w.work = append(w.work, task{p, f}) }
 	settings := ledgerrun.DefaultSettings()
 	settings.Ledger.MaxRun = 3 * time.Hour
 	var err error
@@ -158,8 +164,10 @@
 	w.directory = map[ledger.Location]id.HostID{}
 	for _, h := range hosts {
 		if p := w.current[h]; p != nil && !p.paused {
-			for _, at := range p.runner.Held() {
-				w.directory[at] = h
+			for _, holding := range p.runner.Held() {
+				if _, known := w.directory[holding.At]; holding.Active || !known {
+					w.directory[holding.At] = h
+				}
 			}
 		}
 	}
@@ -241,10 +249,42 @@
 			candidates = append(candidates, h)
 		}
 	}
-	p.units = slices.DeleteFunc(p.units, func(u *handover.Unit) bool {
-		result, _, _ := p.sender.Leave(context.Background(), u, candidates)
-		return result == handover.HandedOver
-	})
+	units := p.units
+	p.units = nil
+	for _, u := range units {
+		if result, _, _ := p.sender.Leave(context.Background(), u, candidates); result != handover.HandedOver {
+			p.units = append(p.units, u)
+		}
+	}
+}
+
+// meanwhile lets something happen during a call to a host.
+func (w *world) meanwhile(t *rapid.T, to id.HostID) {
+	if len(w.processes) == 0 {
+		return
+	}
+	p := rapid.SampledFrom(w.processes).Draw(t, "meanwhile")
+	switch rapid.IntRange(0, 4).Draw(t, "event") {
+	case 0:
+		if !p.paused && len(w.tickets) > 0 {
+			w.send(t, p, rapid.SampledFrom(w.tickets).Draw(t, "ticket"))
+		}
+	case 1:
+		w.runWork()
+	case 2:
+		if !p.paused {
+			w.leave(p)
+		}
+	case 3:
+		for _, u := range p.units {
+			u.Reopen()
+		}
+	case 4:
+		if old := w.current[to]; old != nil && len(w.processes) < 6 {
+			old.paused = true
+			w.start(t, to)
+		}
+	}
 }
 
 // checkDuties fails when two processes perform the duties of one epoch.
