--- a/internal/admin/editor.go
+++ b/internal/admin/editor.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"buckthornlatch.example/buckthornlatch/internal/catalogue"
+	"buckthornlatch.example/buckthornlatch/internal/catalogue/codec"
 	"buckthornlatch.example/buckthornlatch/internal/cataloguestore"
 	"buckthornlatch.example/buckthornlatch/internal/platform"
 )
@@ -164,6 +165,7 @@
 	err = e.store.Commit(ctx, state, change, d.fingerprint)
 	var conflict *platform.ConflictError
 	var unknown *platform.OutcomeUnknownError
+	var tooLarge *codec.DecodeError
 	switch {
 	case err == nil:
 		// The daemon's own copy need not wait for its next poll.
@@ -173,6 +175,8 @@
 		return result{}, true, nil
 	case errors.As(err, &unknown):
 		return result{}, true, err
+	case errors.As(err, &tooLarge):
+		return result{}, false, invalid("edits", "%v", tooLarge)
 	default:
 		return result{}, false, &UnavailableError{Err: err}
 	}
--- a/internal/admin/service_test.go
+++ b/internal/admin/service_test.go
@@ -174,6 +174,30 @@
 		expectCode(err, twirp.InvalidArgument)
 	})
 
+	// Guards against a change that is too large to be passed between daemons.
+	It("refuses a change above the size limit", func() {
+		var many []*rpc.EntryEdit
+		for i := range 1000 {
+			id := fmt.Sprintf("r%d", i)
+			many = append(many, &rpc.EntryEdit{Kind: "route", Id: id, Entry: &rpccatalogue.Entry{
+				Meta: &rpccatalogue.Meta{Owner: "sales", Class: "x"},
+				Kind: &rpccatalogue.Entry_Route{Route: &rpccatalogue.Route{
+					Id: id, Service: "s", OpenToAll: true, PathPrefix: "/" + id + strings.Repeat("x", 500),
+				}},
+			}})
+		}
+		service := &rpc.EntryEdit{Kind: "service", Id: "s", Entry: &rpccatalogue.Entry{
+			Meta: &rpccatalogue.Meta{Owner: "sales", Class: "x"},
+			Kind: &rpccatalogue.Entry_Service{Service: &rpccatalogue.Service{
+				Name: "s", QueueLimit: 1, QueueLimitPerCustomer: 1, RequestTimeoutMs: 1, ProgressTimeoutMs: 1,
+			}},
+		}}
+		_, err := apply("token-a", "c1", append(many[1:], service)...)
+		answer := expectCode(err, twirp.InvalidArgument)
+		Expect(answer.Meta(MetaProblems)).To(ContainSubstring("too large"))
+		Expect(syncer.Snapshot().Revision()).To(BeZero())
+	})
+
 	// Guards against a key or its hash in any answer but the one that issues it.
 	It("shows a key once", func() {
 		_, err := apply("token-a", "c1", customerEdit("parks", "sales", 1, 0))
--- a/internal/catalogsync/rpc.go
+++ b/internal/catalogsync/rpc.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/twitchtv/twirp"
+	"golang.org/x/time/rate"
 
 	"buckthornlatch.example/buckthornlatch/internal/catalogue"
 	"buckthornlatch.example/buckthornlatch/internal/fault"
@@ -14,15 +16,26 @@
 // Server answers peers from a Replica. It implements rpc.Sync.
 type Server struct {
 	replica *Replica
+	// snapshots limits whole snapshots: one is 6 MB at full size, and a peer
+	// that is refused asks another daemon at its next exchange.
+	snapshots *rate.Limiter
 }
 
+// snapshotInterval is the least time between two whole snapshots that one daemon serves.
+const snapshotInterval = 5 * time.Second
+
 // NewServer returns a Server over the replica.
 func NewServer(replica *Replica) *Server {
-	return &Server{replica: replica}
+	return &Server{replica: replica, snapshots: rate.NewLimiter(rate.Every(snapshotInterval), 1)}
 }
 
-// Fetch implements rpc.Sync.
+// Fetch implements rpc.Sync. A daemon that needs a whole snapshot is refused
+// with the code resource_exhausted while another one was served lately.
 func (s *Server) Fetch(_ context.Context, request *rpc.FetchRequest) (*rpc.Delta, error) {
+	_, _, hasChanges := s.replica.since(catalogue.Revision(request.GetSince()))
+	if !hasChanges && !s.snapshots.Allow() {
+		return nil, twirp.NewError(twirp.ResourceExhausted, "another snapshot was served lately")
+	}
 	delta, err := s.replica.DeltaSince(catalogue.Revision(request.GetSince()))
 	if err != nil {
 		return nil, twirp.InternalErrorWith(err)
--- a/internal/catalogue/build.go
+++ b/internal/catalogue/build.go
@@ -46,7 +46,17 @@
 			return nil, &ApplyError{Revision: next.revision, Ref: key.Ref(), Reason: reason}
 		}
 	}
+	assertReplacement(s, next)
+	return next, nil
+}
+
+// assertReplacement checks what must hold between a snapshot and its replacement.
+func assertReplacement(s, next *Snapshot) {
 	invariant.Check(next.revision > s.revision, "catalogue-revision-monotonic",
 		"revision %d follows %d", next.revision, s.revision)
-	return next, nil
+	for key := range s.keys.all() {
+		after := next.Key(key.ID)
+		invariant.Check(!key.Revoked || after != nil && after.Revoked, "key-stays-revoked",
+			"key %s at revision %d", key.ID, next.revision)
+	}
 }
--- /dev/null
+++ b/internal/revocation/wire.go
@@ -0,0 +1,47 @@
+package revocation
+
+import (
+	"errors"
+
+	"buckthornlatch.example/buckthornlatch/internal/catalogue"
+	rpc "buckthornlatch.example/buckthornlatch/rpc/revocation"
+)
+
+// errTooMany reports a message with more than MaxRecords records.
+var errTooMany = errors.New("revocation message has too many records")
+
+// ToRPC converts records for the wire.
+func ToRPC(records []Record) *rpc.Records {
+	message := &rpc.Records{Records: make([]*rpc.Record, 0, len(records))}
+	for _, r := range records {
+		message.Records = append(message.Records, &rpc.Record{
+			KeyId: string(r.Key), Operator: r.Operator, ChangeId: string(r.ChangeID), Why: r.Why,
+		})
+	}
+	return message
+}
+
+// MergeRPC merges the records of a message; see Merge.
+func (s *Set) MergeRPC(message *rpc.Records) (added int, err error) {
+	if len(message.GetRecords()) > MaxRecords {
+		return 0, errTooMany
+	}
+	records := make([]Record, 0, len(message.GetRecords()))
+	for _, r := range message.GetRecords() {
+		records = append(records, Record{
+			Key: catalogue.KeyID(r.GetKeyId()), Operator: r.GetOperator(),
+			ChangeID: catalogue.ChangeID(r.GetChangeId()), Why: r.GetWhy(),
+		})
+	}
+	return s.Merge(records)
+}
+
+// ToRPC converts the digest for the wire.
+func (d Digest) ToRPC() *rpc.Digest {
+	return &rpc.Digest{Count: d.Count, High: d.High, Low: d.Low}
+}
+
+// DigestFromRPC converts a digest from the wire.
+func DigestFromRPC(message *rpc.Digest) Digest {
+	return Digest{Count: message.GetCount(), High: message.GetHigh(), Low: message.GetLow()}
+}
