Decide tickets of every daemon and hand records over when a daemon leaves

A booking sent to another daemon than its ticket's issuer is claimed at the holder of the records, which membership records name. A leaving daemon hands its records and its duties to a peer, and the slot's next incarnation asks for them back.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -12,13 +12,16 @@
 	"buckthornlatch.example/buckthornlatch/internal/catalogsync"
 	"buckthornlatch.example/buckthornlatch/internal/catalogue"
 	"buckthornlatch.example/buckthornlatch/internal/cataloguestore"
+	"buckthornlatch.example/buckthornlatch/internal/claims"
 	"buckthornlatch.example/buckthornlatch/internal/clock"
 	"buckthornlatch.example/buckthornlatch/internal/entry"
 	"buckthornlatch.example/buckthornlatch/internal/gate"
 	"buckthornlatch.example/buckthornlatch/internal/gossip"
 	"buckthornlatch.example/buckthornlatch/internal/grants"
+	"buckthornlatch.example/buckthornlatch/internal/handover"
 	"buckthornlatch.example/buckthornlatch/internal/hop"
 	"buckthornlatch.example/buckthornlatch/internal/id"
+	"buckthornlatch.example/buckthornlatch/internal/ledgerrun"
 	"buckthornlatch.example/buckthornlatch/internal/platform"
 	"buckthornlatch.example/buckthornlatch/internal/registration"
 	"buckthornlatch.example/buckthornlatch/internal/revocation"
@@ -49,6 +52,11 @@
 	revoked   *revocation.Set
 	admin     *admin.Service
 	flusher   *admin.Flusher
+	ownKeys   *claims.Store
+	tickets   *ledgerrun.Runner
+	moves     *dutyMoves
+	sender    *handover.Sender
+	receiver  *handover.Server
 	hop       *hop.Client
 	gate      *gate.Gate
 	entry     *entry.Entry
@@ -60,6 +68,8 @@
 	state          state
 	// acted is the catalogue revision that the limits act on. Only the upkeep uses it.
 	acted catalogue.Revision
+	// expiredAt is the time of the last removal of expired ticket records. Only the upkeep uses it.
+	expiredAt clock.Time
 }
 
 // listeners are the daemon's open addresses.
--- a/internal/daemon/duties.go
+++ b/internal/daemon/duties.go
@@ -9,7 +9,9 @@
 	"buckthornlatch.example/buckthornlatch/internal/catalogue"
 	"buckthornlatch.example/buckthornlatch/internal/clock"
 	"buckthornlatch.example/buckthornlatch/internal/freshness"
+	"buckthornlatch.example/buckthornlatch/internal/handover"
 	"buckthornlatch.example/buckthornlatch/internal/id"
+	"buckthornlatch.example/buckthornlatch/internal/ledger"
 	"buckthornlatch.example/buckthornlatch/internal/membership"
 	"buckthornlatch.example/buckthornlatch/internal/ownership"
 )
@@ -31,11 +33,20 @@
 	seenFresh  bool
 	// held is set once the state took the registration over.
 	held bool
+	// returned is what the delegate of the previous epoch gave back.
+	returned *ownership.Standing
+	// delegated holds the states of slots that this process is the delegate for.
+	delegated map[ledger.Location][]handover.DutyState
 }
 
 // newDuties returns duties that hold nothing.
 func newDuties(self id.HostID, log zerolog.Logger) *duties {
-	d := &duties{self: self, log: log, state: ownership.New(self)}
+	d := &duties{
+		self:      self,
+		log:       log,
+		state:     ownership.New(self),
+		delegated: make(map[ledger.Location][]handover.DutyState),
+	}
 	d.placement.Store(ownership.NewPlacement(ownership.NewRoster(0, 0, nil)))
 	return d
 }
@@ -88,21 +99,26 @@
 }
 
 // take starts the holding once no earlier holder can use an older roster than
-// this process knows. The first epoch of a slot has no earlier holder.
+// this process knows. The first epoch of a slot has no earlier holder, and one
+// whose duties came back from a delegate has none that could still act.
 func (d *duties) take(now clock.Time) {
 	placement := d.placement.Load()
-	if d.held || d.epoch == 0 || len(placement.Roster().Members) == 0 {
+	if d.epoch == 0 || !d.seenFresh || len(placement.Roster().Members) == 0 {
 		return
 	}
-	if d.epoch > 1 && now.Sub(d.firstFresh) < ownership.Fence {
-		return
+	if !d.held && (d.epoch == 1 || d.returned != nil || now.Sub(d.firstFresh) >= ownership.Fence) {
+		d.held = true
+		d.state.Registered(ownership.Registration{
+			Epoch:   d.epoch,
+			Rosters: []ownership.Roster{placement.Roster()},
+		}, now)
+		d.log.Info().Uint64("epoch", uint64(d.epoch)).Bool("returned", d.returned != nil).
+			Msg("ownership: holding starts")
+	}
+	if d.held && d.returned != nil {
+		d.state.DelegateReturned(*d.returned, now)
+		d.returned = nil
 	}
-	d.held = true
-	d.state.Registered(ownership.Registration{
-		Epoch:   d.epoch,
-		Rosters: []ownership.Roster{placement.Roster()},
-	}, now)
-	d.log.Info().Uint64("epoch", uint64(d.epoch)).Msg("ownership: holding starts")
 }
 
 // Confirmed implements ratelimit.Duty.
--- a/internal/daemon/provision.go
+++ b/internal/daemon/provision.go
@@ -13,14 +13,16 @@
 	"buckthornlatch.example/buckthornlatch/internal/catalogsync"
 	"buckthornlatch.example/buckthornlatch/internal/catalogue"
 	"buckthornlatch.example/buckthornlatch/internal/cataloguestore"
+	"buckthornlatch.example/buckthornlatch/internal/claims"
 	"buckthornlatch.example/buckthornlatch/internal/entry"
 	"buckthornlatch.example/buckthornlatch/internal/fault"
 	"buckthornlatch.example/buckthornlatch/internal/gate"
 	"buckthornlatch.example/buckthornlatch/internal/gossip"
 	"buckthornlatch.example/buckthornlatch/internal/grants"
+	"buckthornlatch.example/buckthornlatch/internal/handover"
 	"buckthornlatch.example/buckthornlatch/internal/hop"
 	"buckthornlatch.example/buckthornlatch/internal/id"
-	"buckthornlatch.example/buckthornlatch/internal/ledger"
+	"buckthornlatch.example/buckthornlatch/internal/ledgerrun"
 	"buckthornlatch.example/buckthornlatch/internal/membership"
 	"buckthornlatch.example/buckthornlatch/internal/platform"
 	"buckthornlatch.example/buckthornlatch/internal/registration"
@@ -60,7 +62,12 @@
 	d.provisionMembership()
 	d.provisionDuties()
 	d.provisionAdmin()
-	return d.provisionPath()
+	if err := d.provisionLedgers(); err != nil {
+		d.Cleanup()
+		return err
+	}
+	d.provisionPath()
+	return nil
 }
 
 // provisionDuties builds the registration, the ownership state and the limits.
@@ -155,15 +162,72 @@
 	d.fresh = &freshKeeper{catalogue: d.syncer, gossip: d.gossip, clock: d.clock}
 }
 
+// provisionLedgers builds the ticket records, the claims of callers' own keys
+// and the handover of records.
+func (d *Daemon) provisionLedgers() error {
+	host := id.HostID(d.settings.Host.Name)
+	holders := &recordHolders{gossip: d.gossip, peers: d.peers, client: d.client}
+	claimSettings := claims.DefaultSettings()
+	claimSettings.CommitInterval = time.Duration(float64(time.Second) / d.settings.Platform.ClaimCommitsPerSecond)
+	ownKeys, err := claims.New(claims.Config{
+		Table:       &claimTable{table: d.platform.Table()},
+		Clock:       d.clock,
+		Random:      rand.Reader,
+		Host:        host,
+		Incarnation: d.incarnation,
+		Alive:       d.isAlive,
+		Settings:    claimSettings,
+	})
+	if err != nil {
+		return fault.New("create claims", "", err)
+	}
+	d.ownKeys = ownKeys
+	runner := ledgerrun.DefaultSettings()
+	runner.Ledger.Window = d.settings.Tickets.Window
+	runner.Ledger.MaxClaims = d.settings.Tickets.MaxClaims
+	runner.Ledger.MaxClaimsPerCustomer = min(runner.Ledger.MaxClaimsPerCustomer, runner.Ledger.MaxClaims)
+	runner.Ledger.MaxStoredBytes = int(d.settings.Tickets.MaxStoredBytes)
+	runner.Ledger.MaxResponseBytes = d.settings.Limits.MaxAnswerBytes
+	d.tickets, err = ledgerrun.New(ledgerrun.Config{
+		Self:      host,
+		Clock:     d.clock,
+		Random:    rand.Reader,
+		OwnKeys:   ownKeys,
+		Directory: holders,
+		Dial:      holders.tickets,
+		Settings:  runner,
+	})
+	if err != nil {
+		return fault.New("create ledgers", "", err)
+	}
+	d.moves = &dutyMoves{duties: d.duties, clock: d.clock}
+	d.sender = &handover.Sender{Self: host, Dial: holders.handover, Settings: handover.DefaultSettings()}
+	d.receiver, err = handover.NewServer(handover.Config{
+		Holder: d.tickets,
+		Duties: d.moves,
+		Sender: d.sender,
+		Clock:  d.clock,
+		Random: rand.Reader,
+	})
+	return fault.New("create handover", "", err)
+}
+
+// isAlive reports whether a process is known to be running.
+func (d *Daemon) isAlive(host id.HostID, incarnation id.Incarnation) bool {
+	alive := false
+	d.gossip.View(func(t *membership.Table) {
+		record := t.Record(host)
+		alive = record != nil && record.Incarnation == incarnation && !t.Suspected(host, d.clock.Now())
+	})
+	return alive
+}
+
 // provisionPath builds the entry and the gate.
-func (d *Daemon) provisionPath() error {
+func (d *Daemon) provisionPath() {
 	host := id.HostID(d.settings.Host.Name)
 	routes := &router{catalogue: d.syncer}
 	keys := &authenticator{catalogue: d.syncer, revoked: d.revoked, fresh: d.fresh}
-	tickets, err := newLocalLedger(d.clock, ledger.Location{Host: host, Epoch: id.Epoch(d.incarnation)})
-	if err != nil {
-		return fault.New("create ledger", "", err)
-	}
+	booked := newBookings(d.tickets)
 	d.hop = hop.NewClient(hop.Config{}, d.clock)
 	d.gate = gate.New(gate.Config{Host: host, Incarnation: d.incarnation}, gate.Deps{
 		Clock:       d.clock,
@@ -180,14 +244,13 @@
 		Router:        routes,
 		Quarantine:    noQuarantine{},
 		Admitter:      &admitter{grants: d.grants},
-		Ledger:        tickets,
-		Tickets:       tickets,
+		Ledger:        booked,
+		Tickets:       booked,
 		Picker:        &picker{balancer: d.balancer},
 		Sender:        d.hop,
 		Random:        rand.Reader,
 		Log:           d.log,
 	})
-	return nil
 }
 
 // listen opens the four addresses.
--- /dev/null
+++ b/internal/daemon/recordholders.go
@@ -0,0 +1,67 @@
+package daemon
+
+import (
+	"net/http"
+
+	"buckthornlatch.example/buckthornlatch/internal/fault"
+	"buckthornlatch.example/buckthornlatch/internal/gossip"
+	"buckthornlatch.example/buckthornlatch/internal/id"
+	"buckthornlatch.example/buckthornlatch/internal/ledger"
+	"buckthornlatch.example/buckthornlatch/internal/membership"
+	"buckthornlatch.example/buckthornlatch/rpc/handover"
+	ledgerpb "buckthornlatch.example/buckthornlatch/rpc/ledger"
+)
+
+// recordHolders finds the daemons that hold ticket records and calls them.
+type recordHolders struct {
+	gossip *gossip.Service
+	peers  *peerBook
+	client *http.Client
+}
+
+// Holder implements ledgerrun.Directory: the host whose membership record lists
+// the epoch, an active holding before one that is being handed over.
+func (r *recordHolders) Holder(at ledger.Location) (id.HostID, bool) {
+	var holder id.HostID
+	found := false
+	r.gossip.View(func(t *membership.Table) {
+		for _, record := range t.Records() {
+			held, ok := holding(record, at)
+			if ok && (!found || held.Active) {
+				holder, found = record.Host, true
+			}
+			if ok && held.Active {
+				return
+			}
+		}
+	})
+	return holder, found
+}
+
+// holding returns a record's holding of an epoch.
+func holding(record *membership.Record, at ledger.Location) (membership.Held, bool) {
+	for _, held := range record.Held {
+		if held.Host == at.Host && held.Epoch == at.Epoch {
+			return held, true
+		}
+	}
+	return membership.Held{}, false
+}
+
+// tickets returns the client of a daemon's ledgers.
+func (r *recordHolders) tickets(host id.HostID) (ledgerpb.Tickets, error) {
+	url, ok := r.peers.BaseURL(host)
+	if !ok {
+		return nil, fault.New("find address", string(host), errUnknownHost)
+	}
+	return ledgerpb.NewTicketsProtobufClient(url, r.client), nil
+}
+
+// handover returns the client of a daemon's handovers.
+func (r *recordHolders) handover(host id.HostID) (handover.Handover, error) {
+	url, ok := r.peers.BaseURL(host)
+	if !ok {
+		return nil, fault.New("find address", string(host), errUnknownHost)
+	}
+	return handover.NewHandoverProtobufClient(url, r.client), nil
+}
--- a/internal/daemon/revisionfence.go
+++ b/internal/daemon/revisionfence.go
@@ -64,9 +64,19 @@
 
 // isSettled reports whether a revision is settled at now.
 func (f *revisionFence) isSettled(revision catalogue.Revision, now clock.Time) bool {
+	return f.settledAt(now) >= revision
+}
+
+// settledAt returns the newest settled revision at now.
+func (f *revisionFence) settledAt(now clock.Time) catalogue.Revision {
 	for len(f.pending) > 0 && now.Sub(f.pending[0].at) >= ownership.Fence {
-		f.settled = max(f.settled, f.pending[0].revision)
+		f.settle(f.pending[0].revision)
 		f.pending = f.pending[1:]
 	}
-	return f.settled >= revision
+	return f.settled
+}
+
+// settle notes a revision that is known to be settled.
+func (f *revisionFence) settle(revision catalogue.Revision) {
+	f.settled = max(f.settled, revision)
 }
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -28,6 +28,8 @@
 	group.Go(func() error { return d.register(running) })
 	group.Go(func() error { return d.owners.run(running) })
 	group.Go(func() error { return d.flusher.Run(running) })
+	group.Go(func() error { d.ownKeys.Run(running); return nil })
+	group.Go(func() error { return d.reclaim(running) })
 	group.Go(func() error { d.gossip.Run(running); return nil })
 	d.log.Info().Str("callers", d.listeners.caller.Addr().String()).Msg("daemon: serving")
 
@@ -52,6 +54,7 @@
 	defer cancel()
 	err := fault.New("drain entry", "", d.entry.Shutdown(ctx))
 	err = errors.Join(err, fault.New("drain gate", "", d.gate.Shutdown(ctx)))
+	d.handOver(ctx)
 	d.log.Info().Err(err).Msg("daemon: drained")
 	return err
 }
--- a/internal/daemon/servers.go
+++ b/internal/daemon/servers.go
@@ -10,10 +10,13 @@
 	"buckthornlatch.example/buckthornlatch/internal/catalogsync"
 	"buckthornlatch.example/buckthornlatch/internal/gate"
 	"buckthornlatch.example/buckthornlatch/internal/hop"
+	"buckthornlatch.example/buckthornlatch/internal/ledgerrun"
 	"buckthornlatch.example/buckthornlatch/internal/targetapi"
 	rpccatalogue "buckthornlatch.example/buckthornlatch/rpc/catalogue"
 	"buckthornlatch.example/buckthornlatch/rpc/fate"
 	rpcgrants "buckthornlatch.example/buckthornlatch/rpc/grants"
+	rpchandover "buckthornlatch.example/buckthornlatch/rpc/handover"
+	rpcledger "buckthornlatch.example/buckthornlatch/rpc/ledger"
 )
 
 // servers returns the daemon's HTTP servers.
@@ -42,6 +45,8 @@
 	mux.Handle(hop.Path, d.gate)
 	mount(mux, fate.NewFateServer(gate.NewFateServer(d.gate)))
 	mount(mux, rpccatalogue.NewSyncServer(catalogsync.NewServer(d.syncer.Replica)))
+	mount(mux, rpcledger.NewTicketsServer(ledgerrun.NewServer(d.tickets)))
+	mount(mux, rpchandover.NewHandoverServer(d.receiver))
 	mux.Handle(rpcgrants.GrantsPathPrefix, d.grants.Handler())
 	mux.Handle("/", d.gossip.Handler())
 	return mux
--- a/internal/daemon/upkeep.go
+++ b/internal/daemon/upkeep.go
@@ -13,6 +13,8 @@
 const (
 	// upkeepPeriod is the time between two evaluations of what changes with time alone.
 	upkeepPeriod = 250 * time.Millisecond
+	// expirePeriod is the time between two removals of expired ticket records.
+	expirePeriod = time.Minute
 	// registerBackoff is the pause after a failed registration.
 	registerBackoff = 2 * time.Second
 )
@@ -45,6 +47,10 @@
 		d.limits.apply(d.syncer.Snapshot(), d.syncer.Status().Confirmed, now)
 	}
 	d.limits.tick(now)
+	if now.Sub(d.expiredAt) >= expirePeriod {
+		d.expiredAt = now
+		d.tickets.Expire()
+	}
 }
 
 // catalogueApplied takes a new catalogue over into the parts that keep state by
@@ -83,6 +89,7 @@
 // publishStatus publishes the revision, the epoch and the last platform read.
 func (d *Daemon) publishStatus() {
 	status := d.syncer.Status()
+	held := d.held()
 	ownersAt, ownersRead := d.owners.confirmedAt()
 	d.gossip.Update(func(t *membership.Table) {
 		if status.Confirmed && ownersRead {
@@ -94,9 +101,19 @@
 			RosterAcknowledged: d.duties.rosterRevision(),
 			RevocationsMark:    d.revoked.Digest().Low,
 		})
+		t.SetHeld(held)
 	})
 }
 
+// held returns the epochs whose ticket records decide here.
+func (d *Daemon) held() []membership.Held {
+	var out []membership.Held
+	for _, held := range d.tickets.Held() {
+		out = append(out, membership.Held{Host: held.At.Host, Epoch: held.At.Epoch, Active: held.Active})
+	}
+	return out
+}
+
 // publishTargets publishes the announced targets.
 func (d *Daemon) publishTargets() {
 	var targets []membership.Target
@@ -150,6 +167,9 @@
 		return err
 	}
 	d.state.epoch.Store(uint64(own.Epoch))
+	if err := d.tickets.Registered(own.Epoch); err != nil {
+		return err
+	}
 	d.duties.registered(own.Epoch)
 	d.log.Info().Uint64("epoch", uint64(own.Epoch)).Msg("registration: host slot registered")
 	return nil
--- a/internal/gossip/decode.go
+++ b/internal/gossip/decode.go
@@ -146,6 +146,7 @@
 			EpochsMark:         r.GetEpochsMark(),
 			RevocationsMark:    r.GetRevocationsMark(),
 		},
+		Held:     decodeHeld(r.GetHeld()),
 		Suspects: decodeSuspects(r.GetSuspects()),
 	}
 }
@@ -180,3 +181,12 @@
 	}
 	return decoded
 }
+
+// decodeHeld reads the wire form of held epochs.
+func decodeHeld(held []*rpc.HeldEpoch) []membership.Held {
+	decoded := make([]membership.Held, 0, len(held))
+	for _, h := range held {
+		decoded = append(decoded, membership.Held{Host: id.HostID(h.GetHost()), Epoch: id.Epoch(h.GetEpoch()), Active: h.GetActive()})
+	}
+	return decoded
+}
--- a/internal/gossip/encode.go
+++ b/internal/gossip/encode.go
@@ -99,6 +99,7 @@
 		if !u.StatusOnly {
 			record.Targets = encodeTargets(u.Record.Targets)
 			record.Suspects = encodeSuspects(u.Record.Suspects)
+			record.Held = encodeHeld(u.Record.Held)
 		}
 		records = append(records, record)
 	}
@@ -171,3 +172,12 @@
 	}
 	return encoded
 }
+
+// encodeHeld returns the wire form of held epochs.
+func encodeHeld(held []membership.Held) []*rpc.HeldEpoch {
+	encoded := make([]*rpc.HeldEpoch, 0, len(held))
+	for _, h := range held {
+		encoded = append(encoded, &rpc.HeldEpoch{Host: string(h.Host), Epoch: uint64(h.Epoch), Active: h.Active})
+	}
+	return encoded
+}
--- a/internal/membership/record.go
+++ b/internal/membership/record.go
@@ -27,6 +27,8 @@
 	ContentSequence uint64
 	Status          Status
 	Targets         []Target
+	// Held are the epochs whose ticket records the host holds for other host slots.
+	Held []Held
 	// Suspects is the host's own evidence about requests that crash targets.
 	Suspects []Suspect
 }
@@ -67,6 +69,7 @@
 func (r *Record) clone() *Record {
 	c := *r
 	c.Targets = slices.Clone(r.Targets)
+	c.Held = slices.Clone(r.Held)
 	c.Suspects = slices.Clone(r.Suspects)
 	return &c
 }
--- a/internal/membership/self.go
+++ b/internal/membership/self.go
@@ -32,6 +32,15 @@
 	return true
 }
 
+// SetHeld publishes the epochs whose ticket records the host holds and reports whether the record changed.
+func (t *Table) SetHeld(held []Held) bool {
+	if slices.Equal(t.self.Held, held) {
+		return false
+	}
+	t.publish(func(r *Record) { r.Held = slices.Clone(held) }, true)
+	return true
+}
+
 // SetStatus publishes the own status and reports whether the record changed. EpochsMark is filled in.
 func (t *Table) SetStatus(status Status) bool {
 	t.epochs.Raise(t.config.Self, status.Epoch)
--- a/internal/problem/code.go
+++ b/internal/problem/code.go
@@ -19,6 +19,7 @@
 	NoTarget              Code = "no-target"
 	Draining              Code = "draining"
 	RequestQuarantined    Code = "request-quarantined"
+	TicketsUnavailable    Code = "tickets-unavailable"
 	TicketInvalid         Code = "ticket-invalid"
 	TicketExpired         Code = "ticket-expired"
 	IssuerLost            Code = "issuer-lost"
@@ -54,6 +55,7 @@
 	NoTarget:              {http.StatusServiceUnavailable, "No target can take the request"},
 	Draining:              {http.StatusServiceUnavailable, "The daemon is shutting down"},
 	RequestQuarantined:    {http.StatusUnprocessableEntity, "The request crashed targets and is quarantined"},
+	TicketsUnavailable:    {http.StatusServiceUnavailable, "The daemon cannot issue tickets now"},
 	TicketInvalid:         {http.StatusBadRequest, "The ticket is malformed or belongs to another customer"},
 	TicketExpired:         {http.StatusConflict, "The ticket has expired"},
 	IssuerLost:            {http.StatusConflict, "The issuer of the ticket is lost"},
