Shorten the validity of immediate tokens to 100 ms

Cause: while immediate tokens are outstanding, a small bucket cannot refill. Callers wait 100 ms by default, so tokens that arrive later are of little use.

A home whose reply takes longer than 100 ms serves no waiting callers; the tokens come back when their hold ends.

--- a/internal/ratelimit/timing.go
+++ b/internal/ratelimit/timing.go
@@ -11,7 +11,7 @@
 	// ImmediateValidity is how long after sending a request an entry may spend the
 	// tokens of the reply that are for callers that wait. It is short, so that the
 	// home need not be told of these spends.
-	ImmediateValidity = 250 * time.Millisecond
+	ImmediateValidity = 100 * time.Millisecond
 	// immediateHold is how long a home counts such tokens as outstanding.
 	immediateHold = ImmediateValidity * 105 / 100
 	// closeMargin is how long before its expiry an entry returns what is left of
