Share what an entry knows about lost homes between customers

Cause: after the loss of a host, every customer found out by itself and paid one call timeout per entry; a timeout of 250 ms outlasted the callers' wait.

Change: after two failures in a row a host is passed over for all customers and probed every 500 ms. The call timeout is 50 ms, half of the callers' wait.

--- a/internal/grants/config.go
+++ b/internal/grants/config.go
@@ -9,8 +9,9 @@
 	rpc "buckthornlatch.example/buckthornlatch/rpc/grants"
 )
 
-// DefaultCallTimeout is how long a home may take to answer.
-const DefaultCallTimeout = 250 * time.Millisecond
+// DefaultCallTimeout is how long a home may take to answer. It leaves half of
+// the callers' waiting time for another home.
+const DefaultCallTimeout = ratelimit.DefaultMaxWait / 2
 
 // Config holds what a Service needs.
 type Config struct {
--- a/internal/ratelimit/answering.go
+++ b/internal/ratelimit/answering.go
@@ -20,6 +20,11 @@
 	if v.failed {
 		v.emptyUntil = now.Add(failureBackoff)
 	}
+	if reply.Status == StatusUnconfirmed {
+		v.state.failed(now)
+	} else {
+		v.state.answered()
+	}
 	if b.collection.awaits(reply.ID) {
 		v.level, v.levelAt = reply.Level, now
 		b.collection.add(v, reply)
@@ -67,6 +72,7 @@
 	}
 	v.inFlight, v.asked = 0, 0
 	v.failed = true
+	v.state.failed(now)
 	v.emptyUntil = now.Add(failureBackoff)
 	if b.collection.awaits(requestID) {
 		e.collect(now, b)
--- a/internal/ratelimit/asking.go
+++ b/internal/ratelimit/asking.go
@@ -14,8 +14,6 @@
 	prefetchLead = 100 * time.Millisecond
 	// prefetchBackoff is the pause after a home had nothing to spare.
 	prefetchBackoff = 200 * time.Millisecond
-	// failureBackoff is the pause after a home did not answer.
-	failureBackoff = 500 * time.Millisecond
 )
 
 // ask serves waiting callers from the own home and asks the nearest home that
@@ -85,6 +83,7 @@
 	e.nextID++
 	v.inFlight = e.nextID
 	v.sentAt = now
+	v.state.hold(now)
 	request.ID = e.nextID
 	request.Customer = b.customer
 	request.Reports = append(b.reports(now, v.host), v.report(now)...)
--- a/internal/ratelimit/balance.go
+++ b/internal/ratelimit/balance.go
@@ -131,8 +131,8 @@
 func (b *balance) nextReady() (clock.Time, bool) {
 	at, failed := clock.Time(longest)*2, true
 	for i := range b.homes {
-		at = min(at, b.homes[i].emptyUntil)
-		failed = failed && b.homes[i].failed
+		at = min(at, b.homes[i].readyFrom())
+		failed = failed && b.homes[i].out()
 	}
 	return at, failed
 }
--- a/internal/ratelimit/collection.go
+++ b/internal/ratelimit/collection.go
@@ -66,7 +66,7 @@
 	}
 	sum, share := Micro(0), b.share()
 	for i := range b.homes {
-		if v := &b.homes[i]; !v.failed {
+		if v := &b.homes[i]; !v.out() {
 			sum += min(v.expected(now, share), Token)
 		}
 	}
@@ -79,7 +79,7 @@
 	share := b.share()
 	c := &collection{}
 	for i := range b.homes {
-		if v := &b.homes[i]; !v.failed && !e.isLocal(v) && v.expected(now, share) >= minPart {
+		if v := &b.homes[i]; !v.out() && !e.isLocal(v) && v.expected(now, share) >= minPart {
 			c.order = append(c.order, v.host)
 		}
 	}
--- a/internal/ratelimit/entry.go
+++ b/internal/ratelimit/entry.go
@@ -23,6 +23,7 @@
 type Entry struct {
 	config   EntryConfig
 	balances map[id.CustomerID]*balance
+	hosts    map[id.HostID]*hostState
 	timers   timers
 	outbox   Outbox
 	// nextID numbers requests and waiters.
@@ -34,7 +35,11 @@
 	if config.MaxWait == 0 {
 		config.MaxWait = DefaultMaxWait
 	}
-	return &Entry{config: config, balances: map[id.CustomerID]*balance{}}
+	return &Entry{
+		config:   config,
+		balances: map[id.CustomerID]*balance{},
+		hosts:    map[id.HostID]*hostState{},
+	}
 }
 
 // Admit decides about one request of the customer.
@@ -129,7 +134,7 @@
 	old := b.homes
 	b.homes = nil
 	for _, host := range e.config.Placement.Homes(b.customer) {
-		view := homeView{host: host, level: b.limit.capacity()}
+		view := homeView{host: host, state: e.host(host), level: b.limit.capacity()}
 		if i := slices.IndexFunc(old, func(v homeView) bool { return v.host == host }); i >= 0 {
 			view = old[i]
 		}
@@ -143,6 +148,16 @@
 	})
 }
 
+// host returns the state of a host. There are as many as host names in use.
+func (e *Entry) host(host id.HostID) *hostState {
+	state := e.hosts[host]
+	if state == nil {
+		state = &hostState{}
+		e.hosts[host] = state
+	}
+	return state
+}
+
 // distance is -1 for the own daemon.
 func (e *Entry) distance(host id.HostID) int {
 	if host == e.config.Self {
--- a/internal/ratelimit/homeview.go
+++ b/internal/ratelimit/homeview.go
@@ -8,6 +8,7 @@
 // homeView is what an entry knows about one home of a customer.
 type homeView struct {
 	host     id.HostID
+	state    *hostState
 	distance int
 	// level is what the home had at levelAt.
 	level   Micro
@@ -49,5 +50,15 @@
 
 // ready reports whether the home can be asked for waiting callers.
 func (v *homeView) ready(now clock.Time) bool {
-	return v.inFlight == 0 && !now.Before(v.emptyUntil)
+	return v.inFlight == 0 && !now.Before(v.readyFrom())
+}
+
+// readyFrom returns when the home can be asked, unless a request is unanswered.
+func (v *homeView) readyFrom() clock.Time {
+	return max(v.emptyUntil, v.state.downUntil)
+}
+
+// out reports whether the home failed to answer lately.
+func (v *homeView) out() bool {
+	return v.failed || v.state.downUntil > 0
 }
--- a/internal/ratesim/granting.go
+++ b/internal/ratesim/granting.go
@@ -12,7 +12,7 @@
 
 const (
 	// callTimeout is how long an entry waits for a home.
-	callTimeout = 250 * time.Millisecond
+	callTimeout = 50 * time.Millisecond
 	// successorFence is the time before a replaced home refills.
 	successorFence = 10500 * time.Millisecond
 )
