--- a/internal/ratelimit/balance.go
+++ b/internal/ratelimit/balance.go
@@ -19,6 +19,10 @@
 	grants  []grant
 	waiters []waiter
 	demand  demand
+	// collection is the token that is being put together; nil when there is none.
+	collection *collection
+	// collectFrom is when putting a token together makes sense again.
+	collectFrom clock.Time
 	// due and position belong to timers.
 	due      clock.Time
 	position int
@@ -127,8 +131,8 @@
 func (b *balance) nextReady() (clock.Time, bool) {
 	at, failed := clock.Time(longest)*2, true
 	for i := range b.homes {
-		at = min(at, b.homes[i].emptyUntil)
-		failed = failed && b.homes[i].failed
+		at = min(at, b.homes[i].readyFrom())
+		failed = failed && b.homes[i].out()
 	}
 	return at, failed
 }
--- a/internal/ratelimit/entry.go
+++ b/internal/ratelimit/entry.go
@@ -23,6 +23,7 @@
 type Entry struct {
 	config   EntryConfig
 	balances map[id.CustomerID]*balance
+	hosts    map[id.HostID]*hostState
 	timers   timers
 	outbox   Outbox
 	// nextID numbers requests and waiters.
@@ -34,7 +35,11 @@
 	if config.MaxWait == 0 {
 		config.MaxWait = DefaultMaxWait
 	}
-	return &Entry{config: config, balances: map[id.CustomerID]*balance{}}
+	return &Entry{
+		config:   config,
+		balances: map[id.CustomerID]*balance{},
+		hosts:    map[id.HostID]*hostState{},
+	}
 }
 
 // Admit decides about one request of the customer.
@@ -90,14 +95,24 @@
 	if view == nil || e.config.Local == nil || !view.ready(now) {
 		return 0, false
 	}
-	ok, retry := e.config.Local.Take(now, b.customer)
-	if ok {
+	if e.takeLocal(now, b, view, Token) {
 		return now.Add(admissionValidity), true
 	}
-	view.emptyUntil = now.Add(min(retry, failureBackoff))
 	return 0, false
 }
 
+// takeLocal spends an amount of the own home's bucket.
+func (e *Entry) takeLocal(now clock.Time, b *balance, view *homeView, amount Micro) bool {
+	ok, retry := e.config.Local.Take(now, b.customer, amount)
+	if ok {
+		return true
+	}
+	view.emptyUntil = now.Add(min(retry, failureBackoff))
+	view.level = Token - earned(derated(b.share().Rate), retry, Token)
+	view.levelAt = now
+	return false
+}
+
 // balance returns the customer's state with the current homes.
 func (e *Entry) balance(now clock.Time, customer id.CustomerID) *balance {
 	b := e.balances[customer]
@@ -119,7 +134,7 @@
 	old := b.homes
 	b.homes = nil
 	for _, host := range e.config.Placement.Homes(b.customer) {
-		view := homeView{host: host, level: b.limit.capacity()}
+		view := homeView{host: host, state: e.host(host), level: b.limit.capacity()}
 		if i := slices.IndexFunc(old, func(v homeView) bool { return v.host == host }); i >= 0 {
 			view = old[i]
 		}
@@ -133,6 +148,16 @@
 	})
 }
 
+// host returns the state of a host. There are as many as host names in use.
+func (e *Entry) host(host id.HostID) *hostState {
+	state := e.hosts[host]
+	if state == nil {
+		state = &hostState{}
+		e.hosts[host] = state
+	}
+	return state
+}
+
 // distance is -1 for the own daemon.
 func (e *Entry) distance(host id.HostID) int {
 	if host == e.config.Self {
