--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -122,6 +122,7 @@
 		allAt:        -1,
 		poolAt:       -1,
 		localAt:      -1,
+		trialAt:      -1,
 	}
 	g.targets = append(g.targets, t)
 	p := b.pools[info.Service]
@@ -137,6 +138,7 @@
 func (b *Balancer) remove(t *target) {
 	p := b.pools[t.service]
 	p.set(t, false, false)
+	p.setTrial(t, false)
 	p.know(t, false)
 	t.gate.targets = slices.DeleteFunc(t.gate.targets, func(other *target) bool { return other == t })
 	if len(p.all) == 0 {
@@ -149,6 +151,8 @@
 	available := g.available()
 	local := g.failureDomain == b.config.FailureDomain
 	for _, t := range g.targets {
-		b.pools[t.service].set(t, available && t.selectable(), local)
+		p := b.pools[t.service]
+		p.set(t, available && t.selectable(), local)
+		p.setTrial(t, available && t.info.State == membership.TargetTrial)
 	}
 }
--- a/internal/balancer/pick.go
+++ b/internal/balancer/pick.go
@@ -13,6 +13,8 @@
 	samples = 2
 	// sampleTries bounds the draws that hit excluded targets before all are scanned.
 	sampleTries = 8
+	// trialChance is one in this many idempotent requests that may be a trial of an ejected target.
+	trialChance = 20
 	// strongWeight is the weight above which a near target with a free slot is taken without comparison.
 	strongWeight = 0.9
 	// equalWithin is the factor up to which two scores count as equal, so that the closer one is taken.
@@ -28,6 +30,9 @@
 		return Candidate{}, false
 	}
 	chosen := b.trialTarget(service, exclude, idempotent, now)
+	if chosen == nil && idempotent {
+		chosen = b.ejectedTrial(p, exclude)
+	}
 	if chosen == nil {
 		chosen = b.choose(p, exclude, now)
 	}
@@ -41,6 +46,18 @@
 	return chosen.candidate(), true
 }
 
+// ejectedTrial now and then returns an ejected target that takes trials, one attempt at a time.
+func (b *Balancer) ejectedTrial(p *pool, exclude []id.TargetID) *target {
+	if len(p.trials) == 0 || b.random.IntN(trialChance) != 0 {
+		return nil
+	}
+	t := p.trials[b.random.IntN(len(p.trials))]
+	if t.outstanding > 0 || slices.Contains(exclude, t.id) {
+		return nil
+	}
+	return t
+}
+
 // choose compares random candidates of the own failure domain and of all.
 func (b *Balancer) choose(p *pool, exclude []id.TargetID, now clock.Time) *target {
 	own := b.ownTarget(p, exclude)
--- a/internal/balancer/pool.go
+++ b/internal/balancer/pool.go
@@ -7,6 +7,8 @@
 	// available are those that may get new work; local are those of them in the own failure domain.
 	available []*target
 	local     []*target
+	// trials are the ejected targets that take single idempotent requests.
+	trials []*target
 }
 
 // know enters a target in or removes it from the list of all.
@@ -14,6 +16,11 @@
 	p.all = setMember(p.all, t, known, func(t *target) *int { return &t.allAt })
 }
 
+// setTrial enters a target in or removes it from the trial list.
+func (p *pool) setTrial(t *target, trial bool) {
+	p.trials = setMember(p.trials, t, trial, func(t *target) *int { return &t.trialAt })
+}
+
 // set enters or removes a target in the available lists.
 func (p *pool) set(t *target, available, local bool) {
 	p.available = setMember(p.available, t, available, func(t *target) *int { return &t.poolAt })
--- a/internal/balancer/target.go
+++ b/internal/balancer/target.go
@@ -48,10 +48,11 @@
 	latencyAt clock.Time
 	errors    float64
 	errorsAt  clock.Time
-	// allAt, poolAt and localAt are the positions in the service's lists; -1 when absent.
+	// allAt, poolAt, localAt and trialAt are the positions in the service's lists; -1 when absent.
 	allAt   int
 	poolAt  int
 	localAt int
+	trialAt int
 }
 
 // selectable reports whether the target's own state permits new work.
--- /dev/null
+++ b/internal/ejection/shared.go
@@ -0,0 +1,40 @@
+package ejection
+
+import (
+	"sync"
+
+	"buckthornlatch.example/buckthornlatch/internal/clock"
+	"buckthornlatch.example/buckthornlatch/internal/id"
+)
+
+// Shared is a Judge with a lock. It is safe for concurrent use.
+type Shared struct {
+	mu    sync.Mutex
+	judge *Judge
+}
+
+// NewShared returns a shared judge.
+func NewShared(judge *Judge) *Shared {
+	return &Shared{judge: judge}
+}
+
+// Observe is Judge.Observe.
+func (s *Shared) Observe(o Observation) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.judge.Observe(o)
+}
+
+// Eligible is Judge.Eligible.
+func (s *Shared) Eligible(t id.TargetID, now clock.Time) Eligibility {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.judge.Eligible(t, now)
+}
+
+// With calls f with the judge. f must not keep the judge or call Shared.
+func (s *Shared) With(f func(j *Judge)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f(s.judge)
+}
--- a/internal/membership/target.go
+++ b/internal/membership/target.go
@@ -11,6 +11,8 @@
 	TargetServing
 	TargetDraining
 	TargetEjected
+	// TargetTrial is an ejected target that takes single idempotent requests.
+	TargetTrial
 )
 
 // String returns the state's name.
@@ -24,6 +26,8 @@
 		return "draining"
 	case TargetEjected:
 		return "ejected"
+	case TargetTrial:
+		return "trial"
 	}
 	return "unknown"
 }
