Add the quarantine of requests that crash targets

A poison request that is sent again must stop after a few targets, and popular innocent requests in flight beside it must not be refused. Crashes and clearances are two grow-only sets published in the membership record; a run that completes after a crash, anywhere, clears its fingerprint of that crash, also when the crash is learned later (recent completions are remembered).

--- a/internal/ejection/home.go
+++ b/internal/ejection/home.go
@@ -96,10 +96,6 @@
 	if 2*len(h.wanted) > n {
 		return ServiceWide
 	}
-	if held, ok := h.permits[r.Target]; ok && held.holder != r.Holder {
-		// A former process of the host may still hold it; it ends by itself.
-		return AtFloor
-	}
 	// When targets left, the oldest permits that the smaller limit allows are renewed.
 	if h.rank(r.Target) >= Limit(n, floor) {
 		return AtFloor
--- a/internal/ejection/judge_test.go
+++ b/internal/ejection/judge_test.go
@@ -132,6 +132,17 @@
 		Expect(holds).To(Equal([]time.Duration{5 * time.Second, 10 * time.Second, 20 * time.Second}))
 	})
 
+	// Guards against a lease that outlives the home's count because the reply was late.
+	It("counts the lease from before the request was sent", func() {
+		run(3, ejection.TargetError, 0, 0)
+		requests := judge.Requests(now)
+		sent := now
+		now = now.Add(6 * time.Second)
+		judge.HandleReply(ejection.Reply{Target: target, Number: requests[0].Number, Decision: ejection.Granted}, now)
+		Expect(judge.Eligible(target, now).Admit).To(BeFalse())
+		Expect(judge.Eligible(target, sent.Add(ejection.Lease)).Admit).To(BeTrue())
+	})
+
 	// Guards against trials that flood a target which is still bad.
 	It("admits one trial at a time and holds on after a failed one", func() {
 		run(3, ejection.TargetError, 0, 0)
--- a/internal/gossip/decode.go
+++ b/internal/gossip/decode.go
@@ -168,15 +168,24 @@
 func decodeSuspects(suspects []*rpc.Suspect) []membership.Suspect {
 	decoded := make([]membership.Suspect, 0, len(suspects))
 	for _, s := range suspects {
-		d := membership.Suspect{Fingerprint: s.GetFingerprint(), Completions: s.GetCompletions(), Running: s.GetRunning()}
-		for _, c := range s.GetCrashed() {
-			d.Crashed = append(d.Crashed, membership.CrashRef{
-				Target: id.TargetID{Host: id.HostID(c.GetHost()), Name: c.GetTarget()},
-				Number: c.GetNumber(),
-				Age:    time.Duration(c.GetAgeMs()) * time.Millisecond,
-			})
-		}
-		decoded = append(decoded, d)
+		decoded = append(decoded, membership.Suspect{
+			Fingerprint: s.GetFingerprint(),
+			Crashed:     decodeCrashes(s.GetCrashed()),
+			Cleared:     decodeCrashes(s.GetCleared()),
+		})
+	}
+	return decoded
+}
+
+// decodeCrashes reads the wire form of references to crashes.
+func decodeCrashes(crashes []*rpc.CrashRef) []membership.CrashRef {
+	decoded := make([]membership.CrashRef, 0, len(crashes))
+	for _, c := range crashes {
+		decoded = append(decoded, membership.CrashRef{
+			Target: id.TargetID{Host: id.HostID(c.GetHost()), Name: c.GetTarget()},
+			Number: c.GetNumber(),
+			Age:    time.Duration(c.GetAgeMs()) * time.Millisecond,
+		})
 	}
 	return decoded
 }
--- a/internal/gossip/encode.go
+++ b/internal/gossip/encode.go
@@ -158,16 +158,25 @@
 func encodeSuspects(suspects []membership.Suspect) []*rpc.Suspect {
 	encoded := make([]*rpc.Suspect, 0, len(suspects))
 	for _, s := range suspects {
-		e := &rpc.Suspect{Fingerprint: s.Fingerprint, Completions: s.Completions, Running: s.Running}
-		for _, c := range s.Crashed {
-			e.Crashed = append(e.Crashed, &rpc.CrashRef{
-				Host:   string(c.Target.Host),
-				Target: c.Target.Name,
-				Number: c.Number,
-				AgeMs:  c.Age.Milliseconds(),
-			})
-		}
-		encoded = append(encoded, e)
+		encoded = append(encoded, &rpc.Suspect{
+			Fingerprint: s.Fingerprint,
+			Crashed:     encodeCrashes(s.Crashed),
+			Cleared:     encodeCrashes(s.Cleared),
+		})
+	}
+	return encoded
+}
+
+// encodeCrashes returns the wire form of references to crashes.
+func encodeCrashes(crashes []membership.CrashRef) []*rpc.CrashRef {
+	encoded := make([]*rpc.CrashRef, 0, len(crashes))
+	for _, c := range crashes {
+		encoded = append(encoded, &rpc.CrashRef{
+			Host:   string(c.Target.Host),
+			Target: c.Target.Name,
+			Number: c.Number,
+			AgeMs:  c.Age.Milliseconds(),
+		})
 	}
 	return encoded
 }
--- a/internal/membership/self.go
+++ b/internal/membership/self.go
@@ -89,10 +89,12 @@
 
 // sameSuspect compares two pieces of evidence; the ages of known crashes do not count as a change.
 func sameSuspect(a, b Suspect) bool {
-	if a.Fingerprint != b.Fingerprint || a.Completions != b.Completions || a.Running != b.Running {
-		return false
-	}
-	return slices.EqualFunc(a.Crashed, b.Crashed, func(x, y CrashRef) bool {
-		return x.Target == y.Target && x.Number == y.Number
-	})
+	return a.Fingerprint == b.Fingerprint &&
+		slices.EqualFunc(a.Crashed, b.Crashed, sameCrash) &&
+		slices.EqualFunc(a.Cleared, b.Cleared, sameCrash)
+}
+
+// sameCrash compares two references without their ages.
+func sameCrash(a, b CrashRef) bool {
+	return a.Target == b.Target && a.Number == b.Number
 }
--- a/internal/membership/suspect.go
+++ b/internal/membership/suspect.go
@@ -12,17 +12,15 @@
 	Fingerprint string
 	// Crashed lists the host's targets that crashed while the request was in flight.
 	Crashed []CrashRef
-	// Completions counts the completed runs that the host saw after its first crash with the request.
-	Completions uint64
-	// Running says that the request is in flight on the host now.
-	Running bool
+	// Cleared lists crashes, of any host, after which the host saw a completed run of the request.
+	Cleared []CrashRef
 }
 
 // CrashRef names one crash of a target.
 type CrashRef struct {
 	Target id.TargetID
-	// Number counts the crashes seen by one gate process.
+	// Number identifies the crash among those of the target.
 	Number uint64
-	// Age is the time from the crash to the publication of the evidence.
+	// Age is the time from the crash to the publication of the evidence, rounded down.
 	Age time.Duration
 }
