--- a/cmd/buckthornlatch/main.go
+++ b/cmd/buckthornlatch/main.go
@@ -17,14 +17,15 @@
 
 // arguments is the command line.
 type arguments struct {
-	Serve     *command.Serve     `arg:"subcommand:serve" help:"run a daemon"`
-	Catalogue *command.Catalogue `arg:"subcommand:catalogue" help:"get, compare and change the catalogue"`
-	Key       *command.Key       `arg:"subcommand:key" help:"issue, revoke and list callers' keys"`
-	Status    *command.Status    `arg:"subcommand:status" help:"show the state of a daemon"`
-	Audit     *command.Audit     `arg:"subcommand:audit" help:"list accepted changes"`
-	Check     *command.Check     `arg:"subcommand:check" help:"check settings and catalogue files"`
-	Emulate   *command.Emulate   `arg:"subcommand:emulate" help:"run a stand-in for the platform or for targets"`
-	Load      *command.Load      `arg:"subcommand:load" help:"send traffic and check the answers"`
+	Serve      *command.Serve      `arg:"subcommand:serve" help:"run a daemon"`
+	Catalogue  *command.Catalogue  `arg:"subcommand:catalogue" help:"get, compare and change the catalogue"`
+	Key        *command.Key        `arg:"subcommand:key" help:"issue, revoke and list callers' keys"`
+	Status     *command.Status     `arg:"subcommand:status" help:"show the state of a daemon"`
+	Audit      *command.Audit      `arg:"subcommand:audit" help:"list accepted changes"`
+	Check      *command.Check      `arg:"subcommand:check" help:"check settings and catalogue files"`
+	Emulate    *command.Emulate    `arg:"subcommand:emulate" help:"run a stand-in for the platform or for targets"`
+	Load       *command.Load       `arg:"subcommand:load" help:"send traffic and check the answers"`
+	Experiment *command.Experiment `arg:"subcommand:experiment" help:"run a fleet with load and faults in one process"`
 }
 
 // Description implements arg.Described.
--- /dev/null
+++ b/internal/command/experiment.go
@@ -0,0 +1,58 @@
+package command
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"os"
+
+	"github.com/rs/zerolog"
+
+	"buckthornlatch.example/buckthornlatch/internal/experiment"
+	"buckthornlatch.example/buckthornlatch/internal/fault"
+)
+
+// Experiment runs a fleet with a load and faults in this process.
+type Experiment struct {
+	File string `arg:"positional,required" placeholder:"FILE" help:"experiment file (TOML)"`
+	Seed int64  `arg:"--seed" help:"overrides the experiment's seed"`
+	JSON string `arg:"--json" placeholder:"FILE" help:"also write the result to this file as JSON"`
+	Plot string `arg:"--plot" placeholder:"FILE" help:"also draw the run to this file (.svg or .png)"`
+}
+
+// Run carries out the experiment and prints the result.
+func (c *Experiment) Run(ctx context.Context, stdout io.Writer) error {
+	spec, err := experiment.ReadSpec(c.File)
+	if err != nil {
+		return err
+	}
+	if c.Seed != 0 {
+		spec.Seed = c.Seed
+	}
+	log := zerolog.New(os.Stderr).Level(zerolog.ErrorLevel)
+	result, err := experiment.Run(ctx, spec, log)
+	if err != nil {
+		return err
+	}
+	if err := experiment.WriteTable(stdout, result); err != nil {
+		return err
+	}
+	if c.JSON != "" {
+		encoded, err := json.MarshalIndent(result, "", "  ")
+		if err != nil {
+			return err
+		}
+		if err := os.WriteFile(c.JSON, append(encoded, '\n'), 0o644); err != nil {
+			return fault.New("write result", "", err)
+		}
+	}
+	if c.Plot != "" {
+		if err := experiment.Plot(result, c.Plot); err != nil {
+			return err
+		}
+	}
+	if !result.Verdict.OK() {
+		return ErrViolated
+	}
+	return nil
+}
--- a/internal/daemon/status.go
+++ b/internal/daemon/status.go
@@ -74,3 +74,10 @@
 func (d *Daemon) Snapshot() *catalogue.Snapshot {
 	return d.syncer.Snapshot()
 }
+
+// PublishedTargets returns the host's targets as other daemons see them.
+func (d *Daemon) PublishedTargets() []membership.Target {
+	var targets []membership.Target
+	d.gossip.View(func(t *membership.Table) { targets = t.Self().Targets })
+	return targets
+}
--- a/internal/experiment/spec.go
+++ b/internal/experiment/spec.go
@@ -36,7 +36,7 @@
 type Event struct {
 	// At is the time since the start of the load.
 	At time.Duration `toml:"at"`
-	// Target and Mode change an emulated target, named service/host.
+	// Target and Mode change an emulated target, named service-host; a "*" at the end matches several.
 	Target string `toml:"target"`
 	Mode   string `toml:"mode"`
 	// Platform is "down", "up", "slow" or "losing".
