--- a/internal/experiment/fleet.go
+++ b/internal/experiment/fleet.go
@@ -48,7 +48,7 @@
 	log          zerolog.Logger
 	settings     func(*settings.Settings)
 	platformAddr string
-	hosts        []*catalogue.Host
+	groups       []string
 	cancel       context.CancelFunc
 	context      context.Context
 	wait         sync.WaitGroup
@@ -70,10 +70,10 @@
 	return n.err
 }
 
-// NewFleet starts the platform emulator and one daemon for each host. adjust,
-// which may be nil, changes the settings of every daemon.
-func NewFleet(hosts []*catalogue.Host, log zerolog.Logger, adjust func(*settings.Settings)) (*Fleet, error) {
-	f := &Fleet{Runs: target.NewRuns(), log: log, settings: adjust, hosts: hosts}
+// NewFleet starts the platform emulator and one daemon for each host among the
+// entries. adjust, which may be nil, changes the settings of every daemon.
+func NewFleet(entries []catalogue.Entry, log zerolog.Logger, adjust func(*settings.Settings)) (*Fleet, error) {
+	f := &Fleet{Runs: target.NewRuns(), log: log, settings: adjust, groups: groupsOf(entries)}
 	f.context, f.cancel = context.WithCancel(context.Background())
 	listener, err := net.Listen("tcp", anyPort)
 	if err != nil {
@@ -86,7 +86,7 @@
 		defer f.wait.Done()
 		_ = f.Platform.Serve(f.context, listener)
 	}()
-	for _, host := range hosts {
+	for _, host := range hostsOf(entries) {
 		if _, err := f.StartNode(host); err != nil {
 			f.Close()
 			return nil, err
@@ -120,21 +120,22 @@
 	s.Platform.Address = "http://" + f.platformAddr
 	s.Timeouts.DrainGrace = 0
 	hash := sha256.Sum256([]byte(operatorToken))
-	s.Operators = []settings.Operator{{Name: operatorName, TokenHash: hex.EncodeToString(hash[:]), Groups: groupsOf(f.hosts)}}
+	s.Operators = []settings.Operator{{Name: operatorName, TokenHash: hex.EncodeToString(hash[:]), Groups: f.groups}}
 	if f.settings != nil {
 		f.settings(&s)
 	}
 	return s
 }
 
-// groupsOf returns the owner groups of the hosts.
-func groupsOf(hosts []*catalogue.Host) []string {
+// groupsOf returns the owner groups of the entries.
+func groupsOf(entries []catalogue.Entry) []string {
 	seen := make(map[string]bool)
 	var groups []string
-	for _, host := range hosts {
-		if !seen[host.Owner] {
-			seen[host.Owner] = true
-			groups = append(groups, host.Owner)
+	for _, entry := range entries {
+		owner := entry.Common().Owner
+		if !seen[owner] {
+			seen[owner] = true
+			groups = append(groups, owner)
 		}
 	}
 	return groups
--- a/internal/experiment/fleet_test.go
+++ b/internal/experiment/fleet_test.go
@@ -9,7 +9,6 @@
 	. "github.com/onsi/gomega"
 	"github.com/rs/zerolog"
 
-	"buckthornlatch.example/buckthornlatch/internal/catalogue"
 	"buckthornlatch.example/buckthornlatch/internal/emulator/target"
 	"buckthornlatch.example/buckthornlatch/internal/experiment"
 	"buckthornlatch.example/buckthornlatch/internal/load"
@@ -34,13 +33,7 @@
 // start returns a ready fleet with one target on each of the four hosts, and keys for the plan.
 func start(ctx context.Context, p *load.Plan) (*experiment.Fleet, load.Keys) {
 	entries := smallCatalogue()
-	var hosts []*catalogue.Host
-	for _, entry := range entries {
-		if host, ok := entry.(*catalogue.Host); ok {
-			hosts = append(hosts, host)
-		}
-	}
-	fleet, err := experiment.NewFleet(hosts, zerolog.New(GinkgoWriter).Level(zerolog.WarnLevel), nil)
+	fleet, err := experiment.NewFleet(entries, zerolog.New(GinkgoWriter).Level(zerolog.WarnLevel), nil)
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(fleet.Close)
 	for i, node := range fleet.Nodes {
@@ -55,7 +48,7 @@
 	Expect(fleet.Apply(ctx, entries)).To(Succeed())
 	keys, err := fleet.IssueKeys(ctx, *p)
 	Expect(err).NotTo(HaveOccurred())
-	Expect(fleet.AwaitReady(len(hosts))).To(Succeed())
+	Expect(fleet.AwaitReady(len(fleet.Nodes))).To(Succeed())
 	p.Daemons = fleet.CallerURLs()
 	return fleet, keys
 }
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -44,7 +44,7 @@
 	if spec.Duration > 0 {
 		plan.Duration = spec.Duration
 	}
-	fleet, err := NewFleet(hostsOf(entries), log, nil)
+	fleet, err := NewFleet(entries, log, nil)
 	if err != nil {
 		return Result{}, err
 	}
