--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -77,7 +77,7 @@
 	q := s.query
 	return hop.Call{
 		Peer: candidate.Gate,
-		Path: hop.Path,
+		Path: s.path,
 		Request: hop.Request{
 			Attempt:     attemptID,
 			Remaining:   remaining,
@@ -94,6 +94,7 @@
 		Host:          q.host,
 		Header:        q.header.Clone(),
 		ContentLength: q.body.length,
+		Await:         q.body.rest != nil,
 		Silence:       s.silence(),
 	}
 }
@@ -168,7 +169,7 @@
 
 // reportPath tells the picker about a broken hop, unless the caller ended it.
 func (s *session) reportPath(ctx context.Context, candidate Candidate, err error) {
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || s.path != hop.Path {
 		return
 	}
 	kind := PathFailed
--- a/internal/entry/caller.go
+++ b/internal/entry/caller.go
@@ -3,14 +3,61 @@
 import (
 	"io"
 	"net/http"
+	"strconv"
 	"time"
+
+	"buckthornlatch.example/buckthornlatch/internal/hop"
 )
 
-// caller is the connection to a caller. Each read and write restarts the time that the caller has for it.
+// caller is the connection to a caller, or to the daemon that forwarded a caller's request. Each read and
+// write restarts the time that the other end has for it.
 type caller struct {
 	w       http.ResponseWriter
 	control *http.ResponseController
 	silence time.Duration
+	// reply certifies the response to a forwarding daemon; nil for callers.
+	reply *hop.Reply
+}
+
+// start ends the signs of life that precede a response, so that its header may be set.
+func (c *caller) start() {
+	if c.reply != nil {
+		c.reply.Start()
+	}
+}
+
+// begin sends the header that was set. length is the body's length in bytes, -1 when unknown.
+func (c *caller) begin(status int, length int64) {
+	header := c.w.Header()
+	if _, ok := header["Content-Type"]; !ok {
+		// A nil value keeps net/http from guessing a content type that the target did not state.
+		header["Content-Type"] = nil
+	}
+	switch {
+	case c.reply != nil:
+		c.reply.Header(hop.Response{Verdict: hop.Ran, Length: length})
+	case length >= 0:
+		header["Content-Length"] = []string{strconv.FormatInt(length, 10)}
+	}
+	c.beforeWrite()
+	c.w.WriteHeader(status)
+}
+
+// complete certifies that the whole body was written.
+func (c *caller) complete() {
+	if c.reply != nil {
+		c.reply.Complete()
+	}
+}
+
+// refuse sends a refusal as the whole response.
+func (c *caller) refuse(refusal *Refusal) {
+	if c.reply != nil {
+		c.reply.Problem(hop.Response{Verdict: hop.Ran}, refusal.details())
+		return
+	}
+	c.beforeWrite()
+	_ = refusal.details().Write(c.w)
 }
 
 // beforeRead restarts the time for sending bytes.
--- a/internal/entry/deps.go
+++ b/internal/entry/deps.go
@@ -6,6 +6,7 @@
 
 	"github.com/rs/zerolog"
 
+	"buckthornlatch.example/buckthornlatch/internal/attempt"
 	"buckthornlatch.example/buckthornlatch/internal/catalogue"
 	"buckthornlatch.example/buckthornlatch/internal/clock"
 	"buckthornlatch.example/buckthornlatch/internal/hop"
@@ -25,6 +26,8 @@
 	Tickets       Tickets
 	Picker        Picker
 	Sender        Sender
+	// Attempts is the gate's attempt table, which also covers forwarded requests.
+	Attempts Attempts
 	// Random is the source of attempt ids, usually crypto/rand.Reader.
 	Random io.Reader
 	Log    zerolog.Logger
@@ -80,3 +83,12 @@
 	// Resolve asks a gate what became of an attempt and blocks it if it was not dispatched.
 	Resolve(ctx context.Context, gate string, attempt id.AttemptID) (fate.Outcome, error)
 }
+
+// Attempts is the attempt table of the daemon's gate; *gate.Gate implements it.
+type Attempts interface {
+	Arrive(a id.AttemptID) attempt.State
+	Dispatch(a id.AttemptID) bool
+	Finish(a id.AttemptID, end attempt.End) attempt.State
+	// Clock returns the gate's clock, for which forwarded requests are stamped.
+	Clock() hop.GateClock
+}
--- a/internal/entry/execute.go
+++ b/internal/entry/execute.go
@@ -22,12 +22,18 @@
 		if decision.ValidFor > 0 {
 			q.expiry = min(q.expiry, began.Add(decision.ValidFor))
 		}
+		q.claimed = true
 		claim := newClaim(e.deps.Ledger, decision.Claim)
 		defer claim.abort(context.WithoutCancel(r.Context()))
 		return e.run(c, r, q, claim)
 	case Replay:
 		decision.Recorded.write(c)
 		return nil
+	case Forward:
+		if !q.forwarded {
+			return e.forward(c, r, q, decision.Peer)
+		}
+		return &Refusal{Code: problem.IssuerLost, Run: problem.Unknown, Send: problem.NotRun}
 	}
 	return decision.refusal()
 }
@@ -44,7 +50,7 @@
 	case IssuerLost:
 		return d.unknown(problem.IssuerLost)
 	case Invalid:
-		return &Refusal{Code: problem.TicketInvalid}
+		return &Refusal{Code: problem.TicketInvalid, aboutKey: true}
 	case KeyReused:
 		return &Refusal{Code: problem.KeyReused}
 	case StoreUnavailable:
@@ -64,20 +70,13 @@
 
 // write sends a recorded response.
 func (r Recorded) write(c *caller) {
+	c.start()
 	header := c.w.Header()
 	for name, values := range r.Header {
 		header[name] = values
 	}
 	header["Idempotency-Replayed"] = []string{"true"}
-	suppressSniffing(header)
-	c.beforeWrite()
-	c.w.WriteHeader(r.Status)
+	c.begin(r.Status, int64(len(r.Body)))
 	_, _ = c.w.Write(r.Body)
-}
-
-// suppressSniffing keeps net/http from guessing a content type that the target did not state.
-func suppressSniffing(header http.Header) {
-	if _, ok := header["Content-Type"]; !ok {
-		header["Content-Type"] = nil
-	}
+	c.complete()
 }
--- a/internal/entry/fakes_test.go
+++ b/internal/entry/fakes_test.go
@@ -123,3 +123,17 @@
 	defer l.mu.Unlock()
 	l.outcomes = append(l.outcomes, o)
 }
+
+// ended returns the recorded outcomes.
+func (l *ledger) ended() []entry.Outcome {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Clone(l.outcomes)
+}
+
+// reported returns the feedback so far.
+func (d *directory) reported() []entry.Feedback {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.Clone(d.feedbacks)
+}
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -40,27 +40,36 @@
 
 // ServeHTTP implements http.Handler.
 func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	control := http.NewResponseController(w)
+	_ = control.EnableFullDuplex()
+	c := &caller{w: w, control: control, silence: e.config.CallerSilence}
+	defer c.done()
 	if !e.running.Enter() {
 		w.Header().Set("Connection", "close")
-		(&Refusal{Code: problem.Draining}).write(w)
+		e.refuse(c, r, nil, &Refusal{Code: problem.Draining})
 		return
 	}
 	defer e.running.Leave()
-	control := http.NewResponseController(w)
-	_ = control.EnableFullDuplex()
-	caller := &caller{w: w, control: control, silence: e.config.CallerSilence}
-	defer caller.done()
-	if refusal := e.serve(caller, r); refusal != nil {
-		refusal.write(w)
+	q, refusal := e.authenticate(r)
+	if refusal == nil {
+		refusal = e.serve(c, r, q)
+	}
+	if refusal != nil {
+		e.refuse(c, r, q, refusal)
 	}
 }
 
-// serve answers a request or returns the refusal to write.
-func (e *Entry) serve(c *caller, r *http.Request) *Refusal {
-	q, refusal := e.authenticate(r)
-	if refusal != nil {
-		return refusal
+// refuse sends a refusal whose statement is true for the request's idempotency key, if it has one.
+func (e *Entry) refuse(c *caller, r *http.Request, q *query, refusal *Refusal) {
+	_, keyed := r.Header[idempotencyHeader]
+	if keyed && (q == nil || !q.claimed) {
+		refusal = refusal.forUnclaimedKey()
 	}
+	c.refuse(refusal)
+}
+
+// serve answers an authenticated request or returns the refusal to send.
+func (e *Entry) serve(c *caller, r *http.Request, q *query) *Refusal {
 	if r.URL.Path == TicketPath {
 		return e.tickets(c, r, q.identity)
 	}
@@ -100,6 +109,9 @@
 
 // renew checks the key and takes a token again, for an attempt after the first permission has expired.
 func (e *Entry) renew(ctx context.Context, q *query) *Refusal {
+	if q.forwarded {
+		return &Refusal{Code: problem.ValidityExpired}
+	}
 	now := e.deps.Clock.Now()
 	identity, err := e.deps.Authenticator.Authenticate(q.key, now)
 	if err != nil {
--- a/internal/entry/key.go
+++ b/internal/entry/key.go
@@ -34,8 +34,11 @@
 	}
 }
 
-// containsKey reports whether s contains the key, plain or percent-encoded.
+// containsKey reports whether s contains the key, plain or percent-encoded. An empty key is in no string.
 func containsKey(s, key string) bool {
+	if key == "" {
+		return false
+	}
 	if strings.Contains(s, key) {
 		return true
 	}
--- a/internal/entry/query.go
+++ b/internal/entry/query.go
@@ -23,8 +23,10 @@
 
 // query is one authenticated request.
 type query struct {
-	key      string
-	identity Identity
+	// key is the caller's key; empty when the request was forwarded.
+	key       string
+	forwarded bool
+	identity  Identity
 	// expiry is the end of the permission to run the request.
 	expiry clock.Time
 
@@ -39,7 +41,9 @@
 	prints fingerprints
 	// idempotencyKey is empty when there is none or the route is idempotent.
 	idempotencyKey string
-	deadline       clock.Time
+	// claimed says that the ledger permitted this send to run.
+	claimed  bool
+	deadline clock.Time
 }
 
 // class returns whether the request may run more than once.
@@ -129,6 +133,7 @@
 	q.header = r.Header.Clone()
 	hop.StripConnection(q.header)
 	hop.StripReserved(q.header)
+	delete(q.header, timeoutHeader)
 	dropKey(q.header, q.key)
 	if len(keys) == 1 && !q.route.Idempotent {
 		q.idempotencyKey = keys[0]
--- a/internal/entry/refusal.go
+++ b/internal/entry/refusal.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"net/http"
 	"time"
 
 	"buckthornlatch.example/buckthornlatch/internal/problem"
@@ -17,6 +16,8 @@
 	Send       problem.Run
 	Detail     string
 	RetryAfter time.Duration
+	// aboutKey says that Run is known for the idempotency key and not only for this send.
+	aboutKey bool
 }
 
 // Error implements error.
@@ -33,8 +34,8 @@
 	return &Refusal{Code: code}
 }
 
-// write sends the refusal to the caller.
-func (r *Refusal) write(w http.ResponseWriter) {
+// details returns the response body.
+func (r *Refusal) details() problem.Details {
 	run := r.Run
 	if run == "" {
 		run = problem.NotRun
@@ -42,5 +43,16 @@
 	details := problem.New(r.Code, run, r.Detail)
 	details.Send = r.Send
 	details.RetryAfter = r.RetryAfter
-	_ = details.Write(w)
+	return details
+}
+
+// forUnclaimedKey restates a refusal of a request whose idempotency key this send did not claim. An earlier
+// send with the key may have run, so "not-run" is true for this send only.
+func (r *Refusal) forUnclaimedKey() *Refusal {
+	if r.aboutKey || r.Run == problem.Unknown {
+		return r
+	}
+	restated := *r
+	restated.Run, restated.Send = problem.Unknown, problem.NotRun
+	return &restated
 }
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -3,18 +3,23 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"buckthornlatch.example/buckthornlatch/internal/hop"
 	"buckthornlatch.example/buckthornlatch/internal/id"
 	"buckthornlatch.example/buckthornlatch/internal/problem"
 )
 
+// hopSlack is added to the deadline on this side of the hop, so that the gate, which knows whether the request
+// was dispatched, ends it first.
+const hopSlack = 250 * time.Millisecond
+
 // run attempts a request until it is answered, refused or its fate is unknown.
 func (e *Entry) run(c *caller, r *http.Request, q *query, record record) *Refusal {
 	e.budget.request()
-	ctx, cancel := context.WithTimeout(r.Context(), q.deadline.Sub(e.deps.Clock.Now()))
+	ctx, cancel := context.WithTimeout(r.Context(), q.deadline.Sub(e.deps.Clock.Now())+hopSlack)
 	defer cancel()
-	s := &session{entry: e, query: q, record: record, caller: c}
+	s := &session{entry: e, query: q, record: record, caller: c, path: hop.Path}
 	refusal := s.attempts(ctx)
 	detached := context.WithoutCancel(ctx)
 	switch {
@@ -30,10 +35,12 @@
 
 // session is the work on one request.
 type session struct {
-	entry    *Entry
-	query    *query
-	record   record
-	caller   *caller
+	entry  *Entry
+	query  *query
+	record record
+	caller *caller
+	// path is hop.Path or hop.ForwardPath.
+	path     string
 	excluded []id.TargetID
 	// maybeRan is set when some attempt may have run.
 	maybeRan bool
--- a/internal/gate/answer.go
+++ b/internal/gate/answer.go
@@ -72,16 +72,16 @@
 		d.reply.refuse(&Refused{Code: problem.QueueFull, RetryAfter: retryAfter(response)})
 		return
 	}
-	d.reply.start()
+	d.reply.Start()
 	d.copyHeader(response)
-	d.reply.w.WriteHeader(response.StatusCode)
+	d.reply.W.WriteHeader(response.StatusCode)
 	if err := d.copyBody(response); err != nil {
 		d.broken(ctx, err)
 		panic(http.ErrAbortHandler)
 	}
 	d.gate.Finish(d.request.Attempt, attempt.EndComplete)
 	d.observe(Completed, response.StatusCode, latency)
-	d.reply.w.Header()[hop.HeaderComplete] = []string{d.request.Attempt.String()}
+	d.reply.Complete()
 }
 
 // copyHeader sets the response's header. Only the gate's own hop headers are sent.
@@ -89,21 +89,21 @@
 	hop.StripConnection(response.Header)
 	hop.StripHop(response.Header)
 	delete(response.Header, "Content-Length")
-	header := d.reply.w.Header()
+	header := d.reply.W.Header()
 	for name, values := range response.Header {
 		header[name] = values
 	}
 	if _, ok := header["Content-Type"]; !ok {
 		header["Content-Type"] = nil
 	}
-	d.reply.header(hop.Ran, "", response.ContentLength)
+	d.reply.Header(d.reply.response(hop.Ran, "", response.ContentLength))
 }
 
 // copyBody streams the body. The watch runs only while the gate waits for the target.
 func (d *dispatch) copyBody(response *http.Response) error {
 	d.watch.Pause()
 	stream := hop.Stream{
-		W: d.reply.w, Control: d.reply.control, Length: response.ContentLength, BeforeWrite: d.reply.extend,
+		W: d.reply.W, Control: d.reply.Control, Length: response.ContentLength, BeforeWrite: d.reply.Extend,
 	}
 	return stream.Copy(watched{response.Body, d.watch})
 }
--- a/internal/gate/dispatch.go
+++ b/internal/gate/dispatch.go
@@ -110,6 +110,7 @@
 	}
 	d.sentAt = d.gate.deps.Clock.Now()
 	d.permitted.Store(true)
+	d.reply.Continue()
 	d.observe(Dispatched, 0, 0)
 	d.watch.Progress()
 	return nil
--- a/internal/gate/handler.go
+++ b/internal/gate/handler.go
@@ -25,8 +25,8 @@
 		_ = problem.New(problem.BadRequest, problem.NotRun, err.Error()).Write(w)
 		return
 	}
-	reply := newReply(g, w, request)
-	defer reply.done()
+	reply := &reply{Reply: hop.NewReply(w, r, request.Attempt, g.Clock, g.config.EntrySilence), gate: g}
+	defer reply.Done()
 	if !g.flight.Enter() {
 		reply.refuse(&Refused{Code: problem.Draining})
 		return
@@ -43,7 +43,7 @@
 func (g *Gate) run(reply *reply, r *http.Request, request hop.Request) {
 	ctx, cancel := context.WithTimeout(r.Context(), request.Remaining)
 	defer cancel()
-	reply.keepAlive()
+	reply.KeepAlive()
 	lease, err := g.slot(ctx, reply, request)
 	if err != nil {
 		g.Finish(request.Attempt, attempt.EndRefused)
--- a/internal/hop/call.go
+++ b/internal/hop/call.go
@@ -27,6 +27,9 @@
 	Body io.Reader
 	// ContentLength is the length of Body in bytes, -1 when unknown.
 	ContentLength int64
+	// Await holds the body back until the peer asks for it, so that a body that cannot be sent twice is not
+	// spent on a refusal.
+	Await bool
 	// Silence is the longest time without a byte of the response body; zero selects the client's default.
 	Silence time.Duration
 }
--- a/internal/hop/exchange.go
+++ b/internal/hop/exchange.go
@@ -43,6 +43,9 @@
 		Header:        call.Header,
 		ContentLength: call.ContentLength,
 	}
+	if call.Await {
+		request.Header["Expect"] = []string{"100-continue"}
+	}
 	if call.Body != nil && call.ContentLength != 0 {
 		request.Body = io.NopCloser(NewUpload(call.Body, x.watch))
 	}
--- a/internal/hop/peer.go
+++ b/internal/hop/peer.go
@@ -45,6 +45,7 @@
 		DialContext:            p.dial,
 		DialTLSContext:         p.dialTLS,
 		DisableCompression:     true,
+		ExpectContinueTimeout:  MaxRemaining,
 		IdleConnTimeout:        p.config.IdleTimeout,
 		MaxIdleConnsPerHost:    p.config.IdlePerPeer,
 		MaxResponseHeaderBytes: maxResponseHeader,
