Keep connections with unread request bodies from being reused

With full duplex on, a refusal that left the request body unread made net/http panic with "invalid concurrent Body.Read call" on the next request of the connection. A short rest is now read before a refusal; otherwise the response ends the connection.

The hop's requests lacked an HTTP version, so net/http ignored Expect and sent a large body to a gate that refused it. With the version a refusal leaves the body whole for another gate.

--- a/internal/entry/caller.go
+++ b/internal/entry/caller.go
@@ -15,6 +15,8 @@
 	w       http.ResponseWriter
 	control *http.ResponseController
 	silence time.Duration
+	// inbound is the request's body; nil for forwarded requests, whose reply owns it.
+	inbound *hop.Inbound
 	// reply certifies the response to a forwarding daemon; nil for callers.
 	reply *hop.Reply
 }
@@ -38,6 +40,9 @@
 		c.reply.Header(hop.Response{Verdict: hop.Ran, Length: length})
 	case length >= 0:
 		header["Content-Length"] = []string{strconv.FormatInt(length, 10)}
+		c.inbound.BeforeHeader()
+	default:
+		c.inbound.BeforeHeader()
 	}
 	c.beforeWrite()
 	c.w.WriteHeader(status)
@@ -56,6 +61,8 @@
 		c.reply.Problem(hop.Response{Verdict: hop.Ran}, refusal.details())
 		return
 	}
+	c.inbound.BeforeRefusal()
+	c.inbound.BeforeHeader()
 	c.beforeWrite()
 	_ = refusal.details().Write(c.w)
 }
@@ -72,7 +79,9 @@
 
 // done clears the deadlines, which would otherwise hit the next request of the connection.
 func (c *caller) done() {
-	_ = c.control.SetReadDeadline(time.Time{})
+	if c.inbound != nil {
+		c.inbound.Done()
+	}
 	_ = c.control.SetWriteDeadline(time.Time{})
 }
 
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 
+	"buckthornlatch.example/buckthornlatch/internal/hop"
 	"buckthornlatch.example/buckthornlatch/internal/inflight"
 	"buckthornlatch.example/buckthornlatch/internal/problem"
 )
@@ -40,9 +41,8 @@
 
 // ServeHTTP implements http.Handler.
 func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	control := http.NewResponseController(w)
-	_ = control.EnableFullDuplex()
-	c := &caller{w: w, control: control, silence: e.config.CallerSilence}
+	c := &caller{w: w, control: http.NewResponseController(w), silence: e.config.CallerSilence}
+	c.inbound = hop.NewInbound(w, r)
 	defer c.done()
 	if !e.running.Enter() {
 		w.Header().Set("Connection", "close")
--- a/internal/entry/tickets.go
+++ b/internal/entry/tickets.go
@@ -30,6 +30,7 @@
 	if err != nil {
 		return refusalOf(err, problem.ClaimStoreUnavailable)
 	}
+	c.inbound.BeforeHeader()
 	c.beforeWrite()
 	c.w.Header().Set("Content-Type", "application/json")
 	c.w.Header().Set("Cache-Control", "no-store")
--- a/internal/gate/handler.go
+++ b/internal/gate/handler.go
@@ -18,7 +18,6 @@
 		w.WriteHeader(http.StatusNoContent)
 		return
 	}
-	_ = http.NewResponseController(w).EnableFullDuplex()
 	request, err := hop.DecodeRequest(r.Header)
 	if err != nil {
 		// Without the echo of the id the entry asks for the fate of the attempt and gets a proved answer.
--- a/internal/hop/exchange.go
+++ b/internal/hop/exchange.go
@@ -37,7 +37,9 @@
 		return nil
 	}
 	request := &http.Request{
-		Method:        call.Method,
+		Method: call.Method,
+		// Without a version net/http ignores Expect.
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 		URL:           x.client.url(x.peer, call.Path),
 		Host:          call.Host,
 		Header:        call.Header,
--- a/internal/hop/reply.go
+++ b/internal/hop/reply.go
@@ -16,6 +16,7 @@
 	attempt id.AttemptID
 	clock   func() GateClock
 	silence time.Duration
+	inbound *Inbound
 	// awaited says that the sender holds the body back until it is asked for.
 	awaited bool
 
@@ -24,13 +25,13 @@
 	started bool
 }
 
-// NewReply returns a reply without output. clock reads the clock for the response; silence is the longest time
+// NewReply returns a reply without output and takes over the request's body. clock reads the clock for the response; silence is the longest time
 // that the sender may take to accept bytes.
 func NewReply(w http.ResponseWriter, r *http.Request, attempt id.AttemptID, clock func() GateClock, silence time.Duration) *Reply {
-	_, awaited := r.Header["Expect"]
+	inbound := NewInbound(w, r)
 	return &Reply{
 		W: w, Control: http.NewResponseController(w), attempt: attempt, clock: clock, silence: silence,
-		awaited: awaited,
+		awaited: inbound.held, inbound: inbound,
 	}
 }
 
@@ -61,7 +62,7 @@
 	if !r.awaited || r.started {
 		return
 	}
-	r.awaited = false
+	r.awaited, r.inbound.held = false, false
 	r.Extend()
 	r.W.WriteHeader(http.StatusContinue)
 }
@@ -85,19 +86,22 @@
 // Done ends the reply. It clears the write deadline, which would otherwise hit the connection's next request.
 func (r *Reply) Done() {
 	r.Start()
+	r.inbound.Done()
 	_ = r.Control.SetWriteDeadline(time.Time{})
 }
 
-// Header sets the hop headers. The response's attempt and clock are filled in.
+// Header sets the hop headers right before the header is sent. The response's attempt and clock are filled in.
 func (r *Reply) Header(response Response) {
 	response.Attempt = r.attempt
 	response.Clock = r.clock()
 	response.Encode(r.W.Header())
+	r.inbound.BeforeHeader()
 }
 
 // Problem writes a refusal as the whole, certified response.
 func (r *Reply) Problem(response Response, details problem.Details) {
 	r.Start()
+	r.inbound.BeforeRefusal()
 	response.Length = -1
 	r.Header(response)
 	_ = details.Write(withoutLength{r.W})
