--- a/internal/admin/draft.go
+++ b/internal/admin/draft.go
@@ -34,21 +34,3 @@
 	}
 	return refs
 }
-
-// intent is one edit that an operator asked for.
-type intent struct {
-	ref catalogue.Ref
-	// expected is the revision on which the edit is based; zero when the entry must not exist.
-	expected catalogue.Revision
-	// anyRevision leaves expected out of account.
-	anyRevision bool
-	// build returns the new entry, nil to delete it.
-	build func(current catalogue.Entry, snapshot *catalogue.Snapshot) (catalogue.Entry, error)
-}
-
-// result is what became of a draft.
-type result struct {
-	revision catalogue.Revision
-	replayed bool
-	edits    []catalogue.Edit
-}
--- a/internal/admin/editor.go
+++ b/internal/admin/editor.go
@@ -23,20 +23,6 @@
 // errBusy reports that every attempt met another change.
 var errBusy = errors.New("other changes were accepted at every attempt")
 
-// Store is the part of cataloguestore.Store that changes use.
-type Store interface {
-	Read(ctx context.Context, operator string, id catalogue.ChangeID, refs []catalogue.Ref) (cataloguestore.State, error)
-	Commit(ctx context.Context, state cataloguestore.State, change *catalogue.Change, f cataloguestore.Fingerprint) error
-	Change(ctx context.Context, revision catalogue.Revision) (*catalogue.Change, error)
-}
-
-// Source is the daemon's copy of the catalogue.
-type Source interface {
-	Snapshot() *catalogue.Snapshot
-	// Poll brings the copy up to date with the platform.
-	Poll(ctx context.Context) error
-}
-
 // Editor makes changes. It is safe for concurrent use.
 type Editor struct {
 	store  Store
@@ -52,13 +38,6 @@
 	return &Editor{store: store, source: source, now: now, pause: retryDelay}
 }
 
-// pending is a commit whose outcome is open.
-type pending struct {
-	err error
-	// headRow is the head row's revision on which the commit is conditional.
-	headRow platform.Revision
-}
-
 // commit makes the change of a draft.
 // Errors: *DeniedError, *StaleError, *InvalidError, *NotFoundError,
 // *ReusedError, *UnavailableError, *UnknownError.
--- /dev/null
+++ b/internal/admin/result.go
@@ -0,0 +1,10 @@
+package admin
+
+import "buckthornlatch.example/buckthornlatch/internal/catalogue"
+
+// result is what became of a draft.
+type result struct {
+	revision catalogue.Revision
+	replayed bool
+	edits    []catalogue.Edit
+}
--- a/internal/catalogue/file.go
+++ b/internal/catalogue/file.go
@@ -12,24 +12,6 @@
 	Deletes []FileDelete
 }
 
-// FileEntry is an entry read from a file. The entry's revision is zero.
-type FileEntry struct {
-	Entry Entry
-	// Base is the revision on which the file's author based the entry; zero when not stated.
-	Base Revision
-	file string
-	at   section
-}
-
-// FileDelete is a deletion read from a file.
-type FileDelete struct {
-	Ref Ref
-	// Base is the revision on which the file's author based the deletion; zero when not stated.
-	Base Revision
-	file string
-	at   section
-}
-
 // Refs returns the names of all entries and deletions, in file order.
 func (f *File) Refs() []Ref {
 	refs := make([]Ref, 0, len(f.Entries)+len(f.Deletes))
--- a/internal/command/connection.go
+++ b/internal/command/connection.go
@@ -23,19 +23,6 @@
 	CAFile    string `arg:"--ca-file,env:BUCKTHORNLATCH_CA_FILE" placeholder:"FILE" help:"certificate authority of the daemons; default: the system's"`
 }
 
-// tokenTransport adds the operator's token to every request.
-type tokenTransport struct {
-	token string
-	next  http.RoundTripper
-}
-
-// RoundTrip implements http.RoundTripper.
-func (t tokenTransport) RoundTrip(r *http.Request) (*http.Response, error) {
-	r = r.Clone(r.Context())
-	r.Header.Set("Authorization", "Bearer "+t.token)
-	return t.next.RoundTrip(r)
-}
-
 // client returns a client of the API. Error: *InputError.
 func (c Connection) client() (rpc.Admin, error) {
 	if c.Admin == "" || c.TokenFile == "" {
