--- a/internal/admin/faultytable_test.go
+++ b/internal/admin/faultytable_test.go
@@ -19,7 +19,9 @@
 	// hold makes the next writes take effect only when release runs.
 	hold int
 	held []platform.Txn
-	off  mechanismsOff
+	// refuse refuses the writes that follow the held ones.
+	refuse int
+	off    mechanismsOff
 }
 
 // mechanismsOff says which mechanisms are switched off, to show that the checks need them.
@@ -48,6 +50,10 @@
 		f.held = append(f.held, txn)
 		return 0, f.lost()
 	}
+	if f.refuse > 0 {
+		f.refuse--
+		return 0, &platform.NotDoneError{Step: "commit", Err: errFault}
+	}
 	revision, err := f.Table.Commit(ctx, txn)
 	if f.lose > 0 {
 		f.lose--
--- a/internal/admin/fleetmachine_test.go
+++ b/internal/admin/fleetmachine_test.go
@@ -36,6 +36,7 @@
 			table.down = rapid.Bool().Draw(t, "down")
 			table.lose = rapid.SampledFrom([]int{0, 1, 2, 20}).Draw(t, "lose")
 			table.hold = rapid.SampledFrom([]int{0, 1, 2, 20}).Draw(t, "hold")
+			table.refuse = rapid.IntRange(0, 1).Draw(t, "refuse")
 		},
 		"outage": func(t *rapid.T) {
 			down := rapid.Bool().Draw(t, "down")
@@ -80,7 +81,7 @@
 func (f *fleet) heal(t *rapid.T) {
 	ctx := context.Background()
 	for _, d := range f.daemons {
-		d.table.down, d.table.lose, d.table.hold = false, 0, 0
+		d.table.down, d.table.lose, d.table.hold, d.table.refuse = false, 0, 0, 0
 		d.table.release()
 	}
 	f.checkRefusals(t)
--- a/internal/emulator/platform/server_test.go
+++ b/internal/emulator/platform/server_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -80,6 +81,20 @@
 		Expect(exists()).To(BeFalse())
 	})
 
+	// Guards against a process that does not end, or that ends with an error, when told to stop.
+	It("serves until it is stopped", func() {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		running, stop := context.WithCancel(ctx)
+		done := make(chan error, 1)
+		go func() { done <- emulator.New(platform.NewMemory(), 1).Serve(running, listener) }()
+		client := platform.NewClient("http://"+listener.Addr().String(), &http.Client{Timeout: time.Second})
+		_, err = client.Table().Commit(ctx, txn)
+		Expect(err).NotTo(HaveOccurred())
+		stop()
+		Eventually(done, 5*time.Second).Should(Receive(BeNil()))
+	})
+
 	// Guards against a misspelt fault that is ignored silently.
 	It("refuses unknown faults", func() {
 		Expect(control(`{"dwon":true}`)).To(Equal(http.StatusBadRequest))
