Pass evidence about crashing requests on at once

The exchanges need seconds to reach every daemon, and a poison request is sent again within milliseconds. A record with new evidence is passed on to a few peers by every daemon that learns it.

--- a/internal/gossip/config.go
+++ b/internal/gossip/config.go
@@ -15,6 +15,8 @@
 	DefaultTimeout = 2 * time.Second
 	// DefaultPushPeers is the number of peers that get a change at once.
 	DefaultPushPeers = 3
+	// relayQueue bounds the urgent records that wait to be passed on; the exchanges carry the rest.
+	relayQueue = 64
 	// seedPeriods is the number of periods between two exchanges with a seed while peers are known.
 	// It joins two halves of a fleet that have forgotten each other.
 	seedPeriods = 30
--- a/internal/gossip/loop.go
+++ b/internal/gossip/loop.go
@@ -48,34 +48,42 @@
 	}
 }
 
-// pushLoop pushes the own record whenever it changed.
+// pushLoop pushes the own record whenever it changed, and passes urgent records on.
 func (s *Service) pushLoop(ctx context.Context) {
+	var group sync.WaitGroup
+	defer group.Wait()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-s.pushes:
+			group.Go(func() { s.pushOnce(ctx, nil) })
+		case records := <-s.relays:
+			// A peer that does not answer must not delay the next push.
+			group.Go(func() { s.pushOnce(ctx, records) })
 		}
-		s.pushOnce(ctx)
 	}
 }
 
-// pushOnce sends the own record to a few peers at the same time.
-func (s *Service) pushOnce(ctx context.Context) {
+// pushOnce sends records, or the own one when there are none, to a few peers at the same time.
+func (s *Service) pushOnce(ctx context.Context, records []*membership.Record) {
 	s.mu.Lock()
 	peers := s.table.ChoosePushPeers(s.config.PushPeers, s.config.Clock.Now())
 	s.mu.Unlock()
 	var group sync.WaitGroup
 	for _, peer := range peers {
-		group.Go(func() { s.push(ctx, peer) })
+		group.Go(func() { s.push(ctx, peer, records) })
 	}
 	group.Wait()
 }
 
-// push sends the own record to one peer.
-func (s *Service) push(ctx context.Context, peer *membership.Record) {
+// push sends records, or the own one when there are none, to one peer.
+func (s *Service) push(ctx context.Context, peer *membership.Record, records []*membership.Record) {
 	s.mu.Lock()
-	push := s.table.NewPush(peer.Host, s.config.Clock.Now())
+	if len(records) == 0 {
+		records = []*membership.Record{s.table.Self()}
+	}
+	push := s.table.NewRelay(peer.Host, records, s.config.Clock.Now())
 	s.mu.Unlock()
 	s.send(ctx, peer.Host, peer.Addresses.Control, push)
 }
--- a/internal/gossip/service.go
+++ b/internal/gossip/service.go
@@ -22,6 +22,8 @@
 
 	// pushes asks the loop to push the own record; it holds at most one request.
 	pushes chan struct{}
+	// relays are urgent records of other hosts to be passed on.
+	relays chan []*membership.Record
 }
 
 // New returns a service whose table knows only its own host. It does no I/O before Run.
@@ -33,6 +35,7 @@
 		seeds:  slices.Clone(config.Seeds),
 		random: rand.New(rand.NewPCG(config.Membership.Seed, 1)),
 		pushes: make(chan struct{}, 1),
+		relays: make(chan []*membership.Record, relayQueue),
 	}
 }
 
@@ -76,13 +79,25 @@
 	}
 }
 
-// notify calls OnChange when records changed since the last call.
+// requestRelay queues records to be passed on; when the queue is full the exchanges carry them.
+func (s *Service) requestRelay(records []*membership.Record) {
+	select {
+	case s.relays <- records:
+	default:
+	}
+}
+
+// notify calls OnChange when records changed since the last call, and passes urgent ones on.
 func (s *Service) notify() {
 	s.mu.Lock()
 	changes := s.table.Changes()
 	changed := changes != s.seen
 	s.seen = changes
+	urgent := s.table.TakeUrgent()
 	s.mu.Unlock()
+	if len(urgent) > 0 {
+		s.requestRelay(urgent)
+	}
 	if changed && s.config.OnChange != nil {
 		s.config.OnChange()
 	}
--- a/internal/membership/exchange.go
+++ b/internal/membership/exchange.go
@@ -90,7 +90,25 @@
 
 // NewPush carries the own record to a peer at once.
 func (t *Table) NewPush(host id.HostID, now clock.Time) Push {
-	return Push{Sender: t.sender(t.entries[host], now), Records: []Update{{Record: t.self}}}
+	return t.NewRelay(host, []*Record{t.self}, now)
+}
+
+// NewRelay carries records to a peer at once.
+func (t *Table) NewRelay(host id.HostID, records []*Record, now clock.Time) Push {
+	push := Push{Sender: t.sender(t.entries[host], now)}
+	for _, r := range records {
+		push.Records = append(push.Records, Update{Record: r})
+	}
+	return push
+}
+
+// TakeUrgent returns, once, the records with new evidence about crashing requests. A request that
+// crashes targets is sent again within milliseconds, so they are passed on without waiting for
+// the next exchange.
+func (t *Table) TakeUrgent() []*Record {
+	urgent := t.urgent
+	t.urgent = nil
+	return urgent
 }
 
 // HandlePushReply keeps the clock that the reply to a push carries.
--- a/internal/membership/merge.go
+++ b/internal/membership/merge.go
@@ -1,6 +1,8 @@
 package membership
 
 import (
+	"slices"
+
 	"buckthornlatch.example/buckthornlatch/internal/clock"
 	"buckthornlatch.example/buckthornlatch/internal/id"
 )
@@ -126,6 +128,7 @@
 	if !u.Record.Version().Newer(e.record.Version()) {
 		return false
 	}
+	before := e.record.Suspects
 	if u.StatusOnly {
 		merged, ok := withStatus(e.record, u.Record)
 		if !ok {
@@ -134,6 +137,9 @@
 		e.record = merged
 	} else {
 		e.record = u.Record
+		if !slices.EqualFunc(before, u.Record.Suspects, sameSuspect) {
+			t.urgent = append(t.urgent, u.Record)
+		}
 	}
 	t.noteRecord(u.Record)
 	return false
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -32,6 +32,8 @@
 	partners  []id.HostID
 	exchanges uint64
 	changes   uint64
+	// urgent are records with new evidence about crashing requests, to be passed on at once.
+	urgent []*Record
 }
 
 // NewTable returns a table that knows only its own host.
