Exchange with seeds until a starting daemon knows the fleet

Cause: daemons that start together meet in small groups by their first seed and then exchange only inside the group; the next exchange with a seed came after 30 periods. With 8 daemons the fleet was not whole after 15 s (3 to 5 of 8 hosts known). Change: while a daemon is in its first 30 periods and knows fewer hosts than it has seeds, every round also goes to a seed.

--- a/internal/gossip/loop.go
+++ b/internal/gossip/loop.go
@@ -33,7 +33,7 @@
 	gone := s.table.Forget(now)
 	peer := s.table.ChoosePeer(now)
 	seed := ""
-	if len(s.seeds) > 0 && (peer == nil || round%seedPeriods == 0) {
+	if len(s.seeds) > 0 && (peer == nil || round%seedPeriods == 0 || s.joining(round)) {
 		seed = s.seeds[s.random.IntN(len(s.seeds))]
 	}
 	s.mu.Unlock()
@@ -48,6 +48,13 @@
 	}
 }
 
+// joining reports whether the daemon has just started and does not know as many
+// hosts as there are seeds. Daemons that start together first meet in small
+// groups, which would otherwise meet each other only every seedPeriods.
+func (s *Service) joining(round int) bool {
+	return round < seedPeriods && len(s.table.Records()) <= len(s.seeds)
+}
+
 // pushLoop pushes the own record whenever it changed, and passes urgent records on.
 func (s *Service) pushLoop(ctx context.Context) {
 	var group sync.WaitGroup
