Judge targets, grant ejection permits and quarantine crashing requests in the daemon

Change: the gate's observations go to the judge and the quarantine, the judge's permits come from the service's home, and records carry the judgement.

--- a/internal/catalogue/apply.go
+++ b/internal/catalogue/apply.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"buckthornlatch.example/buckthornlatch/internal/invariant"
 )
@@ -43,6 +44,10 @@
 		b.set(edit.After.withRevision(change.Revision))
 	}
 	next := b.done(change.Revision)
+	next.rosterRevision, next.previousRoster = s.rosterRevision, s.previousRoster
+	if !sameRoster(s.roster, next.roster) {
+		next.rosterRevision, next.previousRoster = change.Revision, s.rosterRevision
+	}
 	if next.hashes.size != next.keys.size {
 		return nil, &ApplyError{Revision: change.Revision, Reason: "two keys have the same hash"}
 	}
@@ -50,6 +55,13 @@
 	return next, nil
 }
 
+// sameRoster reports whether two rosters have the same hosts in the same failure domains.
+func sameRoster(a, b []*Host) bool {
+	return slices.EqualFunc(a, b, func(x, y *Host) bool {
+		return x.ID == y.ID && x.FailureDomain == y.FailureDomain
+	})
+}
+
 // refuse returns why the change cannot be applied, or an empty reason.
 func (s *Snapshot) refuse(change *Change) (string, Ref) {
 	seen := make(map[Ref]bool, len(change.Edits))
--- a/internal/catalogue/apply_test.go
+++ b/internal/catalogue/apply_test.go
@@ -32,13 +32,28 @@
 		_, err = apply(revoked, catalogue.Edit{Before: current})
 		Expect(err).To(MatchError(ContainSubstring("cannot be deleted")))
 		for _, entries := range [][]catalogue.Entry{nil, {key(false)}} {
-			newer, err := catalogue.Build(9, entries)
+			newer, err := catalogue.Build(9, catalogue.RosterHistory{}, entries)
 			Expect(err).NotTo(HaveOccurred())
 			_, err = revoked.Replace(newer)
 			Expect(err).To(HaveOccurred())
 		}
 	})
 
+	// Guards against a roster change that duty holders do not notice, such as a removed host.
+	It("notes the revisions of the last two roster changes", func() {
+		a, b := &catalogue.Host{ID: "a"}, &catalogue.Host{ID: "b"}
+		one, err := apply(catalogue.Empty(), catalogue.Edit{After: a}, catalogue.Edit{After: b})
+		Expect(err).NotTo(HaveOccurred())
+		two, err := apply(one, catalogue.Edit{After: key(false)})
+		Expect(err).NotTo(HaveOccurred())
+		three, err := apply(two, catalogue.Edit{Before: two.Host("b")})
+		Expect(err).NotTo(HaveOccurred())
+		last, previous := two.RosterRevisions()
+		Expect([]catalogue.Revision{last, previous}).To(Equal([]catalogue.Revision{1, 0}))
+		last, previous = three.RosterRevisions()
+		Expect([]catalogue.Revision{last, previous}).To(Equal([]catalogue.Revision{3, 1}))
+	})
+
 	// Guards against a change applied twice, out of order or over another change.
 	It("refuses changes that do not follow", func() {
 		host := &catalogue.Host{ID: "h"}
--- a/internal/catalogue/build.go
+++ b/internal/catalogue/build.go
@@ -6,9 +6,17 @@
 	"buckthornlatch.example/buckthornlatch/internal/invariant"
 )
 
+// RosterHistory is the part of a snapshot that its entries do not tell.
+type RosterHistory struct {
+	// Last is the revision of the last change of the roster.
+	Last Revision
+	// Previous is the revision of the change before it; zero when there was none.
+	Previous Revision
+}
+
 // Build returns a snapshot of the entries, which keep their revisions. Error:
 // *ApplyError when an entry occurs twice or is newer than the revision.
-func Build(revision Revision, entries []Entry) (*Snapshot, error) {
+func Build(revision Revision, roster RosterHistory, entries []Entry) (*Snapshot, error) {
 	b := newBuilder(Empty())
 	seen := make(map[Ref]bool, len(entries))
 	for _, entry := range entries {
@@ -23,6 +31,7 @@
 		b.set(entry)
 	}
 	s := b.done(revision)
+	s.rosterRevision, s.previousRoster = roster.Last, roster.Previous
 	if s.hashes.size != s.keys.size {
 		return nil, &ApplyError{Revision: revision, Reason: "two keys have the same hash"}
 	}
--- a/internal/catalogue/codec/codec_test.go
+++ b/internal/catalogue/codec/codec_test.go
@@ -25,7 +25,7 @@
 
 // TestRoundTrip guards against a field that is lost on the way to another daemon.
 func TestRoundTrip(t *testing.T) {
-	snapshot, err := catalogue.Build(4, sample())
+	snapshot, err := catalogue.Build(4, catalogue.RosterHistory{Last: 3, Previous: 2}, sample())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -37,6 +37,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	if last, previous := again.RosterRevisions(); last != 3 || previous != 2 {
+		t.Fatalf("roster revisions %d and %d", last, previous)
+	}
 	if again.Revision() != 4 {
 		t.Fatalf("revision %d", again.Revision())
 	}
@@ -64,7 +67,7 @@
 // FuzzDecode guards against panics on messages from outside, and against
 // entries that are accepted although they are invalid.
 func FuzzDecode(f *testing.F) {
-	snapshot, _ := catalogue.Build(4, sample())
+	snapshot, _ := catalogue.Build(4, catalogue.RosterHistory{}, sample())
 	data, _ := codec.EncodeSnapshot(snapshot)
 	f.Add(data)
 	data, _ = codec.EncodeChange(&catalogue.Change{Revision: 1, Edits: []catalogue.Edit{{After: sample()[0]}}})
--- a/internal/catalogue/codec/snapshot.go
+++ b/internal/catalogue/codec/snapshot.go
@@ -15,6 +15,8 @@
 const (
 	snapshotRevisionField protowire.Number = 1
 	snapshotEntriesField  protowire.Number = 2
+	snapshotRosterField   protowire.Number = 3
+	snapshotPreviousField protowire.Number = 4
 )
 
 // EncodeSnapshot returns the snapshot as an encoded rpc.Snapshot. Entries are
@@ -23,6 +25,11 @@
 	var data, one []byte
 	data = protowire.AppendTag(data, snapshotRevisionField, protowire.VarintType)
 	data = protowire.AppendVarint(data, uint64(s.Revision()))
+	roster, previous := s.RosterRevisions()
+	data = protowire.AppendTag(data, snapshotRosterField, protowire.VarintType)
+	data = protowire.AppendVarint(data, uint64(roster))
+	data = protowire.AppendTag(data, snapshotPreviousField, protowire.VarintType)
+	data = protowire.AppendVarint(data, uint64(previous))
 	for entry := range s.All() {
 		var err error
 		one, err = proto.MarshalOptions{}.MarshalAppend(one[:0], FromEntry(entry))
@@ -45,6 +52,7 @@
 		return nil, &DecodeError{What: "snapshot", Reason: "is too large"}
 	}
 	var revision catalogue.Revision
+	var roster catalogue.RosterHistory
 	var entries []catalogue.Entry
 	for len(data) > 0 {
 		number, wire, n := protowire.ConsumeTag(data)
@@ -59,9 +67,9 @@
 		value := data[:n]
 		data = data[n:]
 		switch {
-		case number == snapshotRevisionField && wire == protowire.VarintType:
+		case wire == protowire.VarintType:
 			v, _ := protowire.ConsumeVarint(value)
-			revision = catalogue.Revision(v)
+			setRevision(number, catalogue.Revision(v), &revision, &roster)
 		case number == snapshotEntriesField && wire == protowire.BytesType:
 			payload, _ := protowire.ConsumeBytes(value)
 			entry, err := DecodeEntry(payload)
@@ -71,7 +79,19 @@
 			entries = append(entries, entry)
 		}
 	}
-	return catalogue.Build(revision, entries)
+	return catalogue.Build(revision, roster, entries)
+}
+
+// setRevision stores one of the snapshot's revisions by its field number.
+func setRevision(number protowire.Number, v catalogue.Revision, revision *catalogue.Revision, roster *catalogue.RosterHistory) {
+	switch number {
+	case snapshotRevisionField:
+		*revision = v
+	case snapshotRosterField:
+		roster.Last = v
+	case snapshotPreviousField:
+		roster.Previous = v
+	}
 }
 
 // EncodeEntry returns the encoded entry.
--- a/internal/catalogue/snapshot.go
+++ b/internal/catalogue/snapshot.go
@@ -22,6 +22,9 @@
 	virtualHosts index[string, virtualHost]
 	// roster holds the hosts sorted by id.
 	roster []*Host
+	// rosterRevision is the revision of the last change of the roster, and
+	// previousRoster the one before; zero when there was none.
+	rosterRevision, previousRoster Revision
 }
 
 // Empty returns the catalogue at revision zero.
@@ -77,6 +80,13 @@
 // Roster returns all host slots sorted by id. The slice must not be modified.
 func (s *Snapshot) Roster() []*Host { return s.roster }
 
+// RosterRevisions returns the revision of the last change of the roster and the
+// one before; zero when there was none. A change of a host's owner or class does
+// not change the roster.
+func (s *Snapshot) RosterRevisions() (last, previous Revision) {
+	return s.rosterRevision, s.previousRoster
+}
+
 // Services returns all services sorted by name.
 func (s *Snapshot) Services() []*Service {
 	return slices.SortedFunc(s.services.all(), func(a, b *Service) int {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -14,6 +14,7 @@
 	"buckthornlatch.example/buckthornlatch/internal/cataloguestore"
 	"buckthornlatch.example/buckthornlatch/internal/claims"
 	"buckthornlatch.example/buckthornlatch/internal/clock"
+	"buckthornlatch.example/buckthornlatch/internal/ejection"
 	"buckthornlatch.example/buckthornlatch/internal/entry"
 	"buckthornlatch.example/buckthornlatch/internal/gate"
 	"buckthornlatch.example/buckthornlatch/internal/gossip"
@@ -22,7 +23,9 @@
 	"buckthornlatch.example/buckthornlatch/internal/hop"
 	"buckthornlatch.example/buckthornlatch/internal/id"
 	"buckthornlatch.example/buckthornlatch/internal/ledgerrun"
+	"buckthornlatch.example/buckthornlatch/internal/permits"
 	"buckthornlatch.example/buckthornlatch/internal/platform"
+	"buckthornlatch.example/buckthornlatch/internal/quarantine"
 	"buckthornlatch.example/buckthornlatch/internal/registration"
 	"buckthornlatch.example/buckthornlatch/internal/revocation"
 	"buckthornlatch.example/buckthornlatch/internal/settings"
@@ -36,30 +39,35 @@
 	incarnation id.Incarnation
 	client      *http.Client
 
-	listeners listeners
-	platform  *platform.Client
-	store     *cataloguestore.Store
-	syncer    *catalogsync.Syncer
-	gossip    *gossip.Service
-	fresh     *freshKeeper
-	balancer  *balancer.Shared
-	registrar *registration.Registrar
-	owners    *ownerWatch
-	peers     *peerBook
-	duties    *duties
-	limits    *limits
-	grants    *grants.Service
-	revoked   *revocation.Set
-	admin     *admin.Service
-	flusher   *admin.Flusher
-	ownKeys   *claims.Store
-	tickets   *ledgerrun.Runner
-	moves     *dutyMoves
-	sender    *handover.Sender
-	receiver  *handover.Server
-	hop       *hop.Client
-	gate      *gate.Gate
-	entry     *entry.Entry
+	listeners  listeners
+	platform   *platform.Client
+	store      *cataloguestore.Store
+	syncer     *catalogsync.Syncer
+	gossip     *gossip.Service
+	fresh      *freshKeeper
+	balancer   *balancer.Shared
+	registrar  *registration.Registrar
+	owners     *ownerWatch
+	peers      *peerBook
+	duties     *duties
+	limits     *limits
+	grants     *grants.Service
+	revoked    *revocation.Set
+	admin      *admin.Service
+	flusher    *admin.Flusher
+	ownKeys    *claims.Store
+	health     *health
+	judge      *ejection.Shared
+	quarantine *quarantine.Shared
+	permitHome *permits.Server
+	permits    *permits.Client
+	tickets    *ledgerrun.Runner
+	moves      *dutyMoves
+	sender     *handover.Sender
+	receiver   *handover.Server
+	hop        *hop.Client
+	gate       *gate.Gate
+	entry      *entry.Entry
 
 	// applied wakes the upkeep after a catalogue change.
 	applied chan struct{}
--- a/internal/daemon/provision.go
+++ b/internal/daemon/provision.go
@@ -14,6 +14,7 @@
 	"buckthornlatch.example/buckthornlatch/internal/catalogue"
 	"buckthornlatch.example/buckthornlatch/internal/cataloguestore"
 	"buckthornlatch.example/buckthornlatch/internal/claims"
+	"buckthornlatch.example/buckthornlatch/internal/ejection"
 	"buckthornlatch.example/buckthornlatch/internal/entry"
 	"buckthornlatch.example/buckthornlatch/internal/fault"
 	"buckthornlatch.example/buckthornlatch/internal/gate"
@@ -24,7 +25,9 @@
 	"buckthornlatch.example/buckthornlatch/internal/id"
 	"buckthornlatch.example/buckthornlatch/internal/ledgerrun"
 	"buckthornlatch.example/buckthornlatch/internal/membership"
+	"buckthornlatch.example/buckthornlatch/internal/permits"
 	"buckthornlatch.example/buckthornlatch/internal/platform"
+	"buckthornlatch.example/buckthornlatch/internal/quarantine"
 	"buckthornlatch.example/buckthornlatch/internal/registration"
 )
 
@@ -62,6 +65,7 @@
 	d.provisionMembership()
 	d.provisionDuties()
 	d.provisionAdmin()
+	d.provisionHealth()
 	if err := d.provisionLedgers(); err != nil {
 		d.Cleanup()
 		return err
@@ -162,6 +166,38 @@
 	d.fresh = &freshKeeper{catalogue: d.syncer, gossip: d.gossip, clock: d.clock}
 }
 
+// provisionHealth builds the judge of the own targets, the permit home and the quarantine.
+func (d *Daemon) provisionHealth() {
+	host := id.HostID(d.settings.Host.Name)
+	d.judge = ejection.NewShared(ejection.NewJudge(
+		ejection.Holder{Host: host, Incarnation: d.incarnation}, ejection.DefaultPolicy()))
+	d.quarantine = quarantine.NewShared(quarantine.Config{Host: host, Incarnation: d.incarnation}, d.clock)
+	d.health = &health{
+		clock:      d.clock,
+		judge:      d.judge,
+		quarantine: d.quarantine,
+		known:      make(map[id.TargetID]id.ServiceName),
+	}
+	homes := &permitHomes{
+		duties:    d.duties,
+		peers:     d.peers,
+		gossip:    d.gossip,
+		catalogue: d.syncer,
+		clock:     d.clock,
+	}
+	d.permitHome = permits.NewServer(d.clock, homes, homes)
+	d.permits = permits.NewClient(permits.Config{
+		Clock:      d.clock,
+		Judge:      d.judge,
+		Placement:  homes,
+		Local:      d.permitHome,
+		OwnAddress: d.listeners.peer.Addr().String(),
+		HTTP:       d.client,
+		Scheme:     d.peerScheme(),
+		Log:        d.log,
+	})
+}
+
 // provisionLedgers builds the ticket records, the claims of callers' own keys
 // and the handover of records.
 func (d *Daemon) provisionLedgers() error {
@@ -233,7 +269,8 @@
 		Clock:       d.clock,
 		Catalogue:   routes,
 		Revocations: keys,
-		Health:      allEligible{},
+		Health:      d.health,
+		Quarantine:  d.health,
 		Order:       newFairOrder(d.clock),
 		Changed:     func() { notify(d.targetsChanged) },
 		Log:         d.log,
@@ -242,7 +279,7 @@
 		Clock:         d.clock,
 		Authenticator: keys,
 		Router:        routes,
-		Quarantine:    noQuarantine{},
+		Quarantine:    &quarantineCheck{quarantine: d.quarantine},
 		Admitter:      &admitter{grants: d.grants},
 		Ledger:        booked,
 		Tickets:       booked,
--- a/internal/daemon/rosterof.go
+++ b/internal/daemon/rosterof.go
@@ -8,10 +8,9 @@
 // rosterOf returns the roster of a snapshot.
 func rosterOf(snapshot *catalogue.Snapshot) ownership.Roster {
 	var members []ownership.Member
-	revision := catalogue.Revision(0)
 	for _, host := range snapshot.Roster() {
 		members = append(members, ownership.Member{Host: host.ID, FailureDomain: host.FailureDomain})
-		revision = max(revision, host.Revision)
 	}
-	return ownership.NewRoster(revision, 0, members)
+	last, previous := snapshot.RosterRevisions()
+	return ownership.NewRoster(last, previous, members)
 }
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -28,6 +28,7 @@
 	group.Go(func() error { return d.register(running) })
 	group.Go(func() error { return d.owners.run(running) })
 	group.Go(func() error { return d.flusher.Run(running) })
+	group.Go(func() error { d.permits.Run(running); return nil })
 	group.Go(func() error { d.ownKeys.Run(running); return nil })
 	group.Go(func() error { return d.reclaim(running) })
 	group.Go(func() error { d.gossip.Run(running); return nil })
--- a/internal/daemon/servers.go
+++ b/internal/daemon/servers.go
@@ -17,6 +17,7 @@
 	rpcgrants "buckthornlatch.example/buckthornlatch/rpc/grants"
 	rpchandover "buckthornlatch.example/buckthornlatch/rpc/handover"
 	rpcledger "buckthornlatch.example/buckthornlatch/rpc/ledger"
+	rpcpermits "buckthornlatch.example/buckthornlatch/rpc/permits"
 )
 
 // servers returns the daemon's HTTP servers.
@@ -47,6 +48,7 @@
 	mount(mux, rpccatalogue.NewSyncServer(catalogsync.NewServer(d.syncer.Replica)))
 	mount(mux, rpcledger.NewTicketsServer(ledgerrun.NewServer(d.tickets)))
 	mount(mux, rpchandover.NewHandoverServer(d.receiver))
+	mux.Handle(rpcpermits.PermitsPathPrefix, d.permitHome.Handler())
 	mux.Handle(rpcgrants.GrantsPathPrefix, d.grants.Handler())
 	mux.Handle("/", d.gossip.Handler())
 	return mux
--- a/internal/daemon/upkeep.go
+++ b/internal/daemon/upkeep.go
@@ -4,8 +4,13 @@
 	"context"
 	"time"
 
+	"buckthornlatch.example/buckthornlatch/internal/clock"
+	"buckthornlatch.example/buckthornlatch/internal/ejection"
 	"buckthornlatch.example/buckthornlatch/internal/freshness"
+	"buckthornlatch.example/buckthornlatch/internal/gate"
+	"buckthornlatch.example/buckthornlatch/internal/id"
 	"buckthornlatch.example/buckthornlatch/internal/membership"
+	"buckthornlatch.example/buckthornlatch/internal/quarantine"
 	"buckthornlatch.example/buckthornlatch/internal/registration"
 	"buckthornlatch.example/buckthornlatch/internal/targetapi"
 )
@@ -47,6 +52,9 @@
 		d.limits.apply(d.syncer.Snapshot(), d.syncer.Status().Confirmed, now)
 	}
 	d.limits.tick(now)
+	d.health.tick(now)
+	d.judgePeers()
+	d.publishTargets()
 	if now.Sub(d.expiredAt) >= expirePeriod {
 		d.expiredAt = now
 		d.tickets.Expire()
@@ -114,21 +122,58 @@
 	return out
 }
 
-// publishTargets publishes the announced targets.
+// publishTargets publishes the announced targets and the judgement on them.
 func (d *Daemon) publishTargets() {
-	var targets []membership.Target
-	for _, status := range d.gate.Targets() {
-		targets = append(targets, membership.Target{
-			Name:    status.ID.Name,
-			Service: status.Service,
-			State:   publishedState(status.State),
-			Slots:   status.Slots,
-		})
+	now := d.clock.Now()
+	announced := d.gate.Targets()
+	d.health.sync(announced, now)
+	targets := make([]membership.Target, 0, len(announced))
+	for _, status := range announced {
+		targets = append(targets, d.publishedTarget(status, now))
 	}
+	var suspects []membership.Suspect
+	d.quarantine.With(func(q *quarantine.Quarantine, now clock.Time) { suspects = q.Publish(now) })
 	d.gossip.Update(func(t *membership.Table) {
 		t.SetTargets(targets)
+		t.SetSuspects(suspects)
 	})
-	d.recordsChanged()
+}
+
+// publishedTarget returns what the own record says about a target.
+func (d *Daemon) publishedTarget(status gate.TargetStatus, now clock.Time) membership.Target {
+	target := membership.Target{
+		Name:    status.ID.Name,
+		Service: status.Service,
+		State:   publishedState(status.State),
+		Slots:   status.Slots,
+	}
+	if target.State != membership.TargetServing {
+		return target
+	}
+	d.judge.With(func(j *ejection.Judge) { target.State, target.TargetSummary = j.Summary(status.ID, now) })
+	return target
+}
+
+// judgePeers tells the judge and the quarantine what other hosts published.
+func (d *Daemon) judgePeers() {
+	var peers map[id.ServiceName][]ejection.Peer
+	var suspects []membership.Suspect
+	d.gossip.View(func(t *membership.Table) {
+		peers = peersOf(t, d.duties.self, d.clock.Now())
+		for _, record := range t.Records() {
+			if record.Host != d.duties.self {
+				suspects = append(suspects, record.Suspects...)
+			}
+		}
+	})
+	d.judge.With(func(j *ejection.Judge) {
+		for service, known := range peers {
+			j.SetPeers(service, known)
+		}
+	})
+	if len(suspects) > 0 {
+		d.quarantine.With(func(q *quarantine.Quarantine, now clock.Time) { q.Merge(suspects, now) })
+	}
 }
 
 // publishedState converts an announced state.
--- a/internal/entry/fakes_test.go
+++ b/internal/entry/fakes_test.go
@@ -137,3 +137,8 @@
 	defer d.mu.Unlock()
 	return slices.Clone(d.feedbacks)
 }
+
+// noGateQuarantine lets every request start.
+type noGateQuarantine struct{}
+
+func (noGateQuarantine) MayStart(string) bool { return true }
--- a/internal/entry/stack_test.go
+++ b/internal/entry/stack_test.go
@@ -82,7 +82,8 @@
 	target := httptest.NewServer(handler)
 	s.t.Cleanup(target.Close)
 	g := gate.New(gate.Config{Host: id.HostID("host-" + name), Incarnation: 7}, gate.Deps{
-		Clock: s.clock, Catalogue: s.directory, Revocations: s.directory, Health: s.directory,
+		Quarantine: noGateQuarantine{},
+		Clock:      s.clock, Catalogue: s.directory, Revocations: s.directory, Health: s.directory,
 		Order: gate.NewFIFO(), Log: zerolog.Nop(),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/gate/deps.go
+++ b/internal/gate/deps.go
@@ -14,6 +14,7 @@
 	Catalogue   Catalogue
 	Revocations Revocations
 	Health      Health
+	Quarantine  Quarantine
 	// Order decides which waiting attempt is next.
 	Order Order
 	// Changed is called without locks after a target appeared, changed or disappeared; may be nil.
@@ -35,6 +36,13 @@
 	Revoked(key catalogue.KeyID) bool
 }
 
+// Quarantine knows the requests that crash targets.
+type Quarantine interface {
+	// MayStart reports whether a request may be dispatched now: never a quarantined one, and a
+	// suspect only while no other run of it is in flight here.
+	MayStart(fingerprint string) bool
+}
+
 // Health judges targets by their work. Implementations are safe for concurrent use.
 type Health interface {
 	Observe(o Observation)
--- a/internal/gate/dispatch.go
+++ b/internal/gate/dispatch.go
@@ -35,6 +35,7 @@
 	permitted atomic.Bool
 	refusal   atomic.Pointer[Refused]
 	sentAt    clock.Time
+	deadline  clock.Time
 	connected bool
 	reused    bool
 }
@@ -109,6 +110,10 @@
 		return err
 	}
 	d.sentAt = d.gate.deps.Clock.Now()
+	d.deadline = d.sentAt.Add(d.request.Remaining)
+	if at, ok := ctx.Deadline(); ok {
+		d.deadline = d.sentAt.Add(time.Until(at))
+	}
 	d.permitted.Store(true)
 	d.reply.Continue()
 	d.observe(Dispatched, 0, 0)
@@ -119,7 +124,8 @@
 // observe reports an event at the target.
 func (d *dispatch) observe(event Event, status int, latency time.Duration) {
 	d.gate.deps.Health.Observe(Observation{
-		Target: d.lease.target.id, Service: d.lease.target.service, Event: event, At: d.gate.deps.Clock.Now(),
-		Status: status, Latency: latency, NewConnection: !d.reused, Class: d.class, Fingerprint: d.request.Fingerprint,
+		Target: d.lease.target.id, Attempt: d.request.Attempt, Service: d.lease.target.service, Event: event,
+		At: d.gate.deps.Clock.Now(), Deadline: d.deadline, Status: status, Latency: latency, NewConnection: !d.reused,
+		Class: d.class, Customer: d.request.Customer, Fingerprint: d.request.Fingerprint,
 	})
 }
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -14,8 +14,13 @@
 	"buckthornlatch.example/buckthornlatch/internal/targetapi"
 )
 
-// tick is the period of the gate's upkeep.
-const tick = 100 * time.Millisecond
+const (
+	// tick is the period of the gate's upkeep.
+	tick = 100 * time.Millisecond
+	// suspectRetryAfter is the wait suggested for a request whose other run is in flight while it is
+	// suspected of crashing targets.
+	suspectRetryAfter = time.Second
+)
 
 // Gate runs attempts on the targets of its host.
 type Gate struct {
--- a/internal/gate/handler.go
+++ b/internal/gate/handler.go
@@ -86,6 +86,9 @@
 	if !l.mayDispatch() {
 		return &Refused{Code: problem.NoTarget}
 	}
+	if !g.deps.Quarantine.MayStart(request.Fingerprint) {
+		return &Refused{Code: problem.RequestQuarantined, RetryAfter: suspectRetryAfter}
+	}
 	if !g.Dispatch(request.Attempt) {
 		return &Refused{Code: problem.AttemptBlocked}
 	}
--- a/internal/gate/observation.go
+++ b/internal/gate/observation.go
@@ -36,7 +36,9 @@
 
 // Observation is one event at a target.
 type Observation struct {
-	Target  id.TargetID
+	Target id.TargetID
+	// Attempt is zero for Restarted and Vanished.
+	Attempt id.AttemptID
 	Service id.ServiceName
 	Event   Event
 	At      clock.Time
@@ -48,6 +50,10 @@
 	// used before does not prove a silent target.
 	NewConnection bool
 	Class         hop.Class
+	// Deadline is the time by which a Dispatched attempt must have ended.
+	Deadline clock.Time
+	// Customer is the customer that the attempt runs for; empty for Restarted and Vanished.
+	Customer id.CustomerID
 	// Fingerprint identifies requests that may crash targets; empty for Restarted and Vanished.
 	Fingerprint string
 }
