--- a/internal/entry/stack_test.go
+++ b/internal/entry/stack_test.go
@@ -46,12 +46,14 @@
 	entry     *entry.Entry
 	front     *httptest.Server
 	gates     []*gate.Gate
+	// addresses holds the targets' addresses by name.
+	addresses map[string]string
 }
 
 // newStack returns a stack without gates.
 func newStack(t cleaner) *stack {
 	s := &stack{
-		t: t, ledger: &ledger{}, clock: clock.NewSystem(),
+		t: t, ledger: &ledger{}, clock: clock.NewSystem(), addresses: map[string]string{},
 		directory: &directory{
 			validFor: 10 * time.Second,
 			service: catalogue.Service{
@@ -93,6 +95,7 @@
 	mux.Handle(fate.FatePathPrefix, fate.NewFateServer(gate.NewFateServer(g)))
 	server := httptest.NewServer(mux)
 	s.t.Cleanup(server.Close)
+	s.addresses[name] = target.Listener.Addr().String()
 	s.announce(g, name, target.Listener.Addr().String(), slots, targetapi.Serving)
 	candidate := entry.Candidate{
 		Target: id.TargetID{Host: id.HostID("host-" + name), Name: name},
--- a/internal/hop/inbound.go
+++ b/internal/hop/inbound.go
@@ -72,11 +72,12 @@
 	}
 }
 
-// Done ends reads that are still under way. The deadline is cleared for the connection's next request.
+// Done ends reads that are still under way. net/http then reads a further part of the rest, without which the
+// sender could lose the response to a reset. The deadline is cleared for the connection's next request.
 func (b *Inbound) Done() {
 	if b.ended.Load() {
 		_ = b.control.SetReadDeadline(time.Time{})
 		return
 	}
-	_ = b.control.SetReadDeadline(time.Now())
+	_ = b.control.SetReadDeadline(time.Now().Add(drainTime))
 }
