--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -26,8 +26,9 @@
 type result struct {
 	// delivered says that the caller got a target's response.
 	delivered bool
-	verdict   hop.Verdict
-	refusal   *Refusal
+	// verdict is Ran without a delivery when the gate reports a complete answer that was lost on the hop.
+	verdict hop.Verdict
+	refusal *Refusal
 }
 
 // loading reports whether the attempt may have cost a target or a queue capacity.
@@ -148,7 +149,7 @@
 		case outcome == fate.Outcome_OUTCOME_NOT_RUN && s.entry.deps.Clock.Now().Sub(a.sent) < resolveAge:
 			return notRun(problem.NoTarget)
 		case outcome == fate.Outcome_OUTCOME_RAN:
-			return unknown(problem.AnswerNotKept)
+			return result{verdict: hop.Ran, refusal: &Refusal{Code: problem.AnswerNotKept, Run: problem.Unknown}}
 		case outcome != fate.Outcome_OUTCOME_RUNNING:
 			return unknown(problem.OutcomeUnknown)
 		}
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -25,6 +25,8 @@
 	switch {
 	case refusal == nil:
 		return nil
+	case s.ran:
+		record.finish(detached, RunAnswered)
 	case s.maybeRan:
 		record.finish(detached, RunUnknown)
 	default:
@@ -44,6 +46,8 @@
 	excluded []id.TargetID
 	// maybeRan is set when some attempt may have run.
 	maybeRan bool
+	// ran is set when the request ran and its answer was lost.
+	ran bool
 }
 
 // attempts tries candidates until the request is answered or refused.
@@ -60,6 +64,7 @@
 		}
 		last = result.refusal
 		s.maybeRan = s.maybeRan || result.verdict != hop.NotRun
+		s.ran = result.verdict == hop.Ran
 		s.excluded = append(s.excluded, candidate.Target)
 		if n+1 == s.entry.config.MaxAttempts || !s.mayRetry(ctx, result) {
 			break
--- a/internal/gate/pool.go
+++ b/internal/gate/pool.go
@@ -6,6 +6,7 @@
 	"buckthornlatch.example/buckthornlatch/internal/clock"
 	"buckthornlatch.example/buckthornlatch/internal/hop"
 	"buckthornlatch.example/buckthornlatch/internal/id"
+	"buckthornlatch.example/buckthornlatch/internal/invariant"
 	"buckthornlatch.example/buckthornlatch/internal/problem"
 )
 
@@ -108,6 +109,7 @@
 
 // take occupies a slot.
 func (p *pool) take(t *target, d demand, now clock.Time) *lease {
+	invariant.Check(t.free() > 0, "slots-not-exceeded", "target %v has %d of %d slots in use", t.id, t.inFlight, t.slots)
 	t.inFlight++
 	return &lease{pool: p, target: t, demand: d, start: now}
 }
