Drop a home's share when it may have missed a division

A home with a share was cut off while the limit changed to one home and back to three. When it returned, its share under the newest revision equalled the old one, so it went on at once, while the single home of the revision in between was still in force.

Change: Assign while the duty is not confirmed drops the tokens and the share in force; the new share waits until it is settled. The owner assigns changes before Confirmed reports the confirmation that brought them. This makes the lapse detection by frequent ticks unnecessary, which is removed; it would also have withheld refill after every stall of 300 ms. The model's replaced daemons counted their first revision as heard at time zero, which is corrected.

--- a/internal/ratelimit/bucket.go
+++ b/internal/ratelimit/bucket.go
@@ -14,8 +14,6 @@
 	share   Share
 	force   Limit
 	waiting bool
-	// assigned is when the share was set last.
-	assigned clock.Time
 	// settled is when the older division was first known to be out of use; zero before.
 	settled clock.Time
 	level   Micro
@@ -146,6 +144,14 @@
 	b.check()
 }
 
+// drop gives up the level, the refill until now and the share in force.
+func (b *bucket) drop(now clock.Time) {
+	b.last = max(b.last, now)
+	b.settle(now)
+	b.level = 0
+	b.force = Limit{}
+}
+
 // adopt puts the wanted share in force once no home grants under an older
 // division and the grants made under it are over. It reports whether it did.
 func (b *bucket) adopt(now clock.Time, duty Duty) bool {
--- a/internal/ratelimit/daemon_test.go
+++ b/internal/ratelimit/daemon_test.go
@@ -39,6 +39,9 @@
 	default:
 		d.home = ratelimit.NewSuccessor(epoch, d, d.now().Add(fence))
 	}
+	if epoch > 1 {
+		d.heardAt = d.now()
+	}
 	d.assign(epoch == 1 || len(w.revisions) == 1)
 	if epoch > 1 && w.weakness == epochStartsFull {
 		d.home.Fill(customer)
--- a/internal/ratelimit/duty.go
+++ b/internal/ratelimit/duty.go
@@ -7,7 +7,8 @@
 
 // Duty tells a home whether it may act. The home asks at every grant.
 type Duty interface {
-	// Confirmed reports whether the slot's duties are confirmed at now.
+	// Confirmed reports whether the slot's duties are confirmed at now. A
+	// confirmation counts only after the changes that came with it were assigned.
 	Confirmed(now clock.Time) bool
 	// Settled reports whether no home can still act on a revision older than
 	// revision: more than half of the roster acknowledged it, the fence of a new
--- a/internal/ratelimit/handover.go
+++ b/internal/ratelimit/handover.go
@@ -26,11 +26,10 @@
 // Export stops the home and returns its state. From then on the home answers
 // as unconfirmed, so that no two processes grant from the same buckets.
 func (h *Home) Export(now clock.Time) Handover {
-	h.confirmed(now)
 	h.closed = true
 	out := Handover{Epoch: h.epoch, Sequence: h.sequence}
 	for customer, b := range h.buckets {
-		h.settle(now, b)
+		b.settle(now)
 		out.Buckets = append(out.Buckets, BucketState{
 			Customer:    customer,
 			Share:       b.share,
--- a/internal/ratelimit/home.go
+++ b/internal/ratelimit/home.go
@@ -8,7 +8,7 @@
 )
 
 // TickPeriod is how often the owner of a Home calls Tick.
-const TickPeriod = 200 * time.Millisecond
+const TickPeriod = time.Second
 
 const (
 	// prefetchDivisor bounds a prefetch to this part of the tokens left, so that
@@ -24,10 +24,6 @@
 	minRetry = 60 * time.Millisecond
 	// waitingRetry is the advice to entries while a share is not in force yet.
 	waitingRetry = time.Second
-	// maxUnseen is the time without a look at the duty after which the duty counts
-	// as lapsed. Together with the duration of a confirmation it has to be shorter
-	// than the fence of Duty.Settled.
-	maxUnseen = TickPeriod * 3 / 2
 )
 
 // Home performs the rate-limit duty of one host slot in one epoch.
@@ -36,11 +32,6 @@
 	duty     Duty
 	start    clock.Time
 	sequence uint64
-	// seen is when the duty was last seen confirmed. After it was seen
-	// unconfirmed (lapsed), refill begins anew at resumed.
-	seen    clock.Time
-	lapsed  bool
-	resumed clock.Time
 	// closed homes were exported and grant nothing.
 	closed  bool
 	buckets map[id.CustomerID]*bucket
@@ -55,7 +46,6 @@
 		epoch:   epoch,
 		duty:    duty,
 		start:   start,
-		seen:    start,
 		buckets: map[id.CustomerID]*bucket{},
 		waiting: map[id.CustomerID]struct{}{},
 	}
@@ -71,20 +61,24 @@
 // Assign sets the home's share of a customer's limit. A change of the limit is
 // in force at once. A change of the division among homes puts only the
 // reductions in force; the rest follows when Duty.Settled reports that no home
-// uses the old division and the grants made under it are over. After a lapse of
-// the duty, every change is treated in this way, because the home may have
-// missed another division in between.
+// uses the old division and the grants made under it are over.
+//
+// The owner calls Assign for every revision that changes the customer's entry or
+// homes, even when the share is the same as before, and before Duty.Confirmed
+// reports the confirmation that came with the revision. A home that is not
+// confirmed then may have missed a division in which it had no share: it drops
+// its tokens and has no share until the new one is settled.
 func (h *Home) Assign(now clock.Time, customer id.CustomerID, share Share) {
 	b, known := h.buckets[customer]
 	if !known {
 		b = &bucket{last: max(now, h.start)}
 		h.buckets[customer] = b
 	}
-	h.confirmed(now)
-	h.settle(now, b)
-	unchanged := known && !b.waiting && b.share.sameSplit(share) && !h.lapsed && h.resumed <= b.assigned
+	if known && !h.confirmed(now) {
+		b.drop(now)
+	}
+	unchanged := known && !b.waiting && b.share.sameSplit(share) && h.confirmed(now)
 	b.share = share
-	b.assigned = now
 	if unchanged || (!known && share.First) {
 		b.setForce(now, share.Limit)
 		return
@@ -106,39 +100,17 @@
 	return len(h.buckets)
 }
 
-// confirmed asks the duty and notes lapses. An unconfirmed home may not know the
-// rate in force, so time without confirmation yields no tokens.
+// confirmed asks the duty.
 func (h *Home) confirmed(now clock.Time) bool {
-	if h.closed || !h.duty.Confirmed(now) {
-		h.lapsed = true
-		return false
-	}
-	if h.lapsed || now.Sub(h.seen) > maxUnseen {
-		h.resumed = now
-	}
-	h.lapsed = false
-	h.seen = now
-	return true
+	return !h.closed && h.duty.Confirmed(now)
 }
 
-// settle brings a bucket up to now.
-func (h *Home) settle(now clock.Time, b *bucket) {
-	from := h.resumed
-	if h.lapsed {
-		from = now
-	}
-	b.last = max(b.last, from)
-	b.settle(now)
-}
-
-// Tick puts waiting shares in force and looks at the duty. A home that is not
-// called for longer than maxUnseen loses the refill of that time.
+// Tick puts waiting shares in force. The owner calls it every TickPeriod.
 func (h *Home) Tick(now clock.Time) {
 	if !h.confirmed(now) {
 		return
 	}
 	for customer := range h.waiting {
-		h.settle(now, h.buckets[customer])
 		if h.buckets[customer].adopt(now, h.duty) {
 			delete(h.waiting, customer)
 		}
@@ -152,7 +124,7 @@
 	if b == nil || !h.confirmed(now) {
 		return false, longest
 	}
-	h.settle(now, b)
+	b.settle(now)
 	if b.take(now, amount) {
 		return true, 0
 	}
@@ -169,7 +141,7 @@
 	if !h.confirmed(now) {
 		return Reply{ID: request.ID, Status: StatusUnconfirmed}
 	}
-	h.settle(now, b)
+	b.settle(now)
 	for _, r := range request.Reports {
 		if r.Grant.Epoch == h.epoch {
 			b.report(now, r)
