--- a/internal/balancer/gate.go
+++ b/internal/balancer/gate.go
@@ -26,6 +26,19 @@
 	return nil
 }
 
+// distrust ranks the gates that are not available: a host that was not heard may still answer, a
+// path that just failed probably does not.
+func (g *gate) distrust() int {
+	rank := 0
+	if g.suspected {
+		rank++
+	}
+	if g.path.failures > 0 {
+		rank += 2
+	}
+	return rank
+}
+
 // available reports whether new work may go to the gate's targets without a trial.
 func (g *gate) available() bool {
 	return !g.suspected && g.path.failures == 0
--- a/internal/balancer/pick.go
+++ b/internal/balancer/pick.go
@@ -168,7 +168,13 @@
 func (b *Balancer) lastResort(p *pool, exclude []id.TargetID, now clock.Time) *target {
 	var best *target
 	for _, t := range p.all {
-		if t.selectable() && !slices.Contains(exclude, t.id) {
+		if !t.selectable() || slices.Contains(exclude, t.id) {
+			continue
+		}
+		switch {
+		case best == nil || best.gate.distrust() > t.gate.distrust():
+			best = t
+		case best.gate.distrust() == t.gate.distrust():
 			best = better(best, t, now)
 		}
 	}
