Ask for four errors in a row before suspecting a target

In the steady state with 1% errors three errors close together occurred about once per target-hour and ejected healthy targets. The suspect score rises from 8.5 to 11.5: four errors or five slow requests in a row.

--- a/internal/ejection/policy.go
+++ b/internal/ejection/policy.go
@@ -4,7 +4,7 @@
 
 // Policy holds the numbers of the judgement. docs/health.md has the measurements behind them.
 type Policy struct {
-	// SuspectScore is the evidence at which a target becomes a suspect. Three errors in a row suffice.
+	// SuspectScore is the evidence at which a target becomes a suspect. Four errors in a row suffice.
 	SuspectScore float64
 	// ClearScore is the evidence below which a suspect is cleared.
 	ClearScore float64
@@ -31,7 +31,7 @@
 // DefaultPolicy returns the policy in use.
 func DefaultPolicy() Policy {
 	return Policy{
-		SuspectScore:  8.5,
+		SuspectScore:  11.5,
 		ClearScore:    2,
 		SlowFactor:    3,
 		SlowMargin:    5 * time.Millisecond,
