Take ejections back when the service as a whole looks bad

A judge now returns an ejected target as soon as more than half of the service looks bad, or the median error rate of the others is 30% or more. Gray and slow targets are detected as before. Tried instead: a home that waits 300 ms for requests for other targets before it grants.

--- a/internal/ejection/advance.go
+++ b/internal/ejection/advance.go
@@ -10,6 +10,10 @@
 	if t.permit.held && !t.permit.valid(now) {
 		j.losePermit(t, now)
 	}
+	if (t.state == ejected || t.state == trial) && j.serviceWide(t) {
+		// An ejection that came before the others showed the same is taken back.
+		j.release(t, false, now)
+	}
 	switch t.state {
 	case healthy:
 		t.forgive(j.policy, now)
--- a/internal/ejection/judge.go
+++ b/internal/ejection/judge.go
@@ -128,7 +128,11 @@
 	return min(maxErrorBase, max(minErrorBase, median(rates)))
 }
 
-// serviceWide reports whether more than half of the service's targets look bad.
+// failingService is the median error rate of the others from which a service fails as a whole.
+const failingService = 0.3
+
+// serviceWide reports whether more than half of the service's targets look bad, or fail much of
+// their work without a difference between them.
 func (j *Judge) serviceWide(t *target) bool {
 	total, bad := 0, 0
 	for _, p := range j.services[t.service].peers {
@@ -145,5 +149,5 @@
 			}
 		}
 	}
-	return 2*bad > total
+	return 2*bad > total || j.baseErrors(t) >= failingService
 }
