--- a/internal/experiment/fleet.go
+++ b/internal/experiment/fleet.go
@@ -49,9 +49,11 @@
 	settings     func(*settings.Settings)
 	platformAddr string
 	groups       []string
-	cancel       context.CancelFunc
-	context      context.Context
-	wait         sync.WaitGroup
+	// revision is the last change that the fleet's own operator made.
+	revision catalogue.Revision
+	cancel   context.CancelFunc
+	context  context.Context
+	wait     sync.WaitGroup
 }
 
 // Node is one daemon of a fleet.
@@ -167,7 +169,8 @@
 	return urls
 }
 
-// AwaitReady waits until every daemon is ready and sees the given number of targets.
+// AwaitReady waits until every daemon is ready, has the last change of Apply and
+// IssueKeys, and sees the given number of targets.
 func (f *Fleet) AwaitReady(targets int) error {
 	deadline := time.Now().Add(readyTimeout)
 	for time.Now().Before(deadline) {
@@ -187,7 +190,7 @@
 func (f *Fleet) ready(targets int) bool {
 	for _, node := range f.Nodes {
 		status := node.Daemon.Status()
-		if !status.Ready || status.KnownTargets < targets {
+		if !status.Ready || status.KnownTargets < targets || status.Revision < f.revision {
 			return false
 		}
 	}
--- a/internal/experiment/operate.go
+++ b/internal/experiment/operate.go
@@ -82,7 +82,8 @@
 			Entry: codec.FromEntry(entry),
 		})
 	}
-	_, err := f.Nodes[0].Admin().Apply(ctx, request)
+	response, err := f.Nodes[0].Admin().Apply(ctx, request)
+	f.revision = catalogue.Revision(response.GetRevision())
 	return fault.New("apply catalogue", string(f.Nodes[0].Host.ID), err)
 }
 
@@ -99,6 +100,7 @@
 			return nil, fault.New("issue key", customer.ID, err)
 		}
 		keys[customer.ID] = response.GetKey()
+		f.revision = catalogue.Revision(response.GetRevision())
 	}
 	return keys, nil
 }
--- a/internal/gate/registry_test.go
+++ b/internal/gate/registry_test.go
@@ -70,7 +70,8 @@
 	BeforeEach(func() {
 		w, fake = &world{admit: gate.AdmitAll}, &clock.Fake{}
 		g = gate.New(gate.Config{Host: "h", Incarnation: 7}, gate.Deps{
-			Clock: fake, Catalogue: w, Revocations: w, Health: w, Order: gate.NewFIFO(), Log: zerolog.Nop(),
+			Quarantine: noQuarantine{},
+			Clock:      fake, Catalogue: w, Revocations: w, Health: w, Order: gate.NewFIFO(), Log: zerolog.Nop(),
 		})
 		ctx, cancel := context.WithCancel(context.Background())
 		started := g
@@ -174,3 +175,8 @@
 		Expect(g.Targets()[0].InFlight).To(BeZero())
 	})
 })
+
+// noQuarantine lets every request start.
+type noQuarantine struct{}
+
+func (noQuarantine) MayStart(string) bool { return true }
