Put a share in force at once when the limit was never divided otherwise

Cause: a daemon recognized new customers only if its own platform read had shown the empty catalogue. In the quickstart (10 s, 8 daemons) some daemons had not read yet; their homes waited for the fence and 758 of 2,026 requests inside their rate were refused.

--- a/internal/apikey/key_test.go
+++ b/internal/apikey/key_test.go
@@ -26,7 +26,7 @@
 		Expect(err).NotTo(HaveOccurred())
 		orphan, err := apikey.Issue(rand.Reader)
 		Expect(err).NotTo(HaveOccurred())
-		s, err := catalogue.Build(1, catalogue.RosterHistory{}, []catalogue.Entry{
+		s, err := catalogue.Build(1, catalogue.History{}, []catalogue.Entry{
 			&catalogue.Customer{ID: "c"},
 			&catalogue.Key{ID: good.ID, Customer: "c", Hash: good.Hash},
 			&catalogue.Key{ID: bad.ID, Customer: "c", Hash: bad.Hash, Revoked: true},
--- a/internal/catalogsync/fuzz_test.go
+++ b/internal/catalogsync/fuzz_test.go
@@ -28,7 +28,7 @@
 	if err != nil {
 		f.Fatal(err)
 	}
-	whole, err := catalogue.Build(5, catalogue.RosterHistory{}, []catalogue.Entry{key})
+	whole, err := catalogue.Build(5, catalogue.History{}, []catalogue.Entry{key})
 	if err != nil {
 		f.Fatal(err)
 	}
--- a/internal/catalogue/apply.go
+++ b/internal/catalogue/apply.go
@@ -41,9 +41,17 @@
 			b.remove(edit.Ref())
 			continue
 		}
-		b.set(edit.After.withRevision(change.Revision))
+		created := change.Revision
+		if current := s.Entry(edit.Ref()); current != nil {
+			created = current.Common().Created
+		}
+		b.set(edit.After.withRevisions(created, change.Revision))
 	}
 	next := b.done(change.Revision)
+	next.customerRemoval = s.customerRemoval
+	if removesCustomer(change) {
+		next.customerRemoval = change.Revision
+	}
 	next.rosterRevision, next.previousRoster = s.rosterRevision, s.previousRoster
 	if !sameRoster(s.roster, next.roster) {
 		next.rosterRevision, next.previousRoster = change.Revision, s.rosterRevision
@@ -55,6 +63,13 @@
 	return next, nil
 }
 
+// removesCustomer reports whether a change removes a customer.
+func removesCustomer(change *Change) bool {
+	return slices.ContainsFunc(change.Edits, func(e Edit) bool {
+		return e.After == nil && e.Ref().Kind == KindCustomer
+	})
+}
+
 // sameRoster reports whether two rosters have the same hosts in the same failure domains.
 func sameRoster(a, b []*Host) bool {
 	return slices.EqualFunc(a, b, func(x, y *Host) bool {
--- a/internal/catalogue/apply_test.go
+++ b/internal/catalogue/apply_test.go
@@ -32,7 +32,7 @@
 		_, err = apply(revoked, catalogue.Edit{Before: current})
 		Expect(err).To(MatchError(ContainSubstring("cannot be deleted")))
 		for _, entries := range [][]catalogue.Entry{nil, {key(false)}} {
-			newer, err := catalogue.Build(9, catalogue.RosterHistory{}, entries)
+			newer, err := catalogue.Build(9, catalogue.History{}, entries)
 			Expect(err).NotTo(HaveOccurred())
 			_, err = revoked.Replace(newer)
 			Expect(err).To(HaveOccurred())
--- a/internal/catalogue/bench_test.go
+++ b/internal/catalogue/bench_test.go
@@ -61,7 +61,7 @@
 			Hash:     sha256.Sum256([]byte(secretOf(i))),
 		})
 	}
-	s, err := catalogue.Build(1, catalogue.RosterHistory{}, entries)
+	s, err := catalogue.Build(1, catalogue.History{}, entries)
 	if err != nil {
 		tb.Fatal(err)
 	}
--- a/internal/catalogue/build.go
+++ b/internal/catalogue/build.go
@@ -6,17 +6,19 @@
 	"buckthornlatch.example/buckthornlatch/internal/invariant"
 )
 
-// RosterHistory is the part of a snapshot that its entries do not tell.
-type RosterHistory struct {
-	// Last is the revision of the last change of the roster.
-	Last Revision
-	// Previous is the revision of the change before it; zero when there was none.
-	Previous Revision
+// History is the part of a snapshot that its entries do not tell.
+type History struct {
+	// Roster is the revision of the last change of the roster.
+	Roster Revision
+	// PreviousRoster is the revision of the change before it; zero when there was none.
+	PreviousRoster Revision
+	// CustomerRemoval is the revision of the last removal of a customer; zero when there was none.
+	CustomerRemoval Revision
 }
 
 // Build returns a snapshot of the entries, which keep their revisions. Error:
 // *ApplyError when an entry occurs twice or is newer than the revision.
-func Build(revision Revision, roster RosterHistory, entries []Entry) (*Snapshot, error) {
+func Build(revision Revision, history History, entries []Entry) (*Snapshot, error) {
 	b := newBuilder(Empty())
 	seen := make(map[Ref]bool, len(entries))
 	for _, entry := range entries {
@@ -31,7 +33,8 @@
 		b.set(entry)
 	}
 	s := b.done(revision)
-	s.rosterRevision, s.previousRoster = roster.Last, roster.Previous
+	s.rosterRevision, s.previousRoster = history.Roster, history.PreviousRoster
+	s.customerRemoval = history.CustomerRemoval
 	if s.hashes.size != s.keys.size {
 		return nil, &ApplyError{Revision: revision, Reason: "two keys have the same hash"}
 	}
--- a/internal/catalogue/codec/codec_test.go
+++ b/internal/catalogue/codec/codec_test.go
@@ -10,7 +10,7 @@
 
 // sample returns one entry of each kind.
 func sample() []catalogue.Entry {
-	meta := catalogue.Meta{Owner: "ops", Class: "standard", Revision: 3}
+	meta := catalogue.Meta{Owner: "ops", Class: "standard", Revision: 3, Created: 2}
 	return []catalogue.Entry{
 		&catalogue.Host{Meta: meta, ID: "h", FailureDomain: "fd"},
 		&catalogue.Service{
@@ -25,7 +25,7 @@
 
 // TestRoundTrip guards against a field that is lost on the way to another daemon.
 func TestRoundTrip(t *testing.T) {
-	snapshot, err := catalogue.Build(4, catalogue.RosterHistory{Last: 3, Previous: 2}, sample())
+	snapshot, err := catalogue.Build(4, catalogue.History{Roster: 3, PreviousRoster: 2, CustomerRemoval: 1}, sample())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -40,13 +40,16 @@
 	if last, previous := again.RosterRevisions(); last != 3 || previous != 2 {
 		t.Fatalf("roster revisions %d and %d", last, previous)
 	}
+	if again.CustomerRemoval() != 1 {
+		t.Fatalf("customer removal %d", again.CustomerRemoval())
+	}
 	if again.Revision() != 4 {
 		t.Fatalf("revision %d", again.Revision())
 	}
 	change := &catalogue.Change{Revision: 9, ID: "id", Operator: "op", At: time.UnixMilli(5).UTC(), Why: "w"}
 	for i, entry := range snapshot.Sorted() {
 		got := again.Sorted()[i]
-		if !catalogue.SameContent(entry, got) || got.Common().Revision != 3 {
+		if !catalogue.SameContent(entry, got) || got.Common() != entry.Common() {
 			t.Fatalf("%v became %v", entry, got)
 		}
 		change.Edits = append(change.Edits, catalogue.Edit{Before: entry, After: entry})
@@ -67,7 +70,7 @@
 // FuzzDecode guards against panics on messages from outside, and against
 // entries that are accepted although they are invalid.
 func FuzzDecode(f *testing.F) {
-	snapshot, _ := catalogue.Build(4, catalogue.RosterHistory{}, sample())
+	snapshot, _ := catalogue.Build(4, catalogue.History{}, sample())
 	data, _ := codec.EncodeSnapshot(snapshot)
 	f.Add(data)
 	data, _ = codec.EncodeChange(&catalogue.Change{Revision: 1, Edits: []catalogue.Edit{{After: sample()[0]}}})
--- a/internal/catalogue/codec/fromentry.go
+++ b/internal/catalogue/codec/fromentry.go
@@ -11,7 +11,7 @@
 		return nil
 	}
 	meta := entry.Common()
-	message := &rpc.Entry{Meta: &rpc.Meta{Owner: meta.Owner, Class: meta.Class, Revision: uint64(meta.Revision)}}
+	message := &rpc.Entry{Meta: &rpc.Meta{Owner: meta.Owner, Class: meta.Class, Revision: uint64(meta.Revision), Created: uint64(meta.Created)}}
 	switch e := entry.(type) {
 	case *catalogue.Host:
 		message.Kind = &rpc.Entry_Host{Host: &rpc.Host{Id: string(e.ID), FailureDomain: string(e.FailureDomain)}}
--- a/internal/catalogue/codec/snapshot.go
+++ b/internal/catalogue/codec/snapshot.go
@@ -17,6 +17,7 @@
 	snapshotEntriesField  protowire.Number = 2
 	snapshotRosterField   protowire.Number = 3
 	snapshotPreviousField protowire.Number = 4
+	snapshotRemovalField  protowire.Number = 5
 )
 
 // EncodeSnapshot returns the snapshot as an encoded rpc.Snapshot. Entries are
@@ -30,6 +31,8 @@
 	data = protowire.AppendVarint(data, uint64(roster))
 	data = protowire.AppendTag(data, snapshotPreviousField, protowire.VarintType)
 	data = protowire.AppendVarint(data, uint64(previous))
+	data = protowire.AppendTag(data, snapshotRemovalField, protowire.VarintType)
+	data = protowire.AppendVarint(data, uint64(s.CustomerRemoval()))
 	for entry := range s.All() {
 		var err error
 		one, err = proto.MarshalOptions{}.MarshalAppend(one[:0], FromEntry(entry))
@@ -52,7 +55,7 @@
 		return nil, &DecodeError{What: "snapshot", Reason: "is too large"}
 	}
 	var revision catalogue.Revision
-	var roster catalogue.RosterHistory
+	var history catalogue.History
 	var entries []catalogue.Entry
 	for len(data) > 0 {
 		number, wire, n := protowire.ConsumeTag(data)
@@ -69,7 +72,7 @@
 		switch {
 		case wire == protowire.VarintType:
 			v, _ := protowire.ConsumeVarint(value)
-			setRevision(number, catalogue.Revision(v), &revision, &roster)
+			setRevision(number, catalogue.Revision(v), &revision, &history)
 		case number == snapshotEntriesField && wire == protowire.BytesType:
 			payload, _ := protowire.ConsumeBytes(value)
 			entry, err := DecodeEntry(payload)
@@ -79,18 +82,20 @@
 			entries = append(entries, entry)
 		}
 	}
-	return catalogue.Build(revision, roster, entries)
+	return catalogue.Build(revision, history, entries)
 }
 
 // setRevision stores one of the snapshot's revisions by its field number.
-func setRevision(number protowire.Number, v catalogue.Revision, revision *catalogue.Revision, roster *catalogue.RosterHistory) {
+func setRevision(number protowire.Number, v catalogue.Revision, revision *catalogue.Revision, history *catalogue.History) {
 	switch number {
 	case snapshotRevisionField:
 		*revision = v
 	case snapshotRosterField:
-		roster.Last = v
+		history.Roster = v
 	case snapshotPreviousField:
-		roster.Previous = v
+		history.PreviousRoster = v
+	case snapshotRemovalField:
+		history.CustomerRemoval = v
 	}
 }
 
--- a/internal/catalogue/codec/toentry.go
+++ b/internal/catalogue/codec/toentry.go
@@ -29,6 +29,7 @@
 		Owner:    intern(message.GetMeta().GetOwner()),
 		Class:    intern(message.GetMeta().GetClass()),
 		Revision: catalogue.Revision(message.GetMeta().GetRevision()),
+		Created:  catalogue.Revision(message.GetMeta().GetCreated()),
 	}
 	switch kind := message.GetKind().(type) {
 	case *rpc.Entry_Host:
--- a/internal/catalogue/difference.go
+++ b/internal/catalogue/difference.go
@@ -41,7 +41,7 @@
 	if key, ok := entry.(*Key); ok {
 		return map[string]any{"revoked": key.Revoked}
 	}
-	data, err := Render([]Entry{entry.withRevision(0)})
+	data, err := Render([]Entry{entry.withRevisions(0, 0)})
 	if err != nil {
 		return map[string]any{}
 	}
--- a/internal/catalogue/entry.go
+++ b/internal/catalogue/entry.go
@@ -9,8 +9,8 @@
 	Ref() Ref
 	// Common returns the part that every entry has.
 	Common() Meta
-	// withRevision returns a copy with the revision set.
-	withRevision(r Revision) Entry
+	// withRevisions returns a copy with the revisions of its creation and last change set.
+	withRevisions(created, last Revision) Entry
 }
 
 // Ref implements Entry.
@@ -31,39 +31,39 @@
 // Common implements Entry for the kinds that embed Meta.
 func (m Meta) Common() Meta { return m }
 
-func (h *Host) withRevision(r Revision) Entry {
+func (h *Host) withRevisions(created, last Revision) Entry {
 	c := *h
-	c.Revision = r
+	c.Created, c.Revision = created, last
 	return &c
 }
 
-func (s *Service) withRevision(r Revision) Entry {
+func (s *Service) withRevisions(created, last Revision) Entry {
 	c := *s
-	c.Revision = r
+	c.Created, c.Revision = created, last
 	return &c
 }
 
-func (r *Route) withRevision(revision Revision) Entry {
+func (r *Route) withRevisions(created, last Revision) Entry {
 	c := *r
-	c.Revision = revision
+	c.Created, c.Revision = created, last
 	return &c
 }
 
-func (c *Customer) withRevision(r Revision) Entry {
+func (c *Customer) withRevisions(created, last Revision) Entry {
 	d := *c
-	d.Revision = r
+	d.Created, d.Revision = created, last
 	return &d
 }
 
-func (k *Key) withRevision(r Revision) Entry {
+func (k *Key) withRevisions(created, last Revision) Entry {
 	c := *k
-	c.Revision = r
+	c.Created, c.Revision = created, last
 	return &c
 }
 
 // WithRevision returns a copy of the entry with the revision set.
 func WithRevision(e Entry, r Revision) Entry {
-	return e.withRevision(r)
+	return e.withRevisions(e.Common().Created, r)
 }
 
 // SameContent reports whether two entries are equal apart from their revisions.
@@ -71,21 +71,21 @@
 	if a == nil || b == nil {
 		return a == nil && b == nil
 	}
-	switch x := a.withRevision(0).(type) {
+	switch x := a.withRevisions(0, 0).(type) {
 	case *Host:
-		y, ok := b.withRevision(0).(*Host)
+		y, ok := b.withRevisions(0, 0).(*Host)
 		return ok && *x == *y
 	case *Service:
-		y, ok := b.withRevision(0).(*Service)
+		y, ok := b.withRevisions(0, 0).(*Service)
 		return ok && *x == *y
 	case *Customer:
-		y, ok := b.withRevision(0).(*Customer)
+		y, ok := b.withRevisions(0, 0).(*Customer)
 		return ok && *x == *y
 	case *Key:
-		y, ok := b.withRevision(0).(*Key)
+		y, ok := b.withRevisions(0, 0).(*Key)
 		return ok && *x == *y
 	case *Route:
-		y, ok := b.withRevision(0).(*Route)
+		y, ok := b.withRevisions(0, 0).(*Route)
 		return ok && sameRoute(x, y)
 	default:
 		return false
--- a/internal/catalogue/meta.go
+++ b/internal/catalogue/meta.go
@@ -8,4 +8,6 @@
 	Class string `toml:"class"`
 	// Revision is the catalogue revision of the entry's last change; zero before it was accepted.
 	Revision Revision `toml:"-"`
+	// Created is the catalogue revision that created the entry; zero in files.
+	Created Revision `toml:"-"`
 }
--- a/internal/catalogue/render.go
+++ b/internal/catalogue/render.go
@@ -70,7 +70,8 @@
 
 // add appends the form of one entry.
 func (f *rendered) add(entry Entry) {
-	meta := renderedMeta(entry.Common())
+	common := entry.Common()
+	meta := renderedMeta{Owner: common.Owner, Class: common.Class, Revision: common.Revision}
 	switch e := entry.(type) {
 	case *Host:
 		f.Hosts = append(f.Hosts, renderedHost{e.ID, meta, e.FailureDomain})
--- a/internal/catalogue/snapshot.go
+++ b/internal/catalogue/snapshot.go
@@ -25,6 +25,8 @@
 	// rosterRevision is the revision of the last change of the roster, and
 	// previousRoster the one before; zero when there was none.
 	rosterRevision, previousRoster Revision
+	// customerRemoval is the revision of the last removal of a customer; zero when there was none.
+	customerRemoval Revision
 }
 
 // Empty returns the catalogue at revision zero.
@@ -87,6 +89,10 @@
 	return s.rosterRevision, s.previousRoster
 }
 
+// CustomerRemoval returns the revision of the last removal of a customer; zero
+// when there was none.
+func (s *Snapshot) CustomerRemoval() Revision { return s.customerRemoval }
+
 // Services returns all services sorted by name.
 func (s *Snapshot) Services() []*Service {
 	return slices.SortedFunc(s.services.all(), func(a, b *Service) int {
--- a/internal/command/fetch.go
+++ b/internal/command/fetch.go
@@ -70,5 +70,5 @@
 		}
 		entries = append(entries, entry)
 	}
-	return catalogue.Build(catalogue.Revision(revision), catalogue.RosterHistory{}, entries)
+	return catalogue.Build(catalogue.Revision(revision), catalogue.History{}, entries)
 }
--- a/internal/daemon/limits.go
+++ b/internal/daemon/limits.go
@@ -22,13 +22,7 @@
 	// assigned are the shares of the own home. A share is assigned again only
 	// when it differs, because an unfinished change would start over.
 	assigned map[id.CustomerID]ratelimit.Share
-	// seen are the customers of every snapshot since the process started. A
-	// customer that was never seen has no home yet that could still grant.
-	seen map[id.CustomerID]bool
-	// confirmed is set once a complete catalogue was taken over. Customers that
-	// appear later are new.
-	confirmed bool
-	hasHome   bool
+	hasHome  bool
 }
 
 // newLimits returns limits without a home.
@@ -38,7 +32,6 @@
 		catalogue: catalogue,
 		duties:    d,
 		assigned:  make(map[id.CustomerID]ratelimit.Share),
-		seen:      make(map[id.CustomerID]bool),
 	}
 }
 
@@ -80,10 +73,10 @@
 	l.holder.Set(home)
 }
 
-// behind reports whether the catalogue must be taken over without a change of it:
-// before the first complete one, and after the home started.
+// behind reports whether the catalogue must be taken over although it did not
+// change: after the home started.
 func (l *limits) behind() bool {
-	return !l.confirmed || (l.hasHome && len(l.assigned) == 0)
+	return l.hasHome && len(l.assigned) == 0
 }
 
 // tick keeps the home's shares in step with its duty.
@@ -91,19 +84,17 @@
 	l.holder.Do(func(h *ratelimit.Home) { h.Tick(now) })
 }
 
-// apply assigns the shares of a snapshot to the own home. complete says that the
-// snapshot holds the whole catalogue of a platform read.
-func (l *limits) apply(snapshot *catalogue.Snapshot, complete bool, now clock.Time) {
+// apply assigns the shares of a snapshot to the own home.
+func (l *limits) apply(snapshot *catalogue.Snapshot, now clock.Time) {
 	current := make(map[id.CustomerID]bool, len(l.assigned))
 	for _, e := range snapshot.Sorted(catalogue.KindCustomer) {
 		customer, ok := e.(*catalogue.Customer)
 		if !ok {
 			continue
 		}
-		if l.hasHome && l.assign(customer, snapshot.Revision(), now) {
+		if l.hasHome && l.assign(customer, snapshot, now) {
 			current[customer.ID] = true
 		}
-		l.seen[customer.ID] = true
 	}
 	for customer := range l.assigned {
 		if !current[customer] {
@@ -111,27 +102,34 @@
 			delete(l.assigned, customer)
 		}
 	}
-	l.confirmed = l.confirmed || complete
 }
 
 // assign sets one customer's share if the own slot is one of its homes.
-func (l *limits) assign(c *catalogue.Customer, revision catalogue.Revision, now clock.Time) bool {
+func (l *limits) assign(c *catalogue.Customer, snapshot *catalogue.Snapshot, now clock.Time) bool {
 	limit := ratelimit.NewLimit(c.RatePerSecond, c.Burst)
 	homes := l.homesOf(c.ID, limit)
 	index := slices.Index(homes, l.self)
 	if index < 0 {
 		return false
 	}
-	share := ratelimit.NewShare(limit, index, len(homes), revision)
+	share := ratelimit.NewShare(limit, index, len(homes), snapshot.Revision())
 	if old, ok := l.assigned[c.ID]; ok && sameShare(old, share) {
 		return true
 	}
-	share.First = l.confirmed && !l.seen[c.ID]
+	share.First = isFirstSplit(c, snapshot)
 	l.assigned[c.ID] = share
 	l.holder.Do(func(h *ratelimit.Home) { h.Assign(now, c.ID, share) })
 	return true
 }
 
+// isFirstSplit reports whether the customer's limit was never divided otherwise:
+// neither the customer nor the roster changed since the customer was created,
+// and no earlier customer of that name can have been removed.
+func isFirstSplit(c *catalogue.Customer, snapshot *catalogue.Snapshot) bool {
+	roster, _ := snapshot.RosterRevisions()
+	return c.Created == c.Revision && roster <= c.Created && snapshot.CustomerRemoval() == 0
+}
+
 // sameShare reports whether two shares differ in nothing but the revision.
 func sameShare(a, b ratelimit.Share) bool {
 	return a.Limit == b.Limit && a.Index == b.Index && a.Homes == b.Homes
--- a/internal/daemon/upkeep.go
+++ b/internal/daemon/upkeep.go
@@ -49,7 +49,7 @@
 	now := d.clock.Now()
 	d.limits.start(d.state.Epoch(), now)
 	if d.limits.behind() {
-		d.limits.apply(d.syncer.Snapshot(), d.syncer.Status().Confirmed, now)
+		d.limits.apply(d.syncer.Snapshot(), now)
 	}
 	d.limits.tick(now)
 	d.health.tick(now)
@@ -64,12 +64,11 @@
 // catalogueApplied takes a new catalogue over into the parts that keep state by
 // it, and acknowledges it only then.
 func (d *Daemon) catalogueApplied() {
-	complete := d.syncer.Status().Confirmed
 	snapshot := d.syncer.Snapshot()
 	d.recordsChanged()
 	now := d.clock.Now()
 	d.limits.start(d.state.Epoch(), now)
-	d.limits.apply(snapshot, complete, now)
+	d.limits.apply(snapshot, now)
 	d.acted = snapshot.Revision()
 	d.publishStatus()
 }
--- a/internal/routing/match_test.go
+++ b/internal/routing/match_test.go
@@ -11,7 +11,7 @@
 
 var _ = Describe("Match", func() {
 	snapshot := func() *catalogue.Snapshot {
-		s, err := catalogue.Build(1, catalogue.RosterHistory{}, []catalogue.Entry{
+		s, err := catalogue.Build(1, catalogue.History{}, []catalogue.Entry{
 			&catalogue.Route{ID: "root", PathPrefix: "/"},
 			&catalogue.Route{ID: "walks", PathPrefix: "/walks"},
 			&catalogue.Route{ID: "walks-post", PathPrefix: "/walks", Methods: []string{"POST"}},
