Test the request path under random faults

Single faults were tested one at a time. The new spec sends 400 bookings from 12 callers through four gates while hops lose, cross, truncate, delay or cut requests and targets shed, fail, reset, truncate or answer late; each booking must run at most once and its answer and record must agree with its runs. With resolution replaced by a plain "not run" it fails, and with blocking of dispatched attempts the program's own assertion stops it.

--- a/internal/attempt/table.go
+++ b/internal/attempt/table.go
@@ -138,6 +138,9 @@
 	if next == Dispatched {
 		invariant.Check(before == Waiting, "attempt-dispatched-once", "attempt %v is %v", a, before)
 	}
+	if next == Blocked {
+		invariant.Check(before == Unseen || before == Waiting, "no-block-after-dispatch", "attempt %v is %v", a, before)
+	}
 	invariant.Check(before != Blocked, "no-dispatch-after-block", "attempt %v becomes %v", a, next)
 	t.states[a] = next
 }
--- a/internal/entry/bench_test.go
+++ b/internal/entry/bench_test.go
@@ -9,8 +9,6 @@
 	"sync"
 	"testing"
 	"time"
-
-	"buckthornlatch.example/buckthornlatch/internal/targetapi"
 )
 
 // benchTransport keeps enough connections for parallel callers.
@@ -45,19 +43,8 @@
 // benchStack returns the address of an entry whose target announces itself until the benchmark ends.
 func benchStack(b *testing.B) string {
 	s := newStack(b)
-	g, _ := s.addGate("t1", 16, benchTarget)
-	stop := make(chan struct{})
-	b.Cleanup(func() { close(stop) })
-	go func() {
-		for {
-			select {
-			case <-stop:
-				return
-			case <-time.After(targetapi.Period):
-				s.announce(g, "t1", s.addresses["t1"], 16, targetapi.Serving)
-			}
-		}
-	}()
+	s.addGate("t1", 16, benchTarget)
+	b.Cleanup(s.keepAnnouncing(16))
 	return s.front.URL
 }
 
--- a/internal/entry/fakes_test.go
+++ b/internal/entry/fakes_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -83,8 +84,12 @@
 	d.feedbacks = append(d.feedbacks, f)
 }
 
-func (d *directory) Issue(_ id.CustomerID, count int) ([]string, error) {
-	return make([]string, count), nil
+func (d *directory) Issue(customer id.CustomerID, count int) ([]string, error) {
+	var tickets []string
+	for i := range count {
+		tickets = append(tickets, fmt.Sprintf("%s-%d", customer, i))
+	}
+	return tickets, nil
 }
 
 func (d *directory) Service(id.ServiceName) (catalogue.Service, bool) { return d.service, true }
@@ -107,21 +112,54 @@
 type ledger struct {
 	mu       sync.Mutex
 	next     entry.Decision
-	began    int
 	outcomes []entry.Outcome
+	// byKey holds the outcomes by idempotency key.
+	byKey map[entry.ClaimID][]entry.Outcome
+	// strict decides by claims instead of answering with next.
+	strict  bool
+	running map[entry.ClaimID]bool
 }
 
-func (l *ledger) Begin(context.Context, id.CustomerID, string, string) (entry.Decision, error) {
+func (l *ledger) Begin(_ context.Context, _ id.CustomerID, key, _ string) (entry.Decision, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.began++
-	return l.next, nil
+	decision := l.next
+	decision.Claim = entry.ClaimID(key)
+	if l.strict {
+		decision.Kind = l.decide(decision.Claim)
+	}
+	return decision, nil
+}
+
+// decide permits one run per key.
+func (l *ledger) decide(claim entry.ClaimID) entry.DecisionKind {
+	ended := l.byKey[claim]
+	switch {
+	case l.running[claim]:
+		return entry.InProgress
+	case len(ended) > 0 && ended[len(ended)-1].Kind != entry.RunRefused:
+		return entry.Unknown
+	}
+	l.running[claim] = true
+	return entry.Run
 }
 
-func (l *ledger) Finish(_ context.Context, _ entry.ClaimID, o entry.Outcome) {
+func (l *ledger) Finish(_ context.Context, claim entry.ClaimID, o entry.Outcome) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.outcomes = append(l.outcomes, o)
+	if l.byKey == nil {
+		l.byKey = map[entry.ClaimID][]entry.Outcome{}
+	}
+	delete(l.running, claim)
+	l.byKey[claim] = append(l.byKey[claim], o)
+}
+
+// of returns the outcomes of one idempotency key.
+func (l *ledger) of(key string) []entry.Outcome {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Clone(l.byKey[entry.ClaimID(key)])
 }
 
 // ended returns the recorded outcomes.
--- a/internal/entry/stack_test.go
+++ b/internal/entry/stack_test.go
@@ -62,16 +62,40 @@
 			},
 		},
 	}
-	s.sender = hop.NewClient(hop.Config{Silence: 1500 * time.Millisecond}, s.clock)
-	t.Cleanup(s.sender.Close)
+	s.useSilence(1500 * time.Millisecond)
+	s.front = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { s.entry.ServeHTTP(w, r) }))
+	t.Cleanup(s.front.Close)
+	return s
+}
+
+// useSilence replaces the entry by one whose hops may be silent for the given time.
+func (s *stack) useSilence(silence time.Duration) {
+	s.sender = hop.NewClient(hop.Config{Silence: silence}, s.clock)
+	s.t.Cleanup(s.sender.Close)
 	s.entry = entry.New(entry.Config{ResolveTimeout: 2 * time.Second}, entry.Deps{
 		Clock: s.clock, Authenticator: s.directory, Router: s.directory, Quarantine: s.directory,
 		Admitter: s.directory, Ledger: s.ledger, Tickets: s.directory, Picker: s.directory, Sender: s.sender,
 		Random: rand.Reader, Log: zerolog.Nop(),
 	})
-	s.front = httptest.NewServer(s.entry)
-	t.Cleanup(s.front.Close)
-	return s
+}
+
+// keepAnnouncing repeats all targets' announcements until the returned function is called.
+func (s *stack) keepAnnouncing(slots int) func() {
+	stop := make(chan struct{})
+	go func() {
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(targetapi.Period):
+				for i, g := range s.gates {
+					name := s.directory.targets[i].Target.Name
+					s.announce(g, name, s.addresses[name], slots, targetapi.Serving)
+				}
+			}
+		}
+	}()
+	return func() { close(stop) }
 }
 
 // addGate starts a target with the handler and its gate, and returns the target's name.
