--- a/internal/claims/doc.go
+++ b/internal/claims/doc.go
@@ -19,6 +19,6 @@
 // Rows are removed by the daemon that wrote them, Settings.Window after its
 // last write; a key sent again later is a new request. Rows of a lost daemon stay.
 //
-// Memory: at most Settings.MaxRows rows of about 300 bytes, plus
+// Memory: at most Settings.MaxRows rows of about 350 bytes, plus
 // Settings.MaxPendingBytes of responses that are not yet written.
 package claims
--- a/internal/claims/settings.go
+++ b/internal/claims/settings.go
@@ -16,7 +16,7 @@
 	DefaultMaxRows          = 50_000
 	DefaultMaxResponseBytes = 8 << 10
 	DefaultMaxPendingBytes  = 4 << 20
-	DefaultWindow           = 24 * time.Hour
+	DefaultWindow           = time.Hour
 )
 
 // ErrSettings reports limits that cannot be satisfied.
@@ -37,7 +37,8 @@
 	MaxWait time.Duration
 	// MaxQueue is the number of sends that may wait.
 	MaxQueue int
-	// MaxRows is the number of rows that the daemon keeps track of.
+	// MaxRows is the number of rows that the daemon keeps track of. MaxRows / Window bounds the
+	// sustained rate of new keys.
 	MaxRows int
 	// MaxResponseBytes is the size of the response that a row keeps.
 	MaxResponseBytes int
