Take an ejection back when the target is no worse than the others by now

When a service slows down as a whole, the first targets that show it are ejected before the others' latencies are known. A judge now compares an ejected target's averages with the present medians and returns it when it does not stand out. Overdue requests and refused connections enter the averages for this purpose.

--- a/internal/ejection/advance.go
+++ b/internal/ejection/advance.go
@@ -10,7 +10,7 @@
 	if t.permit.held && !t.permit.valid(now) {
 		j.losePermit(t, now)
 	}
-	if (t.state == ejected || t.state == trial) && j.serviceWide(t) {
+	if (t.state == ejected || t.state == trial) && (j.serviceWide(t) || !j.justified(t)) {
 		// An ejection that came before the others showed the same is taken back.
 		j.release(t, false, now)
 	}
--- a/internal/ejection/evidence.go
+++ b/internal/ejection/evidence.go
@@ -67,8 +67,15 @@
 }
 
 // overdue adds a request that has not ended in time.
-func (e *evidence) overdue() {
+func (e *evidence) overdue(running time.Duration) {
 	e.slow = step(e.slow, true, slowBase, slowRate)
+	e.latency += averageGain * max(0, running.Seconds()-e.latency)
+}
+
+// crashed adds a proof that the process is gone.
+func (e *evidence) crashed(score float64) {
+	e.errors = max(e.errors, score)
+	e.errorRate = 1
 }
 
 // repeated reports whether an error repeats those of one source and adds nothing.
--- a/internal/ejection/judge.go
+++ b/internal/ejection/judge.go
@@ -128,6 +128,24 @@
 	return min(maxErrorBase, max(minErrorBase, median(rates)))
 }
 
+// justified reports whether an ejected target still looks worse than the service's other targets
+// do by now. When a service slows down, the first targets that show it are blamed too early.
+func (j *Judge) justified(t *target) bool {
+	if t.evidence.errorRate > max(justifiedErrors, 2*j.baseErrors(t)) {
+		return true
+	}
+	base := j.baseLatency(t)
+	return base == 0 || t.evidence.latency > justifiedSlowness*base.Seconds()
+}
+
+const (
+	// justifiedErrors is the least average error rate that justifies an ejection.
+	justifiedErrors = 0.1
+	// justifiedSlowness is the multiple of the others' latency that does. It is below SlowFactor,
+	// because the average has seen only a few slow requests when the target is ejected.
+	justifiedSlowness = 1.5
+)
+
 // failingService is the median error rate of the others from which a service fails as a whole.
 const failingService = 0.3
 
--- a/internal/ejection/observe.go
+++ b/internal/ejection/observe.go
@@ -48,8 +48,7 @@
 		t.evidence.failed(0, base, o.At)
 	case Refused:
 		// A refused connection proves that the process is not there.
-		t.evidence.failed(0, base, o.At)
-		t.evidence.errors = max(t.evidence.errors, j.policy.SuspectScore)
+		t.evidence.crashed(j.policy.SuspectScore)
 	case Started, RequestError, SilentReused, Cancelled:
 	}
 }
@@ -77,7 +76,7 @@
 		r := &t.running[i]
 		if !r.late && now.Sub(r.started) > limit {
 			r.late = true
-			t.evidence.overdue()
+			t.evidence.overdue(now.Sub(r.started))
 			if r.trial && t.state == trial {
 				j.failTrial(t, now)
 			}
