--- a/internal/healthsim/experiment_test.go
+++ b/internal/healthsim/experiment_test.go
@@ -54,3 +54,12 @@
 		}
 	}
 }
+
+// BenchmarkPoison prints the table of targets that a poison request takes.
+func BenchmarkPoison(b *testing.B) {
+	for range b.N {
+		if err := healthsim.WritePoisonTable(healthsim.PoisonExperiment(1, *seeds), os.Stdout); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
