Keep popular requests out of quarantine when two crashes do not decide

A popular innocent request could be in flight beside the poison at both crashes; it was then refused everywhere and could complete nowhere. Candidates that share both crashes now take turns on one target, one suspect at a time, and the third crash decides; crashes that a quarantined request explains count against nobody.

--- a/internal/quarantine/doc.go
+++ b/internal/quarantine/doc.go
@@ -3,9 +3,10 @@
 // A fingerprint that was in flight when a target crashed is a suspect. A run of
 // it that completes afterwards, anywhere, clears it of that crash. A fingerprint
 // with uncleared crashes of two different targets is quarantined for Expiry
-// after the later crash. Suspects run on one target at a time, which every
-// daemon chooses alike, so that innocent ones are cleared quickly and a guilty
-// one meets its second target alone.
+// after the latest crash, unless another one was in flight at both: then the
+// candidates take turns on one target, and a third crash decides. Suspects run
+// on the target that every daemon chooses alike and one at a time there, so
+// that innocent ones are cleared quickly and a guilty one crashes alone.
 //
 // The evidence is two grow-only sets, crashes and clearances, published in the
 // host's membership record. Their union does not depend on the order, the
--- a/internal/quarantine/isolation.go
+++ b/internal/quarantine/isolation.go
@@ -13,7 +13,12 @@
 // suspect meets one target at a time. Targets that it may have crashed are left out while there
 // are others.
 func (q *Quarantine) Isolation(fingerprint string, candidates []id.TargetID, now clock.Time) (id.TargetID, bool) {
-	guilty := q.guilty(q.crashes[fingerprint], now)
+	guilty := targetsOf(q.live(fingerprint, now))
+	// Requests that share two crashes take turns on one target, so that a third crash tells them apart.
+	key := fingerprint
+	if len(guilty) >= ambiguousCrashes {
+		key = ""
+	}
 	var best id.TargetID
 	var bestHash uint64
 	found := false
@@ -21,7 +26,7 @@
 		if slices.Contains(guilty, t) && len(candidates) > len(guilty) {
 			continue
 		}
-		if hash := isolationHash(fingerprint, t); !found || hash > bestHash {
+		if hash := isolationHash(key, t); !found || hash > bestHash {
 			best, bestHash, found = t, hash, true
 		}
 	}
@@ -29,22 +34,30 @@
 }
 
 // MayStart reports whether a gate may dispatch a request now: never a quarantined one, and a
-// suspect only while no other run of it is in flight here.
+// suspect only while no suspect is in flight here, so that a crash has one suspect at most.
 func (q *Quarantine) MayStart(fingerprint string, now clock.Time) bool {
 	switch q.Check(fingerprint, now) {
 	case Quarantined:
 		return false
 	case Suspect:
-		for _, running := range q.running {
-			if slices.Contains(running, fingerprint) {
-				return false
-			}
-		}
+		return !q.suspectRunning(now)
 	case Clear:
 	}
 	return true
 }
 
+// suspectRunning reports whether a suspect is in flight at one of the own targets.
+func (q *Quarantine) suspectRunning(now clock.Time) bool {
+	for _, running := range q.running {
+		for _, fingerprint := range running {
+			if q.Check(fingerprint, now) != Clear {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // Excused reports whether a target's latest crashes are explained by a quarantined request, so
 // that the target is not to blame.
 func (q *Quarantine) Excused(t id.TargetID, now clock.Time) bool {
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -111,35 +111,16 @@
 
 // Check returns the verdict on a request.
 func (q *Quarantine) Check(fingerprint string, now clock.Time) Verdict {
-	crashes := q.crashes[fingerprint]
-	if len(crashes) == 0 {
+	if len(q.crashes[fingerprint]) == 0 {
 		return Clear
 	}
-	guilty := q.guilty(crashes, now)
-	switch {
-	case len(guilty) >= 2:
+	if q.culprit(fingerprint, now) {
 		return Quarantined
-	case len(guilty) == 1:
-		return Suspect
 	}
-	return Clear
-}
-
-// guilty returns the targets whose crashes still speak against a fingerprint: those within
-// Expiry before the latest uncleared crash, while that one is within Expiry.
-func (q *Quarantine) guilty(crashes []*crash, now clock.Time) []id.TargetID {
-	latest := clock.Time(-1 << 62)
-	for _, c := range crashes {
-		if !c.cleared {
-			latest = max(latest, c.at)
+	for _, c := range q.live(fingerprint, now) {
+		if !q.explained(c, fingerprint, now) {
+			return Suspect
 		}
 	}
-	var targets []id.TargetID
-	for _, c := range crashes {
-		live := !c.cleared && now.Sub(latest) < Expiry && latest.Sub(c.at) < Expiry
-		if live && !slices.Contains(targets, c.key.target) {
-			targets = append(targets, c.key.target)
-		}
-	}
-	return targets
+	return Clear
 }
