Settle the newest revision that a majority acts on

Cause: a majority was looked for only at the revision just acknowledged, so hosts at different revisions never settled the older one. A gate also probes a target after a broken connection, so that a crash is noticed at once instead of after 5 s of silence.

--- a/internal/daemon/health.go
+++ b/internal/daemon/health.go
@@ -25,6 +25,8 @@
 	clock      clock.Clock
 	judge      *ejection.Shared
 	quarantine *quarantine.Shared
+	// probe connects to a target and reports ConnectFailed if that fails.
+	probe func(id.TargetID)
 
 	mu sync.Mutex
 	// known are the targets that the judge judges.
@@ -47,6 +49,7 @@
 		h.quarantine.With(func(q *quarantine.Quarantine, _ clock.Time) { q.Started(o.Fingerprint, o.Target) })
 	case gate.Broken:
 		h.keepBroken(o)
+		go h.probe(o.Target)
 	case gate.ConnectFailed, gate.Restarted, gate.Vanished:
 		h.crashed(o.Target)
 	default:
--- a/internal/daemon/provision.go
+++ b/internal/daemon/provision.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"context"
 	"crypto/rand"
 	"encoding/hex"
 	"net"
@@ -176,6 +177,7 @@
 		clock:      d.clock,
 		judge:      d.judge,
 		quarantine: d.quarantine,
+		probe:      func(t id.TargetID) { d.gate.Probe(context.Background(), t) },
 		known:      make(map[id.TargetID]id.ServiceName),
 	}
 	homes := &permitHomes{
--- a/internal/daemon/revisionfence.go
+++ b/internal/daemon/revisionfence.go
@@ -1,6 +1,8 @@
 package daemon
 
 import (
+	"slices"
+
 	"buckthornlatch.example/buckthornlatch/internal/catalogue"
 	"buckthornlatch.example/buckthornlatch/internal/clock"
 	"buckthornlatch.example/buckthornlatch/internal/id"
@@ -38,20 +40,22 @@
 		return
 	}
 	f.acknowledged[host] = revision
-	if f.majorityOf(revision) && f.newest() < revision {
-		f.pending = append(f.pending, revisionMajority{revision: revision, at: now})
+	if reached := f.majority(); reached > f.newest() {
+		f.pending = append(f.pending, revisionMajority{revision: reached, at: now})
 	}
 }
 
-// majorityOf reports whether more than half of the roster acts on a revision or a later one.
-func (f *revisionFence) majorityOf(revision catalogue.Revision) bool {
-	n := 0
+// majority returns the newest revision that more than half of the roster acts on, or a later one.
+func (f *revisionFence) majority() catalogue.Revision {
+	if len(f.roster.Members) == 0 {
+		return 0
+	}
+	revisions := make([]catalogue.Revision, 0, len(f.roster.Members))
 	for _, member := range f.roster.Members {
-		if f.acknowledged[member.Host] >= revision {
-			n++
-		}
+		revisions = append(revisions, f.acknowledged[member.Host])
 	}
-	return len(f.roster.Members) > 0 && n >= f.roster.Majority()
+	slices.Sort(revisions)
+	return revisions[len(revisions)-f.roster.Majority()]
 }
 
 // newest returns the newest revision that reached a majority.
--- a/internal/emulator/target/target.go
+++ b/internal/emulator/target/target.go
@@ -196,7 +196,7 @@
 	t.mu.Lock()
 	t.back = time.Now().Add(CrashRestart)
 	t.mu.Unlock()
-	go t.Close()
+	t.Close()
 }
 
 // revive reopens a crashed target when its time has come.
