Stamp anew for restarted gates and keep hop connections of refusals

A gate that restarted refused the first attempt, and the entry excluded it although the refusal had brought the new clock. It now stays a candidate.

A refusal's body was closed unread, which cost a connection per refusal; short bodies are now read. A 304 no longer gets the Content-Length 0 that net/http reports for it.

--- a/internal/entry/deliver.go
+++ b/internal/entry/deliver.go
@@ -18,17 +18,28 @@
 	s.reportAnswer(candidate, answer, latency)
 	switch answer.Verdict {
 	case hop.NotRun:
+		drain(answer)
 		return s.refused(answer)
 	case hop.Unknown:
+		drain(answer)
 		return unknown(cmp.Or(answer.Reason, problem.OutcomeUnknown))
 	}
 	if retryableStatus(answer.Status) && s.retryInstead(ctx) {
+		drain(answer)
 		return unknown(problem.TargetFailed)
 	}
 	s.deliver(ctx, answer)
 	return result{delivered: true, verdict: hop.Ran}
 }
 
+// drainedAnswer bounds the part of an unused answer that is read, in bytes.
+const drainedAnswer = 8 << 10
+
+// drain reads a short answer that is not delivered, so that the hop's connection can be used again.
+func drain(answer *hop.Answer) {
+	_, _ = io.CopyN(io.Discard, answer.Body, drainedAnswer)
+}
+
 // refused converts a gate's refusal.
 func (s *session) refused(answer *hop.Answer) result {
 	r := notRun(cmp.Or(answer.Reason, problem.NoTarget))
--- a/internal/entry/retry_test.go
+++ b/internal/entry/retry_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/gomega"
 
 	"buckthornlatch.example/buckthornlatch/internal/entry"
+	"buckthornlatch.example/buckthornlatch/internal/hop"
 	"buckthornlatch.example/buckthornlatch/internal/problem"
 )
 
@@ -70,6 +71,19 @@
 		Expect(s.directory.reported()[0].Candidate.Target).To(Equal(candidate.Target))
 	})
 
+	// Guards against a refusal when a gate was restarted, so that the entry's reading of its clock is void, and
+	// against stamps that a restarted gate takes for valid.
+	It("stamps anew for a gate that was restarted", func() {
+		target := &targetLog{}
+		_, candidate := s.addGate("t1", 1, target.ServeHTTP)
+		Expect(s.book().status).To(Equal(http.StatusOK))
+		reading := hop.GateClock{Incarnation: 6, Millis: 1 << 40}
+		s.sender.ObserveClock(candidate.Gate, reading, s.clock.Now())
+		Expect(s.book().status).To(Equal(http.StatusOK))
+		Expect(target.count()).To(Equal(2))
+		Expect(s.directory.reported()[1].Reason).To(Equal(problem.ValidityExpired))
+	})
+
 	// Guards against a target that is not told the caller's deadline.
 	It("tells the target the remaining time, at most the service's", func() {
 		s.addGate("t1", 1, func(w http.ResponseWriter, r *http.Request) {
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -65,7 +65,7 @@
 		last = result.refusal
 		s.maybeRan = s.maybeRan || result.verdict != hop.NotRun
 		s.ran = result.verdict == hop.Ran
-		s.excluded = append(s.excluded, candidate.Target)
+		s.exclude(candidate, result)
 		if n+1 == s.entry.config.MaxAttempts || !s.mayRetry(ctx, result) {
 			break
 		}
@@ -73,6 +73,14 @@
 	return s.truthful(last)
 }
 
+// exclude keeps a candidate from being picked again. A gate that restarted refuses the first stamp, and its
+// answer brings the clock for the next one, so it stays a candidate.
+func (s *session) exclude(candidate Candidate, r result) {
+	if r.refusal.Code != problem.ValidityExpired {
+		s.excluded = append(s.excluded, candidate.Target)
+	}
+}
+
 // truthful adds what is known about all attempts to the last refusal.
 func (s *session) truthful(refusal *Refusal) *Refusal {
 	final := *refusal
--- a/internal/gate/answer.go
+++ b/internal/gate/answer.go
@@ -96,7 +96,11 @@
 	if _, ok := header["Content-Type"]; !ok {
 		header["Content-Type"] = nil
 	}
-	d.reply.Header(d.reply.response(hop.Ran, "", response.ContentLength))
+	length := response.ContentLength
+	if hop.Bodyless(response.StatusCode) {
+		length = -1
+	}
+	d.reply.Header(d.reply.response(hop.Ran, "", length))
 }
 
 // copyBody streams the body. The watch runs only while the gate waits for the target.
