--- a/cmd/buckthornlatch/main.go
+++ b/cmd/buckthornlatch/main.go
@@ -26,6 +26,7 @@
 	Emulate    *command.Emulate    `arg:"subcommand:emulate" help:"run a stand-in for the platform or for targets"`
 	Load       *command.Load       `arg:"subcommand:load" help:"send traffic and check the answers"`
 	Experiment *command.Experiment `arg:"subcommand:experiment" help:"run a fleet with load and faults in one process"`
+	Measure    *command.Measure    `arg:"subcommand:measure" help:"measure what a daemon costs and what the path adds"`
 }
 
 // Description implements arg.Described.
--- /dev/null
+++ b/internal/command/measure.go
@@ -0,0 +1,113 @@
+package command
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"buckthornlatch.example/buckthornlatch/internal/capacity"
+	"buckthornlatch.example/buckthornlatch/internal/fault"
+)
+
+// errNoMeasurement reports a measure command without a part.
+var errNoMeasurement = errors.New("measure needs one of: standins, control, slopes, overhead, platform")
+
+// Measure measures what the fleet costs.
+type Measure struct {
+	Standins *MeasureStandins `arg:"subcommand:standins" help:"run the fleet around one measured daemon"`
+	Control  *MeasureControl  `arg:"subcommand:control" help:"measure one daemon's control work among stand-ins"`
+}
+
+// Run is called only when no part was chosen.
+func (c *Measure) Run(context.Context, io.Writer) error {
+	return errNoMeasurement
+}
+
+// MeasureStandins runs the simulated fleet.
+type MeasureStandins struct {
+	Listen   string        `arg:"--listen" default:"127.0.0.1:22000" help:"control address, ip:port"`
+	Hosts    int           `arg:"--hosts" default:"460" help:"hosts, the measured one included"`
+	Targets  int           `arg:"--targets" default:"4200"`
+	Services int           `arg:"--services" default:"110"`
+	Routes   int           `arg:"--routes" default:"3700"`
+	Customer int           `arg:"--customers" default:"21000"`
+	Keys     int           `arg:"--keys" default:"42000"`
+	Changes  time.Duration `arg:"--change-interval" default:"0s" help:"time between catalogue changes; 0 for none"`
+	Restarts time.Duration `arg:"--restart-interval" default:"0s" help:"time between restarts of hosts; 0 for none"`
+	Summary  time.Duration `arg:"--summary-interval" default:"1m" help:"time between two changes of one target's summary"`
+	Gossip   time.Duration `arg:"--gossip-interval" default:"1s" help:"time between two exchanges of one host"`
+}
+
+// Run serves until the context ends.
+func (c *MeasureStandins) Run(ctx context.Context, stdout io.Writer) error {
+	listener, err := net.Listen("tcp", c.Listen)
+	if err != nil {
+		return fault.New("listen", c.Listen, err)
+	}
+	standins, err := capacity.NewStandins(ctx, capacity.StandinsConfig{
+		Size: capacity.Size{
+			Hosts: c.Hosts, Targets: c.Targets, Services: c.Services,
+			Routes: c.Routes, Customers: c.Customer, Keys: c.Keys,
+		},
+		ChangeInterval:  c.Changes,
+		RestartInterval: c.Restarts,
+		SummaryInterval: c.Summary,
+		GossipInterval:  c.Gossip,
+	})
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(stdout, "measure: stand-ins serve on %s\n", listener.Addr())
+	return standins.Run(ctx, listener)
+}
+
+// MeasureControl measures one daemon in this process.
+type MeasureControl struct {
+	Standins string        `arg:"--standins" default:"127.0.0.1:22000" help:"control address of measure standins"`
+	Settle   time.Duration `arg:"--settle" default:"5s" help:"time before the measurement"`
+	Window   time.Duration `arg:"--window" default:"20s" help:"time that is measured"`
+	JSON     string        `arg:"--json" placeholder:"FILE" help:"append the result to this file, one line of JSON"`
+	Profile  string        `arg:"--profile" placeholder:"FILE" help:"write the window's CPU profile"`
+}
+
+// Run measures and prints one row.
+func (c *MeasureControl) Run(ctx context.Context, stdout io.Writer) error {
+	result, err := capacity.MeasureControl(ctx, capacity.ControlConfig{
+		Standins: c.Standins,
+		Settle:   c.Settle,
+		Window:   c.Window,
+		Profile:  c.Profile,
+		Log:      zerolog.New(os.Stderr).Level(zerolog.WarnLevel),
+	})
+	if err != nil {
+		return err
+	}
+	if err := appendJSON(c.JSON, result); err != nil {
+		return err
+	}
+	return capacity.WriteControl(stdout, []capacity.ControlResult{result})
+}
+
+// appendJSON appends one line of JSON to a file; no name, no file.
+func appendJSON(name string, result any) error {
+	if name == "" {
+		return nil
+	}
+	line, err := json.Marshal(result)
+	if err != nil {
+		return err
+	}
+	file, err := os.OpenFile(name, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return fault.New("open result", "", err)
+	}
+	_, err = file.Write(append(line, '\n'))
+	return fault.New("write result", "", errors.Join(err, file.Close()))
+}
