--- a/internal/entry/forwarded.go
+++ b/internal/entry/forwarded.go
@@ -14,6 +14,7 @@
 // daemon issued. The forwarding daemon has authenticated and admitted them; its permission is stamped for this
 // daemon's clock. The attempt table makes sure that a forwarded request is taken at most once.
 func (e *Entry) Forwarded(w http.ResponseWriter, r *http.Request) {
+	defer hop.CrashOnViolation()
 	request, err := hop.DecodeRequest(r.Header)
 	if err != nil {
 		// Without the echo of the id the sender asks for the fate of the attempt and gets a proved answer.
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -41,6 +41,7 @@
 
 // ServeHTTP implements http.Handler.
 func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	defer hop.CrashOnViolation()
 	c := &caller{w: w, control: http.NewResponseController(w), silence: e.config.CallerSilence}
 	c.inbound = hop.NewInbound(w, r)
 	defer c.done()
--- a/internal/gate/handler.go
+++ b/internal/gate/handler.go
@@ -13,6 +13,7 @@
 
 // ServeHTTP handles hop.Path on the peer listener. A request without an attempt id reads the gate's clock.
 func (g *Gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	defer hop.CrashOnViolation()
 	if _, ok := r.Header[hop.HeaderAttempt]; !ok {
 		w.Header()[hop.HeaderGateClock] = []string{g.Clock().String()}
 		w.WriteHeader(http.StatusNoContent)
