Run suspects of crashes on one target and stop after two unanswered attempts

Cause: an idempotent request that crashes its target was retried on up to four targets before the evidence had spread. Change: the entry asks the quarantine before each attempt, a suspect runs only on the target that all daemons choose alike, and a request gets at most two attempts that end without an answer.

--- a/internal/daemon/health.go
+++ b/internal/daemon/health.go
@@ -52,6 +52,7 @@
 		go h.probe(o.Target)
 	case gate.ConnectFailed, gate.Restarted, gate.Vanished:
 		h.crashed(o.Target)
+		h.forgive(o)
 	default:
 		h.ended(o.Fingerprint, o.Target, o.Event == gate.Completed)
 	}
@@ -134,6 +135,14 @@
 	h.broken = kept
 }
 
+// forgive lets a restarted target start anew when a quarantined request explains
+// its crash; the target is not to blame.
+func (h *health) forgive(o gate.Observation) {
+	if o.Event == gate.Restarted && h.excused(o.Target) {
+		h.judge.With(func(j *ejection.Judge) { j.Announce(o.Target, o.Service, o.At) })
+	}
+}
+
 // ended tells the quarantine that a run ended without a crash.
 func (h *health) ended(fingerprint string, target id.TargetID, completed bool) {
 	h.quarantine.With(func(q *quarantine.Quarantine, now clock.Time) { q.Ended(fingerprint, target, completed, now) })
--- a/internal/daemon/picker.go
+++ b/internal/daemon/picker.go
@@ -4,21 +4,56 @@
 	"net/http"
 
 	"buckthornlatch.example/buckthornlatch/internal/balancer"
+	"buckthornlatch.example/buckthornlatch/internal/clock"
 	"buckthornlatch.example/buckthornlatch/internal/entry"
+	"buckthornlatch.example/buckthornlatch/internal/gossip"
 	"buckthornlatch.example/buckthornlatch/internal/id"
+	"buckthornlatch.example/buckthornlatch/internal/membership"
+	"buckthornlatch.example/buckthornlatch/internal/quarantine"
 )
 
-// picker adapts the balancer to the entry.
+// picker adapts the balancer and the quarantine's isolation to the entry.
 type picker struct {
-	balancer *balancer.Shared
+	balancer   *balancer.Shared
+	quarantine *quarantine.Shared
+	gossip     *gossip.Service
+	clock      clock.Clock
 }
 
 // Pick implements entry.Picker.
-func (p *picker) Pick(service id.ServiceName, exclude []id.TargetID) (entry.Candidate, bool) {
-	candidate, ok := p.balancer.Pick(service, exclude)
+func (p *picker) Pick(service id.ServiceName, exclude []id.TargetID, idempotent bool) (entry.Candidate, bool) {
+	choose := p.balancer.Pick
+	if idempotent {
+		choose = p.balancer.PickIdempotent
+	}
+	candidate, ok := choose(service, exclude)
 	return entry.Candidate{Target: candidate.Target, Gate: candidate.Address}, ok
 }
 
+// Isolate implements entry.Picker. Its cost grows with the service's targets,
+// but only suspects take this way.
+func (p *picker) Isolate(service id.ServiceName, fingerprint string) (entry.Candidate, bool) {
+	gates := make(map[id.TargetID]string)
+	var candidates []id.TargetID
+	p.gossip.View(func(t *membership.Table) {
+		now := p.clock.Now()
+		for _, record := range t.Records() {
+			if t.Suspected(record.Host, now) {
+				continue
+			}
+			for _, target := range record.Targets {
+				if target.Service == service && target.State == membership.TargetServing {
+					name := id.TargetID{Host: record.Host, Name: target.Name}
+					gates[name] = record.Addresses.Hop
+					candidates = append(candidates, name)
+				}
+			}
+		}
+	})
+	target, ok := p.quarantine.Isolation(fingerprint, candidates)
+	return entry.Candidate{Target: target, Gate: gates[target]}, ok
+}
+
 // Report implements entry.Picker.
 func (p *picker) Report(f entry.Feedback) {
 	feedback := balancer.Feedback{
--- a/internal/daemon/provision.go
+++ b/internal/daemon/provision.go
@@ -285,7 +285,7 @@
 		Admitter:      &admitter{grants: d.grants},
 		Ledger:        booked,
 		Tickets:       booked,
-		Picker:        &picker{balancer: d.balancer},
+		Picker:        &picker{balancer: d.balancer, quarantine: d.quarantine, gossip: d.gossip, clock: d.clock},
 		Sender:        d.hop,
 		Random:        rand.Reader,
 		Log:           d.log,
--- a/internal/daemon/quarantinecheck.go
+++ b/internal/daemon/quarantinecheck.go
@@ -13,5 +13,8 @@
 // Check implements entry.Quarantine.
 func (c *quarantineCheck) Check(fingerprint string) entry.QuarantineVerdict {
 	verdict := c.quarantine.Check(fingerprint)
-	return entry.QuarantineVerdict{Quarantined: verdict == quarantine.Quarantined}
+	return entry.QuarantineVerdict{
+		Quarantined: verdict == quarantine.Quarantined,
+		Isolated:    verdict == quarantine.Suspect,
+	}
 }
--- a/internal/entry/deps.go
+++ b/internal/entry/deps.go
@@ -72,7 +72,9 @@
 // Picker chooses gates.
 type Picker interface {
 	// Pick returns a candidate that is not excluded. The cost must not grow with the number of targets.
-	Pick(service id.ServiceName, exclude []id.TargetID) (Candidate, bool)
+	Pick(service id.ServiceName, exclude []id.TargetID, idempotent bool) (Candidate, bool)
+	// Isolate returns the one target on which a request that is suspected of crashing targets may run.
+	Isolate(service id.ServiceName, fingerprint string) (Candidate, bool)
 	Report(f Feedback)
 }
 
--- a/internal/entry/fakes_test.go
+++ b/internal/entry/fakes_test.go
@@ -67,7 +67,7 @@
 	return entry.Admission{ValidFor: d.validFor}, nil
 }
 
-func (d *directory) Pick(_ id.ServiceName, exclude []id.TargetID) (entry.Candidate, bool) {
+func (d *directory) Pick(_ id.ServiceName, exclude []id.TargetID, _ bool) (entry.Candidate, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, c := range d.targets {
@@ -78,6 +78,12 @@
 	return entry.Candidate{}, false
 }
 
+func (d *directory) Isolate(id.ServiceName, string) (entry.Candidate, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.targets[len(d.targets)-1], true
+}
+
 func (d *directory) Report(f entry.Feedback) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/entry/identity.go
+++ b/internal/entry/identity.go
@@ -24,6 +24,8 @@
 // QuarantineVerdict says whether a request may run.
 type QuarantineVerdict struct {
 	Quarantined bool
+	// Isolated requests are suspected of crashing targets and run on one target at a time.
+	Isolated bool
 	// RetryAfter is the time until the quarantine ends; zero when unknown.
 	RetryAfter time.Duration
 }
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -14,6 +14,10 @@
 // was dispatched, ends it first.
 const hopSlack = 250 * time.Millisecond
 
+// maxUnknowns bounds the attempts of one request that end without an answer. A request that crashes its targets
+// ends like that and must not take more than two of them before the quarantine knows it.
+const maxUnknowns = 2
+
 // run attempts a request until it is answered, refused or its fate is unknown.
 func (e *Entry) run(c *caller, r *http.Request, q *query, record record) *Refusal {
 	e.budget.request()
@@ -46,6 +50,8 @@
 	excluded []id.TargetID
 	// maybeRan is set when some attempt may have run.
 	maybeRan bool
+	// unknowns counts the attempts that may have run without an answer.
+	unknowns int
 	// ran is set when the request ran and its answer was lost.
 	ran bool
 }
@@ -54,8 +60,9 @@
 func (s *session) attempts(ctx context.Context) *Refusal {
 	last := &Refusal{Code: problem.NoTarget}
 	for n := range s.entry.config.MaxAttempts {
-		candidate, ok := s.entry.deps.Picker.Pick(s.query.service.Name, s.excluded)
-		if !ok {
+		candidate, refusal := s.pick()
+		if refusal != nil {
+			last = refusal
 			break
 		}
 		result := s.attempt(ctx, candidate)
@@ -63,7 +70,7 @@
 			return nil
 		}
 		last = result.refusal
-		s.maybeRan = s.maybeRan || result.verdict != hop.NotRun
+		s.noteUnknown(result)
 		s.ran = result.verdict == hop.Ran
 		s.exclude(candidate, result)
 		if n+1 == s.entry.config.MaxAttempts || !s.mayRetry(ctx, result) {
@@ -73,6 +80,38 @@
 	return s.truthful(last)
 }
 
+// pick chooses the target of the next attempt. The quarantine is asked before each
+// attempt, because an earlier one may have crashed its target.
+func (s *session) pick() (Candidate, *Refusal) {
+	deps := s.entry.deps
+	verdict := deps.Quarantine.Check(s.query.prints.crash)
+	if verdict.Quarantined {
+		return Candidate{}, &Refusal{Code: problem.RequestQuarantined, RetryAfter: verdict.RetryAfter}
+	}
+	var candidate Candidate
+	var ok bool
+	if verdict.Isolated {
+		candidate, ok = deps.Picker.Isolate(s.query.service.Name, s.query.prints.crash)
+	} else {
+		candidate, ok = deps.Picker.Pick(s.query.service.Name, s.excluded, s.query.class() != hop.Once)
+	}
+	if !ok {
+		return Candidate{}, &Refusal{Code: problem.NoTarget}
+	}
+	return candidate, nil
+}
+
+// noteUnknown counts an attempt that may have run.
+func (s *session) noteUnknown(r result) {
+	if r.verdict == hop.NotRun {
+		return
+	}
+	s.maybeRan = true
+	if r.verdict == hop.Unknown {
+		s.unknowns++
+	}
+}
+
 // exclude keeps a candidate from being picked again. A gate that restarted refuses the first stamp, and its
 // answer brings the clock for the next one, so it stays a candidate.
 func (s *session) exclude(candidate Candidate, r result) {
@@ -99,6 +138,9 @@
 	if r.verdict != hop.NotRun && s.query.class() == hop.Once {
 		return false
 	}
+	if s.unknowns >= maxUnknowns {
+		return false
+	}
 	if r.loading() && !s.entry.budget.retry() {
 		return false
 	}
