--- a/internal/daemon/picker.go
+++ b/internal/daemon/picker.go
@@ -9,6 +9,7 @@
 	"buckthornlatch.example/buckthornlatch/internal/gossip"
 	"buckthornlatch.example/buckthornlatch/internal/id"
 	"buckthornlatch.example/buckthornlatch/internal/membership"
+	"buckthornlatch.example/buckthornlatch/internal/problem"
 	"buckthornlatch.example/buckthornlatch/internal/quarantine"
 )
 
@@ -65,6 +66,10 @@
 		feedback.Load = &balancer.Load{FreeSlots: f.Load.FreeSlots, QueueLength: f.Load.Queued}
 	}
 	p.balancer.Report(feedback)
+	if f.Kind == entry.Declined && f.Reason == problem.Draining {
+		// A draining gate refuses for all of its targets.
+		p.balancer.ReportPath(f.Candidate.Target.Host, false)
+	}
 }
 
 // resultOf converts an entry's observation.
--- a/internal/daemon/upkeep.go
+++ b/internal/daemon/upkeep.go
@@ -8,6 +8,7 @@
 	"buckthornlatch.example/buckthornlatch/internal/ejection"
 	"buckthornlatch.example/buckthornlatch/internal/freshness"
 	"buckthornlatch.example/buckthornlatch/internal/gate"
+	"buckthornlatch.example/buckthornlatch/internal/hop"
 	"buckthornlatch.example/buckthornlatch/internal/id"
 	"buckthornlatch.example/buckthornlatch/internal/membership"
 	"buckthornlatch.example/buckthornlatch/internal/quarantine"
@@ -20,6 +21,8 @@
 	upkeepPeriod = 250 * time.Millisecond
 	// expirePeriod is the time between two removals of expired ticket records.
 	expirePeriod = time.Minute
+	// clockPeriod is the time between two hand-ups of the gates' clocks. Readings serve for a minute.
+	clockPeriod = 5 * time.Second
 	// registerBackoff is the pause after a failed registration.
 	registerBackoff = 2 * time.Second
 )
@@ -55,6 +58,10 @@
 	d.health.tick(now)
 	d.judgePeers()
 	d.publishTargets()
+	if now.Sub(d.clocksAt) >= clockPeriod {
+		d.clocksAt = now
+		d.passClocks()
+	}
 	if now.Sub(d.expiredAt) >= expirePeriod {
 		d.expiredAt = now
 		d.tickets.Expire()
@@ -112,6 +119,21 @@
 	})
 }
 
+// passClocks hands the gates' clocks that gossip carried to the hop client, which
+// otherwise needs a round trip before the first attempt at a gate.
+func (d *Daemon) passClocks() {
+	d.gossip.View(func(t *membership.Table) {
+		for _, record := range t.Records() {
+			reading, ok := t.PeerClock(record.Host)
+			if !ok || record.Host == d.duties.self {
+				continue
+			}
+			clock := hop.GateClock{Incarnation: reading.Incarnation, Millis: reading.Milliseconds}
+			d.hop.ObserveClock(record.Addresses.Hop, clock, reading.ReadAt)
+		}
+	})
+}
+
 // held returns the epochs whose ticket records decide here.
 func (d *Daemon) held() []membership.Held {
 	var out []membership.Held
--- a/internal/emulator/target/target.go
+++ b/internal/emulator/target/target.go
@@ -41,6 +41,8 @@
 	server *http.Server
 	addr   string
 	back   time.Time
+	// crashes counts the crashes by requests.
+	crashes int
 }
 
 // New returns a healthy target that is not yet listening.
@@ -195,10 +197,18 @@
 func (t *Target) crash() {
 	t.mu.Lock()
 	t.back = time.Now().Add(CrashRestart)
+	t.crashes++
 	t.mu.Unlock()
 	t.Close()
 }
 
+// Crashes returns how often a request crashed the target.
+func (t *Target) Crashes() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.crashes
+}
+
 // revive reopens a crashed target when its time has come.
 func (t *Target) revive() {
 	t.mu.Lock()
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -62,7 +62,9 @@
 	for n := range s.entry.config.MaxAttempts {
 		candidate, refusal := s.pick()
 		if refusal != nil {
-			last = refusal
+			if n == 0 || refusal.Code == problem.RequestQuarantined {
+				last = refusal
+			}
 			break
 		}
 		result := s.attempt(ctx, candidate)
--- a/internal/experiment/result.go
+++ b/internal/experiment/result.go
@@ -14,8 +14,10 @@
 	Verdict load.Verdict `json:"verdict"`
 	// Detections has one row for each fault of a target.
 	Detections []Detection `json:"detections"`
-	// FalseEjections counts ejections of targets without a fault.
-	FalseEjections int `json:"false_ejections"`
+	// FalseEjections are the ejections of targets without a fault.
+	FalseEjections []FalseEjection `json:"false_ejections"`
+	// CrashedTargets counts the targets that a request crashed.
+	CrashedTargets int `json:"crashed_targets"`
 	// Series has the served and refused requests by second.
 	Series []Second `json:"series"`
 }
@@ -29,6 +31,13 @@
 	EjectedAfter   time.Duration `json:"ejected_after_ns"`
 }
 
+// FalseEjection is the ejection of a target without a fault.
+type FalseEjection struct {
+	Target string `json:"target"`
+	// At counts from the start of the load.
+	At time.Duration `json:"at_ns"`
+}
+
 // never marks an event that did not happen.
 const never = time.Duration(-1)
 
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -112,10 +112,22 @@
 		Verdict:        load.Check(history, fleet.Runs.Snapshot()),
 		Detections:     detections,
 		FalseEjections: falsely,
+		CrashedTargets: crashedTargets(fleet),
 		Series:         seriesOf(history),
 	}, nil
 }
 
+// crashedTargets counts the targets that a request crashed.
+func crashedTargets(fleet *Fleet) int {
+	n := 0
+	for _, t := range fleet.Targets {
+		if t.Crashes() > 0 {
+			n++
+		}
+	}
+	return n
+}
+
 // events makes the events happen at their times.
 func events(ctx context.Context, all []Event, fleet *Fleet, w *watcher, start time.Time) error {
 	sorted := append([]Event(nil), all...)
--- a/internal/experiment/table.go
+++ b/internal/experiment/table.go
@@ -18,7 +18,11 @@
 		fmt.Fprintf(w, "fault %-28s %-9s suspected after %s, ejected after %s\n",
 			d.Target, d.Mode, after(d.SuspectedAfter), after(d.EjectedAfter))
 	}
-	fmt.Fprintf(w, "false ejections: %d\n", r.FalseEjections)
+	fmt.Fprintf(w, "targets crashed by requests: %d\n", r.CrashedTargets)
+	fmt.Fprintf(w, "false ejections: %d\n", len(r.FalseEjections))
+	for _, f := range r.FalseEjections {
+		fmt.Fprintf(w, "  %s after %s\n", f.Target, after(f.At))
+	}
 	fmt.Fprint(w, "by second (served/refused/other): ")
 	for _, s := range r.Series {
 		fmt.Fprintf(w, " %d/%d/%d", s.Served, s.Refused, s.Other)
--- a/internal/experiment/watcher.go
+++ b/internal/experiment/watcher.go
@@ -22,7 +22,7 @@
 	faultAt    map[string]time.Duration
 	detections []*Detection
 	ejected    map[string]bool
-	falsely    int
+	falsely    []FalseEjection
 }
 
 // newWatcher returns a watcher without faults.
@@ -84,7 +84,7 @@
 	detection := w.faults[target.Name]
 	if detection == nil {
 		if isEjected && !wasEjected && !w.hadFault(target.Name) {
-			w.falsely++
+			w.falsely = append(w.falsely, FalseEjection{Target: target.Name, At: now})
 		}
 		return
 	}
@@ -97,15 +97,22 @@
 	}
 }
 
-// hadFault reports whether the target was faulty at some time; it may still be
-// ejected for that.
-func (w *watcher) hadFault(target string) bool {
-	_, had := w.faultAt[target]
-	return had
+// hadFault reports whether the target was faulty or crashed at some time; it may
+// still be ejected for that.
+func (w *watcher) hadFault(name string) bool {
+	if _, had := w.faultAt[name]; had {
+		return true
+	}
+	for _, t := range w.fleet.Targets {
+		if t.Name() == name {
+			return t.Crashes() > 0
+		}
+	}
+	return false
 }
 
-// results returns the detections and the number of false ejections.
-func (w *watcher) results() ([]Detection, int) {
+// results returns the detections and the false ejections.
+func (w *watcher) results() ([]Detection, []FalseEjection) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	out := make([]Detection, 0, len(w.detections))
