Ask an empty home again after two seconds at the latest

Cause: an entry did not ask a home before the time at which the home expected a token. For a zero or very low limit that is hours, so a raised limit would have been refused as long by entries that asked before the raise.

Change: the home is asked again after at most 2 s; RetryAfter still states the home's time. The new test fails without the change.

--- a/internal/ratelimit/answering.go
+++ b/internal/ratelimit/answering.go
@@ -33,8 +33,9 @@
 		e.schedule(now, b)
 		return
 	}
+	v.tokenAt = 0
 	if reply.RetryAfter > 0 && asked > 0 {
-		v.emptyUntil = now.Add(reply.RetryAfter)
+		v.empty(now, reply.RetryAfter)
 	}
 	if !v.failed {
 		v.level, v.levelAt = reply.Level, now
@@ -157,7 +158,7 @@
 	}
 	if len(b.waiters) > 0 {
 		due = min(due, b.waiters[0].deadline)
-		if at, _ := b.nextReady(); at > now {
+		if at := b.nextReady(); at > now {
 			due = min(due, at)
 		}
 	}
--- a/internal/ratelimit/asking.go
+++ b/internal/ratelimit/asking.go
@@ -100,14 +100,15 @@
 }
 
 // wait returns the expected wait of the caller behind n others, and whether no
-// home answers. A busy home may hold tokens, so it counts as no wait.
+// home answers. A home that is or can be asked may hold tokens, so it counts as
+// no wait.
 func (e *Entry) wait(now clock.Time, b *balance, n int) (time.Duration, bool) {
-	at, failed := b.nextReady()
-	if b.busy() {
+	at, failed := b.nextToken()
+	if b.busy() || !now.Before(b.nextReady()) {
 		at, failed = now, false
 	}
 	behind := timeFor(max(b.limit.Rate, 1), tokens(n))
-	return max(at.Sub(now), 0) + behind, failed
+	return min(max(at.Sub(now), 0), longest) + behind, failed
 }
 
 // hopeless returns the refusal of a new caller that cannot be served in time, or nil.
@@ -116,7 +117,7 @@
 		return nil
 	}
 	ahead := len(b.waiters)
-	if at, _ := b.nextReady(); b.busy() || !now.Before(at) {
+	if b.busy() || !now.Before(b.nextReady()) {
 		ahead = max(ahead-b.limit.Burst, 0)
 	}
 	wait, failed := e.wait(now, b, ahead)
--- a/internal/ratelimit/balance.go
+++ b/internal/ratelimit/balance.go
@@ -126,12 +126,21 @@
 	return false
 }
 
-// nextReady returns the earliest time at which a home can be asked, and
-// whether every home failed to answer.
-func (b *balance) nextReady() (clock.Time, bool) {
-	at, failed := clock.Time(longest)*2, true
+// nextReady returns the earliest time at which a home can be asked.
+func (b *balance) nextReady() clock.Time {
+	at := never
 	for i := range b.homes {
 		at = min(at, b.homes[i].readyFrom())
+	}
+	return at
+}
+
+// nextToken returns the earliest time at which a home expects a token, and
+// whether every home failed to answer.
+func (b *balance) nextToken() (clock.Time, bool) {
+	at, failed := never, true
+	for i := range b.homes {
+		at = min(at, max(b.homes[i].readyFrom(), b.homes[i].tokenAt))
 		failed = failed && b.homes[i].out()
 	}
 	return at, failed
--- a/internal/ratelimit/entry.go
+++ b/internal/ratelimit/entry.go
@@ -107,7 +107,7 @@
 	if ok {
 		return true
 	}
-	view.emptyUntil = now.Add(min(retry, failureBackoff))
+	view.empty(now, retry)
 	view.level = Token - earned(derated(b.share().Rate), retry, Token)
 	view.levelAt = now
 	return false
--- a/internal/ratelimit/entry_test.go
+++ b/internal/ratelimit/entry_test.go
@@ -49,6 +49,20 @@
 		}
 	})
 
+	// Guards against a raised limit that an entry does not notice, and against a
+	// RetryAfter that is shorter than the home's.
+	It("asks an empty home again before its next token", func() {
+		entry := newEntry()
+		entry.Admit(0, "c")
+		call := entry.Outbox().Calls[0]
+		entry.Answered(0, "c", call.Home, ratelimit.Reply{ID: call.Request.ID, RetryAfter: time.Hour})
+		refused := entry.Admit(clock.Time(time.Second), "c")
+		Expect(refused.Outcome).To(Equal(ratelimit.Refused))
+		Expect(refused.Denied.RetryAfter).To(Equal(time.Hour - time.Second))
+		Expect(entry.Admit(clock.Time(3*time.Second), "c").Outcome).To(Equal(ratelimit.Pending))
+		Expect(entry.Outbox().Calls).To(HaveLen(1))
+	})
+
 	// Guards against state for every customer ever seen.
 	It("forgets idle customers", func() {
 		entry := newEntry()
--- a/internal/ratelimit/homeview.go
+++ b/internal/ratelimit/homeview.go
@@ -1,10 +1,15 @@
 package ratelimit
 
 import (
+	"time"
+
 	"buckthornlatch.example/buckthornlatch/internal/clock"
 	"buckthornlatch.example/buckthornlatch/internal/id"
 )
 
+// maxEmpty bounds how long a home is not asked because it was empty.
+const maxEmpty = 2 * time.Second
+
 // homeView is what an entry knows about one home of a customer.
 type homeView struct {
 	host     id.HostID
@@ -18,7 +23,10 @@
 	sentAt   clock.Time
 	// asked is the number of waiting callers that the unanswered request is for.
 	asked int
-	// emptyUntil is when asking for waiting callers makes sense again.
+	// tokenAt is when the home expects a token; emptyUntil is when asking for
+	// waiting callers makes sense again. It is at most maxEmpty away, because the
+	// limit may be raised meanwhile.
+	tokenAt    clock.Time
 	emptyUntil clock.Time
 	// prefetchFrom is when asking in advance makes sense again.
 	prefetchFrom clock.Time
@@ -53,6 +61,12 @@
 	return v.inFlight == 0 && !now.Before(v.readyFrom())
 }
 
+// empty notes that the home expects its next token after the time.
+func (v *homeView) empty(now clock.Time, retry time.Duration) {
+	v.tokenAt = now.Add(retry)
+	v.emptyUntil = now.Add(min(retry, maxEmpty))
+}
+
 // readyFrom returns when the home can be asked, unless a request is unanswered.
 func (v *homeView) readyFrom() clock.Time {
 	return max(v.emptyUntil, v.state.downUntil)
--- a/internal/ratelimit/timing.go
+++ b/internal/ratelimit/timing.go
@@ -1,6 +1,11 @@
 package ratelimit
 
-import "time"
+import (
+	"math"
+	"time"
+
+	"buckthornlatch.example/buckthornlatch/internal/clock"
+)
 
 const (
 	// GrantValidity is how long an entry may spend a grant, on its own
@@ -19,6 +24,8 @@
 	closeMargin = 500 * time.Millisecond
 	// longest stands for "never" in waiting times.
 	longest = 24 * time.Hour
+	// never is a time after all others.
+	never = clock.Time(math.MaxInt64)
 )
 
 // MaxDrift is the largest deviation of a host's clock from real time that the
