Pass new suspicions on at once

A judge learned late that other targets look bad too, so the first ones of a slow or failing service stayed ejected for a while. Records whose targets come under suspicion are now passed on like evidence about crashing requests. Detection is unchanged. Tried instead: 250 ms of patience before a permit is requested for slowness.

--- a/internal/healthsim/control.go
+++ b/internal/healthsim/control.go
@@ -40,6 +40,20 @@
 func (w *world) receive(h *host, push membership.Push) {
 	h.table.HandlePush(push, w.clock())
 	w.sync(h)
+	w.relay(h)
+}
+
+// relay passes urgent records on, as the gossip service does.
+func (w *world) relay(h *host) {
+	urgent := h.table.TakeUrgent()
+	if len(urgent) == 0 {
+		return
+	}
+	for _, peer := range h.table.ChoosePushPeers(gossip.DefaultPushPeers, w.clock()) {
+		other := w.host(peer.Host)
+		push := h.table.NewRelay(other.name, urgent, w.clock())
+		w.after(w.oneWay(h, other), func() { w.receive(other, push) })
+	}
 }
 
 // publish enters the guard's view in the host's record and pushes a change at once.
--- a/internal/membership/exchange.go
+++ b/internal/membership/exchange.go
@@ -102,9 +102,9 @@
 	return push
 }
 
-// TakeUrgent returns, once, the records with new evidence about crashing requests. A request that
-// crashes targets is sent again within milliseconds, so they are passed on without waiting for
-// the next exchange.
+// TakeUrgent returns, once, the records with new evidence about crashing requests or new suspicions.
+// A request that crashes targets is sent again within milliseconds, so they are passed on without
+// waiting for the next exchange.
 func (t *Table) TakeUrgent() []*Record {
 	urgent := t.urgent
 	t.urgent = nil
--- a/internal/membership/merge.go
+++ b/internal/membership/merge.go
@@ -128,7 +128,7 @@
 	if !u.Record.Version().Newer(e.record.Version()) {
 		return false
 	}
-	before := e.record.Suspects
+	before := e.record
 	if u.StatusOnly {
 		merged, ok := withStatus(e.record, u.Record)
 		if !ok {
@@ -137,9 +137,9 @@
 		e.record = merged
 	} else {
 		e.record = u.Record
-		if !slices.EqualFunc(before, u.Record.Suspects, sameSuspect) {
-			t.urgent = append(t.urgent, u.Record)
-		}
+	}
+	if isUrgent(before, e.record) {
+		t.urgent = append(t.urgent, e.record)
 	}
 	t.noteRecord(u.Record)
 	return false
@@ -163,6 +163,26 @@
 	return merged, true
 }
 
+// isUrgent reports whether a record has new evidence about crashing requests, or targets that
+// came under suspicion: other judges need that to tell a bad target from a bad service.
+func isUrgent(before, after *Record) bool {
+	if !slices.EqualFunc(before.Suspects, after.Suspects, sameSuspect) {
+		return true
+	}
+	return suspectedTargets(after) > suspectedTargets(before)
+}
+
+// suspectedTargets counts a record's targets under suspicion.
+func suspectedTargets(r *Record) int {
+	suspected := 0
+	for _, t := range r.Targets {
+		if t.Suspected {
+			suspected++
+		}
+	}
+	return suspected
+}
+
 // noteRecord draws the consequences of a record that was taken over.
 func (t *Table) noteRecord(r *Record) {
 	t.changes++
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -32,7 +32,7 @@
 	partners  []id.HostID
 	exchanges uint64
 	changes   uint64
-	// urgent are records with new evidence about crashing requests, to be passed on at once.
+	// urgent are records to be passed on at once, see isUrgent.
 	urgent []*Record
 }
 
