Wait before ejecting a target again whose ejection was taken back

In a slow service the same targets were ejected and returned several times. A judge now waits 5 s before it asks for another permit for such a target.

--- a/internal/ejection/advance.go
+++ b/internal/ejection/advance.go
@@ -13,6 +13,7 @@
 	if (t.state == ejected || t.state == trial) && (j.serviceWide(t) || !j.justified(t)) {
 		// An ejection that came before the others showed the same is taken back.
 		j.release(t, false, now)
+		t.permit.retryAt = now.Add(RecallWait)
 	}
 	switch t.state {
 	case healthy:
--- a/internal/ejection/lease.go
+++ b/internal/ejection/lease.go
@@ -10,6 +10,9 @@
 	// RenewAfter is the time after which a permit that is still wanted is requested again. It
 	// leaves two more tries before the lease ends.
 	RenewAfter = 3 * time.Second
+	// RecallWait is the time after which a permit is requested again for a target whose ejection was
+	// taken back. By then the averages of the service show its new level.
+	RecallWait = 5 * time.Second
 	// RetryAfter is the time after which an unanswered or denied request is repeated.
 	RetryAfter = time.Second
 )
