Measure the platform's load by a whole fleet

Whether 460 daemons stampede after an outage or the restart of a failure domain was only argued. The command runs the platform calls of every daemon in one process against the emulator with its limits on and prints means, peaks within one second, refusals and the time until all daemons have settled.

--- a/internal/capacity/standins.go
+++ b/internal/capacity/standins.go
@@ -43,7 +43,6 @@
 	handlers  map[string]http.Handler
 	// platformBytes and peerBytes count the connections with the measured daemon.
 	platformBytes, peerBytes counter
-	control                  *http.Server
 }
 
 // NewStandins fills the catalogue and opens the simulated hosts' addresses.
--- a/internal/command/measure.go
+++ b/internal/command/measure.go
@@ -23,6 +23,7 @@
 type Measure struct {
 	Standins *MeasureStandins `arg:"subcommand:standins" help:"run the fleet around one measured daemon"`
 	Control  *MeasureControl  `arg:"subcommand:control" help:"measure one daemon's control work among stand-ins"`
+	Platform *MeasurePlatform `arg:"subcommand:platform" help:"measure the platform's load by a whole fleet"`
 }
 
 // Run is called only when no part was chosen.
--- /dev/null
+++ b/internal/command/measureplatform.go
@@ -0,0 +1,46 @@
+package command
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"buckthornlatch.example/buckthornlatch/internal/capacity"
+)
+
+// secondsPerDay converts a daily number to an interval.
+const secondsPerDay = 86400
+
+// MeasurePlatform measures the platform's load by a whole fleet in this process.
+type MeasurePlatform struct {
+	Daemons  int           `arg:"--daemons" default:"460"`
+	Reads    int           `arg:"--reads-per-second" default:"2000" help:"the platform's limit of reads"`
+	Writes   int           `arg:"--writes-per-second" default:"400" help:"the platform's limit of writes"`
+	Scale    float64       `arg:"--catalogue-scale" default:"0.02" help:"size of the catalogue as a part of the full one"`
+	Changes  float64       `arg:"--changes-per-day" default:"1500"`
+	Restarts float64       `arg:"--restarts-per-day" default:"1300"`
+	Phase    time.Duration `arg:"--phase" default:"25s" help:"length of each phase"`
+	Outage   time.Duration `arg:"--outage" default:"60s" help:"length of the outage"`
+	JSON     string        `arg:"--json" placeholder:"FILE" help:"append the result to this file, one line of JSON"`
+}
+
+// Run measures and prints the phases.
+func (c *MeasurePlatform) Run(ctx context.Context, stdout io.Writer) error {
+	phases, err := capacity.MeasurePlatform(ctx, capacity.PlatformConfig{
+		Daemons:         c.Daemons,
+		ReadsPerSecond:  c.Reads,
+		WritesPerSecond: c.Writes,
+		Catalogue:       capacity.FullSize.Scaled(c.Scale),
+		ChangeInterval:  time.Duration(float64(time.Second) * secondsPerDay / c.Changes),
+		RestartInterval: time.Duration(float64(time.Second) * secondsPerDay / c.Restarts),
+		Phase:           c.Phase,
+		Outage:          c.Outage,
+	})
+	if err != nil {
+		return err
+	}
+	if err := appendJSON(c.JSON, phases); err != nil {
+		return err
+	}
+	return capacity.WritePlatform(stdout, phases)
+}
