--- a/internal/ledgerrun/world_test.go
+++ b/internal/ledgerrun/world_test.go
@@ -14,71 +14,12 @@
 	"buckthornlatch.example/buckthornlatch/internal/id"
 	"buckthornlatch.example/buckthornlatch/internal/ledger"
 	"buckthornlatch.example/buckthornlatch/internal/ledgerrun"
-	"buckthornlatch.example/buckthornlatch/internal/ownership"
 	handoverpb "buckthornlatch.example/buckthornlatch/rpc/handover"
 	ledgerpb "buckthornlatch.example/buckthornlatch/rpc/ledger"
 )
 
 const customer = id.CustomerID("chubut")
 
-// String keeps the output of failed runs short.
-func (p *process) String() string { return fmt.Sprint(p.host, "/", p.epoch) }
-
-// process is one daemon process. It stays in the world when another one replaced it on its host.
-type process struct {
-	host     id.HostID
-	epoch    id.Epoch
-	clock    *clock.Fake
-	rate     int
-	runner   *ledgerrun.Runner
-	tickets  *ledgerrun.Server
-	handover *handover.Server
-	sender   *handover.Sender
-	duties   dutyBook
-	units    []*handover.Unit
-	paused   bool
-	killed   bool
-}
-
-// dutyBook has the epochs whose duties a process performs.
-type dutyBook map[ledger.Location]bool
-
-// Release implements handover.Duties.
-func (d dutyBook) Release(at ledger.Location) (ownership.Standing, []handover.DutyState, bool) {
-	held := d[at]
-	delete(d, at)
-	return ownership.Standing{Slot: at.Host, Epoch: at.Epoch}, []handover.DutyState{{Part: "rate", Data: []byte("7")}}, held
-}
-
-// Accept implements handover.Duties.
-func (d dutyBook) Accept(s ownership.Standing, states []handover.DutyState) {
-	if len(states) != 1 || string(states[0].Data) != "7" {
-		panic("duty state lost")
-	}
-	d[ledger.Location{Host: s.Slot, Epoch: s.Epoch}] = true
-}
-
-// ticket is one issued ticket and what really happened to its request.
-type ticket struct {
-	text   string
-	at     ledger.Location
-	issued time.Duration
-	runs   int
-	answer string
-	// answered means that the holder of the records recorded the answer.
-	answered bool
-}
-
-// String keeps the output of failed runs short.
-func (k *ticket) String() string { return fmt.Sprint(k.at, " issued at ", k.issued) }
-
-// active is a send that may run at a process.
-type active struct {
-	p      *process
-	ticket *ticket
-	claim  ledger.ClaimID
-}
-
 // task is work that a process does in the background.
 type task struct {
 	p *process
