Do not trust a restarted gate about attempts of its earlier process

Cause: after a broken hop the entry asks the gate's address what became of the attempt. Change: the question names the incarnation that the attempt was stamped for; another process answers unknown. Conclusion: the new spec in internal/entry fails without the check in the gate and passes with it; go test -race ./internal/entry passes.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -20,6 +20,8 @@
 	id        id.AttemptID
 	// sent is the time before the attempt was sent.
 	sent clock.Time
+	// incarnation is the gate's process that the attempt was sent to; zero when it was not sent.
+	incarnation id.Incarnation
 }
 
 // result is the end of one attempt.
@@ -66,7 +68,7 @@
 	answer, err := s.entry.deps.Sender.Do(ctx, call)
 	latency := s.entry.deps.Clock.Now().Sub(sent)
 	if err != nil {
-		return s.broken(ctx, sentAttempt{candidate, attemptID, sent}, err)
+		return s.broken(ctx, sentAttempt{candidate: candidate, id: attemptID, sent: sent}, err)
 	}
 	defer answer.Body.Close()
 	return s.answered(ctx, candidate, answer, latency)
@@ -110,7 +112,10 @@
 // broken explains an attempt without a response.
 func (s *session) broken(ctx context.Context, a sentAttempt, err error) result {
 	var broken *hop.BrokenError
-	sent := !errors.As(err, &broken) || broken.Sent
+	sent := true
+	if errors.As(err, &broken) {
+		sent, a.incarnation = broken.Sent, broken.Incarnation
+	}
 	s.reportPath(ctx, a.candidate, err)
 	if uploadErr := s.query.body.rest.failure(); uploadErr != nil {
 		return s.uploadFailed(ctx, a, sent, uploadErr)
@@ -142,7 +147,7 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), s.entry.config.ResolveTimeout)
 	defer cancel()
 	for {
-		outcome, err := s.entry.deps.Sender.Resolve(ctx, a.candidate.Gate, a.id)
+		outcome, err := s.entry.deps.Sender.Resolve(ctx, a.candidate.Gate, a.id, a.incarnation)
 		switch {
 		case err != nil:
 		case outcome == fate.Outcome_OUTCOME_NOT_RUN && s.entry.deps.Clock.Now().Sub(a.sent) < resolveAge:
--- a/internal/entry/deps.go
+++ b/internal/entry/deps.go
@@ -80,8 +80,9 @@
 type Sender interface {
 	// Do sends one attempt; the error is a *hop.BrokenError.
 	Do(ctx context.Context, call hop.Call) (*hop.Answer, error)
-	// Resolve asks a gate what became of an attempt and blocks it if it was not dispatched.
-	Resolve(ctx context.Context, gate string, attempt id.AttemptID) (fate.Outcome, error)
+	// Resolve asks the gate's process that an attempt was sent to what became of it and blocks it if it was not
+	// dispatched. Another process on the address answers unknown.
+	Resolve(ctx context.Context, gate string, attempt id.AttemptID, incarnation id.Incarnation) (fate.Outcome, error)
 }
 
 // Attempts is the attempt table of the daemon's gate; *gate.Gate implements it.
--- a/internal/entry/faults_test.go
+++ b/internal/entry/faults_test.go
@@ -12,6 +12,7 @@
 	. "github.com/onsi/gomega"
 
 	"buckthornlatch.example/buckthornlatch/internal/entry"
+	"buckthornlatch.example/buckthornlatch/internal/gate"
 	"buckthornlatch.example/buckthornlatch/internal/problem"
 )
 
@@ -61,6 +62,18 @@
 		Entry("crossed", crossed),
 	)
 
+	// Guards against a second run of a booking whose gate was killed after the dispatch and started again: the
+	// new process has not seen the attempt, which proves nothing.
+	It("does not trust a restarted gate about an attempt of its earlier process", func() {
+		s.resolver = func(*gate.Gate) *gate.Gate { return s.newGate("t1", 8) }
+		s.addGateBehind("t1", 1, first.ServeHTTP, lostAnswer)
+		s.resolver = nil
+		s.addGate("t2", 1, second.ServeHTTP)
+		got := s.book()
+		Expect(got.problem.Run).To(Equal(problem.Unknown))
+		Expect([]int{first.count(), second.count()}).To(Equal([]int{1, 0}))
+	})
+
 	// Guards against a body that ends without its certificate and is passed on as complete.
 	It("aborts the caller's connection when the certificate is missing", func() {
 		s.addGateBehind("t1", 1, func(w http.ResponseWriter, r *http.Request) {
--- a/internal/entry/stack_test.go
+++ b/internal/entry/stack_test.go
@@ -46,6 +46,8 @@
 	entry     *entry.Entry
 	front     *httptest.Server
 	gates     []*gate.Gate
+	// resolver returns the gate that answers for the fate of a gate's attempts; nil for the gate itself.
+	resolver func(*gate.Gate) *gate.Gate
 }
 
 // newStack returns a stack without gates.
@@ -81,16 +83,17 @@
 func (s *stack) addGateBehind(name string, slots int, handler http.HandlerFunc, fault func(http.Handler) http.Handler) (*gate.Gate, entry.Candidate) {
 	target := httptest.NewServer(handler)
 	s.t.Cleanup(target.Close)
-	g := gate.New(gate.Config{Host: id.HostID("host-" + name), Incarnation: 7}, gate.Deps{
-		Clock: s.clock, Catalogue: s.directory, Revocations: s.directory, Health: s.directory,
-		Order: gate.NewFIFO(), Log: zerolog.Nop(),
-	})
+	g := s.newGate(name, 7)
 	ctx, cancel := context.WithCancel(context.Background())
 	go func() { _ = g.Run(ctx) }()
 	s.t.Cleanup(cancel)
 	mux := http.NewServeMux()
 	mux.Handle(hop.Path, fault(g))
-	mux.Handle(fate.FatePathPrefix, fate.NewFateServer(gate.NewFateServer(g)))
+	resolver := g
+	if s.resolver != nil {
+		resolver = s.resolver(g)
+	}
+	mux.Handle(fate.FatePathPrefix, fate.NewFateServer(gate.NewFateServer(resolver)))
 	server := httptest.NewServer(mux)
 	s.t.Cleanup(server.Close)
 	s.announce(g, name, target.Listener.Addr().String(), slots, targetapi.Serving)
@@ -105,6 +108,14 @@
 	return g, candidate
 }
 
+// newGate returns one process of a gate.
+func (s *stack) newGate(name string, incarnation id.Incarnation) *gate.Gate {
+	return gate.New(gate.Config{Host: id.HostID("host-" + name), Incarnation: incarnation}, gate.Deps{
+		Clock: s.clock, Catalogue: s.directory, Revocations: s.directory, Health: s.directory,
+		Order: gate.NewFIFO(), Log: zerolog.Nop(),
+	})
+}
+
 // announce sends a target's announcement to its gate.
 func (s *stack) announce(g *gate.Gate, name, address string, slots int, state targetapi.State) int {
 	body, err := json.Marshal(targetapi.Announcement{
--- a/internal/gate/fate.go
+++ b/internal/gate/fate.go
@@ -20,12 +20,16 @@
 	return &FateServer{gate: g}
 }
 
-// Resolve implements fate.Fate.
+// Resolve implements fate.Fate. A gate that never saw an attempt may say that it did not run only if the
+// attempt was sent to this process: an earlier one on the address may have dispatched it.
 func (s *FateServer) Resolve(_ context.Context, r *fate.ResolveRequest) (*fate.ResolveResponse, error) {
 	a, err := id.ParseAttemptID(r.GetAttemptId())
 	if err != nil {
 		return nil, twirp.InvalidArgumentError("attempt_id", err.Error())
 	}
+	if id.Incarnation(r.GetIncarnation()) != s.gate.config.Incarnation {
+		return &fate.ResolveResponse{Outcome: fate.Outcome_OUTCOME_UNKNOWN}, nil
+	}
 	return &fate.ResolveResponse{Outcome: outcome(s.gate.Resolve(a))}, nil
 }
 
--- a/internal/hop/client.go
+++ b/internal/hop/client.go
@@ -60,7 +60,7 @@
 
 // send runs the exchange under a watch for progress.
 func (c *Client) send(ctx context.Context, p *peer, call Call) (*Answer, error) {
-	x := newExchange(ctx, c, p)
+	x := newExchange(ctx, c, p, call.Request.ValidUntil.Incarnation)
 	response, err := p.transportOf(x).RoundTrip(x.request(c.scheme(), call))
 	if err != nil {
 		return nil, x.fail(err)
--- a/internal/hop/errors.go
+++ b/internal/hop/errors.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"fmt"
+
+	"buckthornlatch.example/buckthornlatch/internal/id"
 )
 
 var (
@@ -23,7 +25,9 @@
 	Peer string
 	// Sent is false when provably no byte of the request left this process.
 	Sent bool
-	Err  error
+	// Incarnation is the peer's process that the request was stamped for; zero when there was no stamp.
+	Incarnation id.Incarnation
+	Err         error
 }
 
 // Error implements error.
--- a/internal/hop/exchange.go
+++ b/internal/hop/exchange.go
@@ -8,6 +8,8 @@
 	"net/http/httptrace"
 	"net/textproto"
 	"sync/atomic"
+
+	"buckthornlatch.example/buckthornlatch/internal/id"
 )
 
 // exchange is one request on its way: it knows whether bytes were sent and cancels it when the peer goes silent.
@@ -19,11 +21,13 @@
 	cancel    context.CancelCauseFunc
 	watch     *Watch
 	sent      atomic.Bool
+	// incarnation is the peer's process that the request is stamped for.
+	incarnation id.Incarnation
 }
 
 // newExchange starts the watch.
-func newExchange(ctx context.Context, c *Client, p *peer) *exchange {
-	x := &exchange{client: c, peer: p}
+func newExchange(ctx context.Context, c *Client, p *peer, incarnation id.Incarnation) *exchange {
+	x := &exchange{client: c, peer: p, incarnation: incarnation}
 	x.ctx, x.cancel = context.WithCancelCause(ctx)
 	x.watch = NewWatch(c.config.Silence, func() { x.cancel(ErrSilent) })
 	return x
@@ -69,7 +73,7 @@
 		x.peer.suspect(x.transport)
 	}
 	x.close(err)
-	return &BrokenError{Peer: x.peer.address, Sent: x.sent.Load(), Err: err}
+	return &BrokenError{Peer: x.peer.address, Sent: x.sent.Load(), Incarnation: x.incarnation, Err: err}
 }
 
 // close stops the watch and cancels what is still running.
--- a/internal/hop/resolve.go
+++ b/internal/hop/resolve.go
@@ -10,14 +10,16 @@
 )
 
 // Resolve asks a peer what became of an attempt. A not-run result is final: the peer has blocked the attempt.
-// The caller must discard the result when the attempt was sent longer ago than the peer keeps it.
-func (c *Client) Resolve(ctx context.Context, address string, attempt id.AttemptID) (fate.Outcome, error) {
+// A process other than the one that the attempt was sent to answers unknown. The caller must discard the result when the attempt was sent longer ago than the peer keeps it.
+func (c *Client) Resolve(
+	ctx context.Context, address string, attempt id.AttemptID, incarnation id.Incarnation,
+) (fate.Outcome, error) {
 	p := c.peer(address)
 	transport := p.transport.Load()
 	ctx, cancel := context.WithTimeout(ctx, c.config.Silence)
 	defer cancel()
 	client := fate.NewFateProtobufClient(c.scheme()+"://"+address, &http.Client{Transport: transport})
-	response, err := client.Resolve(ctx, &fate.ResolveRequest{AttemptId: attempt.String()})
+	response, err := client.Resolve(ctx, &fate.ResolveRequest{AttemptId: attempt.String(), Incarnation: uint64(incarnation)})
 	if err != nil {
 		p.suspect(transport)
 		return fate.Outcome_OUTCOME_UNKNOWN, fault.New("resolve attempt", address, err)
