Use TLS on the callers', peers' and operators' addresses

The TLS settings were checked but never used: every listener and client was plain HTTP. Attempts and control messages present the peer identity, and the peers' address accepts only certificates that carry tls.peer_name. Calls to the platform use a transport of their own, because the platform has no identity of the fleet.

--- a/internal/command/connection.go
+++ b/internal/command/connection.go
@@ -33,10 +33,8 @@
 		return nil, &InputError{Err: fault.New("read token", c.TokenFile, err)}
 	}
 	transport := http.DefaultTransport.(*http.Transport).Clone()
-	if c.CAFile != "" {
-		if transport.TLSClientConfig, err = tlsConfig(c.CAFile); err != nil {
-			return nil, &InputError{Err: err}
-		}
+	if err := trust(transport, c.CAFile); err != nil {
+		return nil, err
 	}
 	httpClient := &http.Client{
 		Transport: tokenTransport{token: strings.TrimSpace(string(token)), next: transport},
@@ -47,6 +45,20 @@
 	return rpc.NewAdminProtobufClient(strings.TrimSuffix(c.Admin, "/"), httpClient), nil
 }
 
+// trust makes a transport trust the authority in the file instead of the
+// system's; an empty name changes nothing. Error: *InputError.
+func trust(transport *http.Transport, file string) error {
+	if file == "" {
+		return nil
+	}
+	config, err := tlsConfig(file)
+	if err != nil {
+		return &InputError{Err: err}
+	}
+	transport.TLSClientConfig = config
+	return nil
+}
+
 // tlsConfig trusts the authority in the file.
 func tlsConfig(file string) (*tls.Config, error) {
 	pem, err := os.ReadFile(file)
--- a/internal/command/status.go
+++ b/internal/command/status.go
@@ -12,7 +12,8 @@
 
 // Status shows the state of one daemon.
 type Status struct {
-	Admin string `arg:"--admin,env:BUCKTHORNLATCH_ADMIN,required" placeholder:"URL" help:"admin address of the daemon"`
+	Admin  string `arg:"--admin,env:BUCKTHORNLATCH_ADMIN,required" placeholder:"URL" help:"admin address of the daemon"`
+	CAFile string `arg:"--ca-file,env:BUCKTHORNLATCH_CA_FILE" placeholder:"FILE" help:"certificate authority of the daemons; default: the system's"`
 }
 
 // Run prints the daemon's state as JSON.
@@ -22,7 +23,11 @@
 	if err != nil {
 		return &InputError{Err: err}
 	}
-	client := &http.Client{Timeout: callTimeout}
+	transport := http.DefaultTransport.(*http.Transport).Clone()
+	if err := trust(transport, c.CAFile); err != nil {
+		return err
+	}
+	client := &http.Client{Transport: transport, Timeout: callTimeout}
 	response, err := client.Do(request)
 	if err != nil {
 		return fault.New("read status", c.Admin, err)
--- a/internal/command/traffic.go
+++ b/internal/command/traffic.go
@@ -23,6 +23,7 @@
 	Daemons  []string      `arg:"--daemon,separate" help:"base URL of a daemon's caller address; overrides the plan"`
 	Controls []string      `arg:"--control,separate" help:"control address of emulated targets, to compare runs"`
 	Duration time.Duration `arg:"--duration" help:"overrides the plan's duration"`
+	CAFile   string        `arg:"--ca-file,env:BUCKTHORNLATCH_CA_FILE" placeholder:"FILE" help:"certificate authority of the daemons; default: the system's"`
 	JSON     string        `arg:"--json" help:"also write the result to this file as JSON"`
 }
 
@@ -55,7 +56,11 @@
 	if err != nil {
 		return err
 	}
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxConnectionsPerDaemon}}
+	transport := &http.Transport{MaxIdleConnsPerHost: maxConnectionsPerDaemon}
+	if err := trust(transport, c.CAFile); err != nil {
+		return err
+	}
+	client := &http.Client{Transport: transport}
 	history, err := load.NewRunner(plan, keys, client).Run(ctx)
 	if err != nil {
 		return err
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -29,6 +29,7 @@
 	"buckthornlatch.example/buckthornlatch/internal/registration"
 	"buckthornlatch.example/buckthornlatch/internal/revocation"
 	"buckthornlatch.example/buckthornlatch/internal/settings"
+	"buckthornlatch.example/buckthornlatch/internal/tlsconfig"
 )
 
 // Daemon is one process of the fleet.
@@ -38,6 +39,10 @@
 	clock       clock.Clock
 	incarnation id.Incarnation
 	client      *http.Client
+	// identity holds the TLS files; nil without TLS.
+	identity *tlsconfig.Source
+	// platformTransport carries the calls to the platform, which has no identity of the fleet.
+	platformTransport *http.Transport
 
 	listeners  listeners
 	platform   *platform.Client
--- a/internal/daemon/provision.go
+++ b/internal/daemon/provision.go
@@ -45,12 +45,14 @@
 		d.Cleanup()
 		return err
 	}
-	d.client = &http.Client{Transport: &http.Transport{
-		MaxIdleConnsPerHost: idleControlConnections,
-		IdleConnTimeout:     idleControlTimeout,
-	}}
+	if err := d.provisionTLS(); err != nil {
+		d.Cleanup()
+		return err
+	}
+	d.client = &http.Client{Transport: d.controlTransport()}
+	d.platformTransport = newTransport()
 	d.platform = platform.NewClient(d.settings.Platform.Address, &http.Client{
-		Transport: d.client.Transport,
+		Transport: d.platformTransport,
 		Timeout:   d.settings.Platform.Timeout,
 	})
 	d.store = cataloguestore.New(d.platform.Table(), d.platform.Objects())
@@ -264,7 +266,7 @@
 	routes := &router{catalogue: d.syncer}
 	keys := &authenticator{catalogue: d.syncer, revoked: d.revoked, fresh: d.fresh}
 	booked := newBookings(d.tickets)
-	d.hop = hop.NewClient(hop.Config{}, d.clock)
+	d.hop = hop.NewClient(hop.Config{TLS: d.hopTLS()}, d.clock)
 	d.gate = gate.New(gate.Config{Host: host, Incarnation: d.incarnation}, gate.Deps{
 		Clock:       d.clock,
 		Catalogue:   routes,
@@ -325,6 +327,7 @@
 	}
 	if d.client != nil {
 		d.client.CloseIdleConnections()
+		d.platformTransport.CloseIdleConnections()
 	}
 }
 
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -22,6 +22,9 @@
 	for _, s := range servers {
 		group.Go(func() error { return s.serve() })
 	}
+	if d.identity != nil {
+		group.Go(func() error { return d.identity.Run(running, tlsReloadPeriod) })
+	}
 	group.Go(func() error { return d.gate.Run(running) })
 	group.Go(func() error { return d.syncer.Run(running) })
 	group.Go(func() error { return d.upkeep(running) })
@@ -69,13 +72,21 @@
 
 // serve runs until close.
 func (s *server) serve() error {
-	err := s.http.Serve(s.listener)
+	err := s.listen()
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
 	return fault.New("serve "+s.name, s.listener.Addr().String(), err)
 }
 
+// listen accepts connections, with TLS when it is configured.
+func (s *server) listen() error {
+	if s.http.TLSConfig == nil {
+		return s.http.Serve(s.listener)
+	}
+	return s.http.ServeTLS(s.listener, "", "")
+}
+
 // close closes the listener and lets running requests end for a moment.
 func (s *server) close() {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
--- a/internal/daemon/servers.go
+++ b/internal/daemon/servers.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"crypto/tls"
 	"encoding/json"
 	"net"
 	"net/http"
@@ -23,17 +24,18 @@
 // servers returns the daemon's HTTP servers.
 func (d *Daemon) servers() []*server {
 	return []*server{
-		d.server("callers", d.listeners.caller, d.entry),
-		d.server("peers", d.listeners.peer, d.peerHandler()),
-		d.server("targets", d.listeners.local, d.localHandler()),
-		d.server("operators", d.listeners.admin, d.adminHandler()),
+		d.server("callers", d.listeners.caller, d.callerTLS(), d.entry),
+		d.server("peers", d.listeners.peer, d.peerTLS(), d.peerHandler()),
+		d.server("targets", d.listeners.local, nil, d.localHandler()),
+		d.server("operators", d.listeners.admin, d.callerTLS(), d.adminHandler()),
 	}
 }
 
-// server returns one server with the settings' bounds.
-func (d *Daemon) server(name string, listener net.Listener, handler http.Handler) *server {
+// server returns one server with the settings' bounds; without a TLS configuration it uses plain HTTP.
+func (d *Daemon) server(name string, listener net.Listener, secure *tls.Config, handler http.Handler) *server {
 	return &server{name: name, listener: listener, http: &http.Server{
 		Handler:           handler,
+		TLSConfig:         secure,
 		ReadHeaderTimeout: d.settings.Timeouts.ReadHeader,
 		IdleTimeout:       d.settings.Timeouts.Idle,
 		MaxHeaderBytes:    d.settings.Limits.MaxHeaderBytes,
--- a/internal/experiment/fleet.go
+++ b/internal/experiment/fleet.go
@@ -60,9 +60,13 @@
 type Node struct {
 	Host   *catalogue.Host
 	Daemon *daemon.Daemon
-	stop   context.CancelFunc
-	done   chan struct{}
-	err    error
+	// secure says that callers and operators use TLS.
+	secure bool
+	// operator carries the calls of the fleet's own operator.
+	operator *http.Transport
+	stop     context.CancelFunc
+	done     chan struct{}
+	err      error
 }
 
 // Stop ends the daemon gracefully and returns its result.
@@ -99,12 +103,24 @@
 
 // StartNode starts a daemon on a host slot, also again after a stop.
 func (f *Fleet) StartNode(host *catalogue.Host) (*Node, error) {
-	d := daemon.New(f.settingsOf(host), f.log.With().Str("host", string(host.ID)).Logger())
+	s := f.settingsOf(host)
+	transport, err := newTransport(s.TLS)
+	if err != nil {
+		return nil, err
+	}
+	d := daemon.New(s, f.log.With().Str("host", string(host.ID)).Logger())
 	if err := d.Provision(); err != nil {
 		return nil, err
 	}
 	ctx, stop := context.WithCancel(f.context)
-	node := &Node{Host: host, Daemon: d, stop: stop, done: make(chan struct{})}
+	node := &Node{
+		Host:     host,
+		Daemon:   d,
+		secure:   s.TLS.Enabled(),
+		operator: transport,
+		stop:     stop,
+		done:     make(chan struct{}),
+	}
 	f.Nodes = append(f.Nodes, node)
 	go func() {
 		defer close(node.done)
@@ -164,7 +180,7 @@
 func (f *Fleet) CallerURLs() []string {
 	var urls []string
 	for _, node := range f.Nodes {
-		urls = append(urls, "http://"+node.Daemon.Addresses().Caller)
+		urls = append(urls, node.url(node.Daemon.Addresses().Caller))
 	}
 	return urls
 }
@@ -202,6 +218,7 @@
 	f.cancel()
 	for _, node := range f.Nodes {
 		<-node.done
+		node.operator.CloseIdleConnections()
 	}
 	f.wait.Wait()
 	http.DefaultClient.CloseIdleConnections()
--- a/internal/experiment/fleet_test.go
+++ b/internal/experiment/fleet_test.go
@@ -12,6 +12,7 @@
 	"buckthornlatch.example/buckthornlatch/internal/emulator/target"
 	"buckthornlatch.example/buckthornlatch/internal/experiment"
 	"buckthornlatch.example/buckthornlatch/internal/load"
+	"buckthornlatch.example/buckthornlatch/internal/settings"
 )
 
 // plan is a small mix of look-ups and bookings of one customer.
@@ -32,8 +33,15 @@
 
 // start returns a ready fleet with one target on each of the four hosts, and keys for the plan.
 func start(ctx context.Context, p *load.Plan) (*experiment.Fleet, load.Keys) {
+	return startWith(ctx, p, zerolog.WarnLevel, nil)
+}
+
+// startWith is start with a log level and changed settings.
+func startWith(
+	ctx context.Context, p *load.Plan, level zerolog.Level, adjust func(*settings.Settings),
+) (*experiment.Fleet, load.Keys) {
 	entries := smallCatalogue()
-	fleet, err := experiment.NewFleet(entries, zerolog.New(GinkgoWriter).Level(zerolog.WarnLevel), nil)
+	fleet, err := experiment.NewFleet(entries, zerolog.New(GinkgoWriter).Level(level), adjust)
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(fleet.Close)
 	for i, node := range fleet.Nodes {
--- a/internal/experiment/operate.go
+++ b/internal/experiment/operate.go
@@ -17,19 +17,19 @@
 const operateTimeout = 15 * time.Second
 
 // tokenTransport adds the operator's token.
-type tokenTransport struct{}
+type tokenTransport struct{ next http.RoundTripper }
 
 // RoundTrip implements http.RoundTripper.
-func (tokenTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+func (t tokenTransport) RoundTrip(r *http.Request) (*http.Response, error) {
 	r = r.Clone(r.Context())
 	r.Header.Set("Authorization", "Bearer "+operatorToken)
-	return http.DefaultTransport.RoundTrip(r)
+	return t.next.RoundTrip(r)
 }
 
 // Admin returns a client of a node's administration API.
 func (n *Node) Admin() rpc.Admin {
-	client := &http.Client{Transport: tokenTransport{}, Timeout: operateTimeout}
-	return rpc.NewAdminProtobufClient("http://"+n.Daemon.Addresses().Admin, client)
+	client := &http.Client{Transport: tokenTransport{next: n.operator}, Timeout: operateTimeout}
+	return rpc.NewAdminProtobufClient(n.url(n.Daemon.Addresses().Admin), client)
 }
 
 // ReadCatalogue reads the entries of a catalogue file.
--- a/internal/settings/checker.go
+++ b/internal/settings/checker.go
@@ -97,6 +97,7 @@
 	c.required("tls.cert_file", t.CertFile)
 	c.required("tls.key_file", t.KeyFile)
 	c.required("tls.peer_ca_file", t.PeerCAFile)
+	c.required("tls.peer_name", t.PeerName)
 }
 
 // operator checks one credential.
--- a/internal/settings/defaults.go
+++ b/internal/settings/defaults.go
@@ -14,6 +14,7 @@
 			Timeout:        time.Second,
 			GossipInterval: time.Second,
 		},
+		TLS: TLS{PeerName: "buckthornlatch-peer"},
 		Timeouts: Timeouts{
 			ReadHeader: 5 * time.Second,
 			Idle:       60 * time.Second,
--- a/internal/settings/tls.go
+++ b/internal/settings/tls.go
@@ -10,6 +10,9 @@
 	KeyFile string `toml:"key_file"`
 	// PeerCAFile holds the certificates of the authority that signs daemons, in PEM.
 	PeerCAFile string `toml:"peer_ca_file"`
+	// PeerName is the DNS name that the certificates of all daemons carry and that
+	// no other certificate of the authority carries. Default buckthornlatch-peer.
+	PeerName string `toml:"peer_name"`
 }
 
 // Enabled reports whether any TLS file is set.
