Let rosters change by several hosts in the check of duties

Cause: the randomised check changed one host per roster, where majorities of successive rosters always intersect, so it did not test the rule that every roster still in use needs its own majority. Change: up to four of five hosts join or leave at once.

--- a/internal/ownership/machine_test.go
+++ b/internal/ownership/machine_test.go
@@ -84,7 +84,7 @@
 			},
 			"change roster": func(t *rapid.T) {
 				if !w.down && len(w.platform.rosters) < 4 {
-					w.changeRoster(hosts, rapid.SampledFrom(hosts).Draw(t, "host"))
+					w.changeRoster(hosts, rapid.SliceOfNDistinct(rapid.SampledFrom(hosts), 1, 4, rapid.ID[id.HostID]).Draw(t, "host")...)
 				}
 			},
 			"release": func(t *rapid.T) {
--- a/internal/ownership/world_test.go
+++ b/internal/ownership/world_test.go
@@ -120,12 +120,12 @@
 	return p
 }
 
-// changeRoster commits a roster with one host more or less.
-func (w *world) changeRoster(hosts []id.HostID, toggle id.HostID) {
+// changeRoster commits a roster that differs by the given hosts.
+func (w *world) changeRoster(hosts []id.HostID, toggle ...id.HostID) {
 	last := w.platform.rosters[len(w.platform.rosters)-1]
 	var members []ownership.Member
 	for _, h := range hosts {
-		if last.Contains(h) != (h == toggle) {
+		if last.Contains(h) != slices.Contains(toggle, h) {
 			members = append(members, ownership.Member{Host: h, FailureDomain: id.FailureDomain(h[:1])})
 		}
 	}
