--- a/internal/gossip/bytes_test.go
+++ b/internal/gossip/bytes_test.go
@@ -223,24 +223,6 @@
 	b.ReportMetric(ages[len(ages)-1], "age-max-s")
 }
 
-// countingConn counts the bytes of a connection in both directions.
-type countingConn struct {
-	net.Conn
-	bytes *atomic.Int64
-}
-
-func (c countingConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
-func (c countingConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
 // TestHeaderBytes guards the share of HTTP headers in the control traffic: both directions of one call.
 func TestHeaderBytes(t *testing.T) {
 	service := New(Config{Membership: membership.Config{Self: "a", Incarnation: 1}, Clock: clock.NewSystem()})
