Measure what the request path adds, and fit slopes

Targets of one simulated host had equal names when their services were equal; the race test of a small fleet found it.

--- a/internal/capacity/control.go
+++ b/internal/capacity/control.go
@@ -35,7 +35,9 @@
 	Window time.Duration
 	// Profile is a file for the window's CPU profile; empty for none.
 	Profile string
-	Log     zerolog.Logger
+	// HeapProfile is a file for the heap's profile after the window; empty for none.
+	HeapProfile string
+	Log         zerolog.Logger
 }
 
 // ControlResult is what one daemon used without callers' traffic.
@@ -117,7 +119,19 @@
 	}
 	result, err := window(ctx, config)
 	result.ReadySeconds = ready.Seconds()
-	return result, err
+	return result, errors.Join(err, writeHeapProfile(config.HeapProfile))
+}
+
+// writeHeapProfile writes the heap's profile to a file; no name, no file.
+func writeHeapProfile(name string) error {
+	if name == "" {
+		return nil
+	}
+	file, err := os.Create(name)
+	if err != nil {
+		return fault.New("create heap profile", "", err)
+	}
+	return fault.New("write heap profile", "", errors.Join(pprof.WriteHeapProfile(file), file.Close()))
 }
 
 // awaitFleet waits until the daemon knows the whole fleet and catalogue.
--- a/internal/capacity/peer.go
+++ b/internal/capacity/peer.go
@@ -57,7 +57,7 @@
 	for n := number; n < size.Targets; n += size.Hosts {
 		service := serviceName(n % size.Services)
 		p.targets = append(p.targets, membership.Target{
-			Name: fmt.Sprintf("%s-%s", service, p.owner.Host), Service: service,
+			Name: fmt.Sprintf("%s-%s-%d", service, p.owner.Host, n), Service: service,
 			State: membership.TargetServing, Slots: targetSlots,
 		})
 	}
--- a/internal/capacity/standins.go
+++ b/internal/capacity/standins.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
-	"strings"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -14,7 +14,6 @@
 	emulator "buckthornlatch.example/buckthornlatch/internal/emulator/platform"
 	"buckthornlatch.example/buckthornlatch/internal/emulator/target"
 	"buckthornlatch.example/buckthornlatch/internal/fault"
-	"buckthornlatch.example/buckthornlatch/internal/id"
 	"buckthornlatch.example/buckthornlatch/internal/platform"
 	"buckthornlatch.example/buckthornlatch/internal/registration"
 )
@@ -174,7 +173,7 @@
 	for n := size.Hosts - 1; n < size.Targets; n += size.Hosts {
 		service := serviceName(n % size.Services)
 		t := target.New(target.Config{
-			Name: strings.Join([]string{string(service), "measured"}, "-"), Service: id.ServiceName(service),
+			Name: fmt.Sprintf("%s-measured-%d", service, n), Service: service,
 			Listen: "127.0.0.1:0", Announce: local, Slots: targetSlots, ServiceTime: 10 * time.Millisecond,
 		}, runs)
 		if err := t.Listen(); err != nil {
--- a/internal/command/measure.go
+++ b/internal/command/measure.go
@@ -23,6 +23,8 @@
 type Measure struct {
 	Standins *MeasureStandins `arg:"subcommand:standins" help:"run the fleet around one measured daemon"`
 	Control  *MeasureControl  `arg:"subcommand:control" help:"measure one daemon's control work among stand-ins"`
+	Slopes   *MeasureSlopes   `arg:"subcommand:slopes" help:"fit lines through results of measure control"`
+	Overhead *MeasureOverhead `arg:"subcommand:overhead" help:"measure what the request path adds"`
 	Platform *MeasurePlatform `arg:"subcommand:platform" help:"measure the platform's load by a whole fleet"`
 }
 
@@ -76,16 +78,18 @@
 	Window   time.Duration `arg:"--window" default:"20s" help:"time that is measured"`
 	JSON     string        `arg:"--json" placeholder:"FILE" help:"append the result to this file, one line of JSON"`
 	Profile  string        `arg:"--profile" placeholder:"FILE" help:"write the window's CPU profile"`
+	Heap     string        `arg:"--heap-profile" placeholder:"FILE" help:"write the heap's profile after the window"`
 }
 
 // Run measures and prints one row.
 func (c *MeasureControl) Run(ctx context.Context, stdout io.Writer) error {
 	result, err := capacity.MeasureControl(ctx, capacity.ControlConfig{
-		Standins: c.Standins,
-		Settle:   c.Settle,
-		Window:   c.Window,
-		Profile:  c.Profile,
-		Log:      zerolog.New(os.Stderr).Level(zerolog.WarnLevel),
+		Standins:    c.Standins,
+		Settle:      c.Settle,
+		Window:      c.Window,
+		Profile:     c.Profile,
+		HeapProfile: c.Heap,
+		Log:         zerolog.New(os.Stderr).Level(zerolog.WarnLevel),
 	})
 	if err != nil {
 		return err
