Create the customers of the end-to-end fleet after its roster

Cause: when hosts and customers come with one first change, some homes cannot tell that the customers are new and withhold their shares for longer than a fence. Change: the suite applies the customers when every daemon may perform its duties. The checks of the cases are unchanged. The refusals after a combined first change remain and are reported.

--- a/internal/e2e/fleet_test.go
+++ b/internal/e2e/fleet_test.go
@@ -43,7 +43,7 @@
 	histories []load.History
 }
 
-// startFleet builds the binary, starts every process and applies the catalogue.
+// start builds the binary, starts every process and applies the catalogue.
 // The caller closes the fleet, also when this function fails an expectation.
 func (f *fleet) start() {
 	var err error
@@ -65,10 +65,14 @@
 	for _, h := range f.hosts {
 		f.startDaemon(h)
 	}
-	// A daemon that has read the empty catalogue knows that the customers are new.
 	f.awaitReady(0)
 	_, err = f.apply(f.operators[0], f.hosts[0], f.writeCatalogue())
 	Expect(err).NotTo(HaveOccurred())
+	// A daemon that performs its duties under the first roster knows that the customers are new. Homes that
+	// cannot know it withhold their shares for longer than a fence, and the first cases would measure that.
+	f.awaitDuties()
+	_, err = f.apply(f.operators[0], f.hosts[0], f.writeCustomers())
+	Expect(err).NotTo(HaveOccurred())
 	f.keys = load.Keys{
 		largeCustomer: f.issueKey(largeCustomer).secret,
 		tightCustomer: f.issueKey(tightCustomer).secret,
@@ -129,6 +133,19 @@
 	}, readyTimeout, pollPeriod).Should(Succeed())
 }
 
+// awaitDuties waits until every daemon may perform its duties.
+func (f *fleet) awaitDuties() {
+	GinkgoHelper()
+	Eventually(func() error {
+		for _, h := range f.hosts {
+			if s, err := h.status(); err != nil || !s.DutiesConfirmed {
+				return fmt.Errorf("%s: %+v, %w", h.name, s, err)
+			}
+		}
+		return nil
+	}, readyTimeout, pollPeriod).Should(Succeed())
+}
+
 // restore removes all faults, starts what was killed and waits until the fleet is whole.
 func (f *fleet) restore() {
 	GinkgoHelper()
