--- a/internal/e2e/fleet_test.go
+++ b/internal/e2e/fleet_test.go
@@ -192,6 +192,14 @@
 	return total
 }
 
+// logOf returns the log of a host's daemons.
+func (f *fleet) logOf(h *host) string {
+	GinkgoHelper()
+	text, err := os.ReadFile(filepath.Join(f.dir, h.name+".log"))
+	Expect(err).NotTo(HaveOccurred())
+	return string(text)
+}
+
 // others returns all hosts but some.
 func (f *fleet) others(without ...*host) []*host {
 	var out []*host
--- a/internal/e2e/graceful_test.go
+++ b/internal/e2e/graceful_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"regexp"
 	"strconv"
 	"sync"
 	"syscall"
@@ -69,6 +70,38 @@
 	for i := range tickets {
 		Expect(runs[gracefulName(i)]).To(Equal(1), "ticket %d", i)
 	}
+	f.expectTakenBack(c, victim, tickets)
+}
+
+var (
+	delegatePattern = regexp.MustCompile(`"to":"(host-\d)".*"message":"handover: records handed over"`)
+	returnedPattern = regexp.MustCompile(`"returned":true.*"message":"ownership: holding starts"`)
+)
+
+// expectTakenBack kills the delegate of a host that started again. The host's
+// new process has the records itself then, and every other daemon finds them there.
+func (f *fleet) expectTakenBack(c *caller, h *host, tickets []string) {
+	GinkgoHelper()
+	Eventually(func() string { return f.logOf(h) }, 15*time.Second, pollPeriod).Should(MatchRegexp(returnedPattern.String()))
+	found := delegatePattern.FindStringSubmatch(f.logOf(h))
+	Expect(found).NotTo(BeNil(), "no delegate in the log")
+	GinkgoWriter.Printf("%s handed its records over to %s and took them back\n", h.name, found[1])
+	var delegate *host
+	for _, other := range f.others(h) {
+		if other.name == found[1] {
+			delegate = other
+		}
+	}
+	delegate.killDaemon()
+	for i, ticket := range tickets {
+		for _, other := range f.others(delegate) {
+			expectBooked(c, other, i, ticket)
+		}
+	}
+	runs := f.runs()
+	for i := range tickets {
+		Expect(runs[gracefulName(i)]).To(Equal(1), "ticket %d after the loss of the delegate", i)
+	}
 }
 
 // gracefulName is the request id of a booking of the case.
