--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"time"
@@ -23,6 +24,7 @@
 	"buckthornlatch.example/buckthornlatch/internal/hop"
 	"buckthornlatch.example/buckthornlatch/internal/id"
 	"buckthornlatch.example/buckthornlatch/internal/ledgerrun"
+	"buckthornlatch.example/buckthornlatch/internal/membership"
 	"buckthornlatch.example/buckthornlatch/internal/permits"
 	"buckthornlatch.example/buckthornlatch/internal/platform"
 	"buckthornlatch.example/buckthornlatch/internal/quarantine"
@@ -98,7 +100,7 @@
 		settings:       s,
 		log:            log,
 		clock:          clock.NewSystem(),
-		incarnation:    id.Incarnation(time.Now().UnixMilli()),
+		incarnation:    membership.NewIncarnation(time.Now(), uint16(rand.Uint32())),
 		revoked:        &revocation.Set{},
 		applied:        make(chan struct{}, 1),
 		targetsChanged: make(chan struct{}, 1),
--- a/internal/daemon/upkeep.go
+++ b/internal/daemon/upkeep.go
@@ -6,6 +6,7 @@
 
 	"buckthornlatch.example/buckthornlatch/internal/clock"
 	"buckthornlatch.example/buckthornlatch/internal/ejection"
+	"buckthornlatch.example/buckthornlatch/internal/fault"
 	"buckthornlatch.example/buckthornlatch/internal/freshness"
 	"buckthornlatch.example/buckthornlatch/internal/gate"
 	"buckthornlatch.example/buckthornlatch/internal/hop"
@@ -40,11 +41,20 @@
 		case <-d.applied:
 			d.catalogueApplied()
 		case <-ticker.C:
+			if d.superseded() {
+				return fault.New("serve host slot", string(d.duties.self), errSuperseded)
+			}
 			d.tick()
 		}
 	}
 }
 
+// superseded reports whether a newer process of the own host was heard.
+func (d *Daemon) superseded() (newer bool) {
+	d.gossip.View(func(t *membership.Table) { newer = t.Superseded() })
+	return newer
+}
+
 // tick evaluates what changes with time alone.
 func (d *Daemon) tick() {
 	d.publishStatus()
