--- a/internal/daemon/leave.go
+++ b/internal/daemon/leave.go
@@ -17,6 +17,10 @@
 	maxDelegates = 3
 	// announceDelay lets peers learn from gossip who holds the records now.
 	announceDelay = 200 * time.Millisecond
+	// retryPause is the time between two looks at work that delays leaving.
+	retryPause = 100 * time.Millisecond
+	// maxClaimWait bounds the wait for the platform while leaving.
+	maxClaimWait = 8 * time.Second
 	// reclaimPeriod is the time between two requests for the records of the previous epoch.
 	reclaimPeriod = 500 * time.Millisecond
 	// reclaimTime is the time after the registration in which the records are asked for.
@@ -26,9 +30,10 @@
 // handOver passes the ticket records and duties of a leaving daemon to a peer.
 func (d *Daemon) handOver(ctx context.Context) {
 	d.tickets.Wait()
+	d.writeClaims(ctx)
 	candidates := d.delegates()
 	for _, unit := range d.tickets.Units(d.moves) {
-		result, to, err := d.sender.Leave(ctx, unit, candidates)
+		result, to, err := d.leaveUnit(ctx, unit, candidates)
 		d.log.Info().Err(err).Str("result", result.String()).Str("to", string(to)).
 			Str("slot", string(unit.Location().Host)).Msg("handover: records handed over")
 	}
@@ -37,6 +42,37 @@
 	time.Sleep(announceDelay)
 }
 
+// leaveUnit hands one unit over. After an unsure result it asks again, because
+// the receiver may be responsible already.
+func (d *Daemon) leaveUnit(ctx context.Context, unit *handover.Unit, candidates []id.HostID) (handover.Result, id.HostID, error) {
+	for {
+		result, to, err := d.sender.Leave(ctx, unit, candidates)
+		if result != handover.Unsure || ctx.Err() != nil {
+			return result, to, err
+		}
+		candidates = []id.HostID{to}
+		select {
+		case <-ctx.Done():
+		case <-time.After(retryPause):
+		}
+	}
+}
+
+// writeClaims waits until the outcomes of callers' own keys are in the platform's
+// table, as long as the platform and the drain's bound allow.
+func (d *Daemon) writeClaims(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, maxClaimWait)
+	defer cancel()
+	for d.ownKeys.Pending() > 0 {
+		select {
+		case <-ctx.Done():
+			d.log.Warn().Int("claims", d.ownKeys.Pending()).Msg("daemon: claims not written before leaving")
+			return
+		case <-time.After(retryPause):
+		}
+	}
+}
+
 // publishHeld publishes which records are held now.
 func (d *Daemon) publishHeld() {
 	held := d.held()
