Count what a daemon does by metrics with bounded labels

Operators could see a daemon's state only by /status. Package metrics now counts requests, refusals, attempts, retries, rate tokens, claims, tickets, queues, ejections, control messages and platform calls, through decorators around the entry's parts, the gate's order and the HTTP transports; a sampler copies the rest of the state once a second. No label comes from a customer, a target or a key; service names are bounded to 128.

The exporter for /metrics uses tally, which go.mod does not list. Its file therefore has the build tag tally, and the default build keeps nothing.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -23,6 +23,8 @@
 	"buckthornlatch.example/buckthornlatch/internal/hop"
 	"buckthornlatch.example/buckthornlatch/internal/id"
 	"buckthornlatch.example/buckthornlatch/internal/ledgerrun"
+	"buckthornlatch.example/buckthornlatch/internal/metrics"
+	"buckthornlatch.example/buckthornlatch/internal/metrics/scrape"
 	"buckthornlatch.example/buckthornlatch/internal/permits"
 	"buckthornlatch.example/buckthornlatch/internal/platform"
 	"buckthornlatch.example/buckthornlatch/internal/quarantine"
@@ -43,6 +45,8 @@
 	identity *tlsconfig.Source
 	// platformTransport carries the calls to the platform, which has no identity of the fleet.
 	platformTransport *http.Transport
+	exporter          *scrape.Exporter
+	metrics           *metrics.Set
 
 	listeners  listeners
 	platform   *platform.Client
--- a/internal/daemon/provision.go
+++ b/internal/daemon/provision.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/rand"
 	"encoding/hex"
+	"errors"
 	"net"
 	"net/http"
 	"time"
@@ -45,14 +46,14 @@
 		d.Cleanup()
 		return err
 	}
-	if err := d.provisionTLS(); err != nil {
+	if err := errors.Join(d.provisionMetrics(), d.provisionTLS()); err != nil {
 		d.Cleanup()
 		return err
 	}
-	d.client = &http.Client{Transport: d.controlTransport()}
+	d.client = &http.Client{Transport: d.metrics.Control.Transport(d.controlTransport())}
 	d.platformTransport = newTransport()
 	d.platform = platform.NewClient(d.settings.Platform.Address, &http.Client{
-		Transport: d.platformTransport,
+		Transport: d.metrics.PlatformTransport(d.platformTransport),
 		Timeout:   d.settings.Platform.Timeout,
 	})
 	d.store = cataloguestore.New(d.platform.Table(), d.platform.Objects())
@@ -273,11 +274,11 @@
 		Revocations: keys,
 		Health:      d.health,
 		Quarantine:  d.health,
-		Order:       newFairOrder(d.clock),
+		Order:       newMeteredOrder(newFairOrder(d.clock), d.metrics),
 		Changed:     func() { notify(d.targetsChanged) },
 		Log:         d.log,
 	})
-	d.entry = entry.New(entry.Config{RetryFraction: d.settings.Limits.RetryFraction}, entry.Deps{
+	d.entry = entry.New(entry.Config{RetryFraction: d.settings.Limits.RetryFraction}, metered(entry.Deps{
 		Clock:         d.clock,
 		Authenticator: keys,
 		Router:        routes,
@@ -289,7 +290,7 @@
 		Sender:        d.hop,
 		Random:        rand.Reader,
 		Log:           d.log,
-	})
+	}, d.metrics))
 }
 
 // listen opens the four addresses.
@@ -319,6 +320,9 @@
 			_ = listener.Close()
 		}
 	}
+	if d.exporter != nil {
+		d.exporter.Close()
+	}
 	if d.grants != nil {
 		d.grants.Close()
 	}
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -28,6 +28,7 @@
 	group.Go(func() error { return d.gate.Run(running) })
 	group.Go(func() error { return d.syncer.Run(running) })
 	group.Go(func() error { return d.upkeep(running) })
+	group.Go(func() error { return d.sample(running) })
 	group.Go(func() error { return d.register(running) })
 	group.Go(func() error { return d.owners.run(running) })
 	group.Go(func() error { return d.flusher.Run(running) })
--- a/internal/daemon/servers.go
+++ b/internal/daemon/servers.go
@@ -24,7 +24,7 @@
 // servers returns the daemon's HTTP servers.
 func (d *Daemon) servers() []*server {
 	return []*server{
-		d.server("callers", d.listeners.caller, d.callerTLS(), d.entry),
+		d.server("callers", d.listeners.caller, d.callerTLS(), d.metrics.Handler(d.entry)),
 		d.server("peers", d.listeners.peer, d.peerTLS(), d.peerHandler()),
 		d.server("targets", d.listeners.local, nil, d.localHandler()),
 		d.server("operators", d.listeners.admin, d.callerTLS(), d.adminHandler()),
@@ -83,6 +83,9 @@
 	mux.HandleFunc("/healthz", d.healthz)
 	mux.HandleFunc("/readyz", d.readyz)
 	mux.HandleFunc("/status", d.status)
+	if d.exporter.Handler != nil {
+		mux.Handle("/metrics", d.exporter.Handler)
+	}
 	mux.HandleFunc("/debug/pprof/", pprof.Index)
 	mux.HandleFunc("/debug/pprof/profile", pprof.Profile)
 	mux.HandleFunc("/debug/pprof/trace", pprof.Trace)
--- a/internal/daemon/status.go
+++ b/internal/daemon/status.go
@@ -33,7 +33,7 @@
 	// tokens of a customer that appears earlier wait for the fence, as it may not be new.
 	CustomersKnown bool `json:"customers_known"`
 	KnownHosts     int  `json:"known_hosts"`
-	KnownTargets    int  `json:"known_targets"`
+	KnownTargets   int  `json:"known_targets"`
 	// Targets are those of this host.
 	Targets []gate.TargetStatus `json:"targets"`
 }
--- /dev/null
+++ b/internal/metrics/set.go
@@ -0,0 +1,154 @@
+package metrics
+
+import (
+	"sync/atomic"
+	"time"
+
+	"buckthornlatch.example/buckthornlatch/internal/freshness"
+	"buckthornlatch.example/buckthornlatch/internal/hop"
+	"buckthornlatch.example/buckthornlatch/internal/membership"
+	"buckthornlatch.example/buckthornlatch/internal/problem"
+)
+
+// latencyBounds are the upper bounds of latencies; the added latency that the fleet aims at is 1.7 ms.
+var latencyBounds = []time.Duration{
+	500 * time.Microsecond, time.Millisecond, 2 * time.Millisecond, 5 * time.Millisecond, 10 * time.Millisecond,
+	25 * time.Millisecond, 50 * time.Millisecond, 100 * time.Millisecond, 250 * time.Millisecond,
+	500 * time.Millisecond, time.Second, 2500 * time.Millisecond, 5 * time.Second, 10 * time.Second,
+}
+
+// codes are the refusal codes used as label values.
+var codes = []string{
+	string(problem.KeyMissing), string(problem.KeyInvalid), string(problem.KeysStale), string(problem.RouteUnknown),
+	string(problem.RouteForbidden), string(problem.RateExceeded), string(problem.RateUnconfirmed),
+	string(problem.QueueFull), string(problem.DeadlineTooShort), string(problem.NoTarget), string(problem.Draining),
+	string(problem.RequestQuarantined), string(problem.TicketsUnavailable), string(problem.TicketInvalid),
+	string(problem.TicketExpired), string(problem.IssuerLost), string(problem.KeyReused), string(problem.InProgress),
+	string(problem.OutcomeUnknown), string(problem.AnswerNotKept), string(problem.ClaimStoreUnavailable),
+	string(problem.BodyTooLarge), string(problem.BadRequest), string(problem.AttemptBlocked),
+	string(problem.ValidityExpired), string(problem.TargetFailed),
+}
+
+// Label values of results.
+const (
+	OK     = "ok"
+	Failed = "failed"
+	Broken = "broken"
+)
+
+// Set are a daemon's metrics.
+type Set struct {
+	// Requests counts answers of targets by the first digit of their status.
+	Requests Family
+	// Aborted counts requests whose response broke off.
+	Aborted Counter
+	// Refusals counts refusals by code.
+	Refusals Family
+	// Latency is the time from the request's header to the end of the response.
+	Latency Histogram
+	// InFlight is the number of callers' requests being served; SampleInFlight sets it.
+	InFlight Gauge
+	running  atomic.Int64
+	// Attempts counts attempts by verdict.
+	Attempts AttemptFamilies
+	// Retries counts attempts after the first of a request.
+	Retries Counter
+	// Rate counts requests for a token of a customer's rate by result.
+	Rate Family
+	// Claims counts decisions of the ledger.
+	Claims Family
+	// Tickets counts requests for tickets by result.
+	Tickets Family
+	// Queues are the gate's queues.
+	Queues *Services
+	// Control counts messages to other daemons.
+	Control Calls
+	// PlatformReads and PlatformWrites count calls to the platform.
+	PlatformReads, PlatformWrites Family
+	// Targets are the numbers of the host's targets by state.
+	Targets map[membership.TargetState]Gauge
+	// Suspected is the number of the host's targets with evidence against them.
+	Suspected Gauge
+	// CrashEvidence is the number of fingerprints with crash evidence of this host.
+	CrashEvidence Gauge
+	// Quarantined counts requests refused because they crash targets.
+	Quarantined Counter
+	// Ejections counts changes of the host's targets from in service to ejected.
+	Ejections Counter
+	// Revision is the applied catalogue revision.
+	Revision Gauge
+	// CatalogueAge is the time since the last complete platform read in seconds; -1 before the first.
+	CatalogueAge Gauge
+	// Fresh is 1 for the evidence by which keys are trusted.
+	Fresh map[freshness.Basis]Gauge
+	// DutiesConfirmed is 1 while the daemon may perform its slot's duties.
+	DutiesConfirmed Gauge
+	// KnownHosts is the number of hosts with a membership record.
+	KnownHosts Gauge
+}
+
+// AttemptFamilies count attempts by verdict, for each route class.
+type AttemptFamilies struct {
+	Idempotent, Once Family
+}
+
+// Of returns the counters of a class.
+func (a AttemptFamilies) Of(class hop.Class) Family {
+	if class == hop.Idempotent {
+		return a.Idempotent
+	}
+	return a.Once
+}
+
+// New creates the metrics.
+func New(scope Scope) *Set {
+	results := []string{OK, Failed}
+	verdicts := []string{string(hop.NotRun), string(hop.Ran), string(hop.Unknown), Broken}
+	return &Set{
+		Requests: newFamily(scope, "requests_total", "status", []string{"1xx", "2xx", "3xx", "4xx", "5xx"}),
+		Aborted:  scope.Counter("requests_aborted_total"),
+		Refusals: newFamily(scope, "refusals_total", "code", codes),
+		Latency:  scope.Histogram("request_latency_seconds", latencyBounds),
+		InFlight: scope.Gauge("requests_in_flight"),
+		Attempts: AttemptFamilies{
+			Idempotent: newFamily(scope, "attempts_total", "verdict", verdicts, Label{"class", "idempotent"}),
+			Once:       newFamily(scope, "attempts_total", "verdict", verdicts, Label{"class", "once"}),
+		},
+		Retries:         scope.Counter("retries_total"),
+		Rate:            newFamily(scope, "rate_admissions_total", "result", append([]string{OK}, codes...)),
+		Claims:          newFamily(scope, "claims_total", "decision", append([]string{"run", "replay", "forward"}, codes...)),
+		Tickets:         newFamily(scope, "tickets_total", "result", results),
+		Queues:          newServices(scope),
+		Control:         newCalls(scope),
+		PlatformReads:   newFamily(scope, "platform_reads_total", "result", results),
+		PlatformWrites:  newFamily(scope, "platform_writes_total", "result", results),
+		Targets:         targetGauges(scope),
+		Suspected:       scope.Gauge("targets_suspected"),
+		CrashEvidence:   scope.Gauge("crash_evidence"),
+		Quarantined:     scope.Counter("quarantined_requests_total"),
+		Ejections:       scope.Counter("ejections_total"),
+		Revision:        scope.Gauge("catalogue_revision"),
+		CatalogueAge:    scope.Gauge("catalogue_age_seconds"),
+		Fresh:           freshGauges(scope),
+		DutiesConfirmed: scope.Gauge("duties_confirmed"),
+		KnownHosts:      scope.Gauge("known_hosts"),
+	}
+}
+
+// targetGauges creates the gauges of all target states.
+func targetGauges(scope Scope) map[membership.TargetState]Gauge {
+	gauges := make(map[membership.TargetState]Gauge)
+	for state := membership.TargetStarting; state <= membership.TargetTrial; state++ {
+		gauges[state] = scope.Gauge("targets", Label{"state", state.String()})
+	}
+	return gauges
+}
+
+// freshGauges creates the gauges of all bases.
+func freshGauges(scope Scope) map[freshness.Basis]Gauge {
+	gauges := make(map[freshness.Basis]Gauge)
+	for basis := freshness.None; basis <= freshness.Majority; basis++ {
+		gauges[basis] = scope.Gauge("freshness", Label{"basis", basis.String()})
+	}
+	return gauges
+}
