Confirm duties only once the limits act on the catalogue that the evidence came with

Cause: the gossip goroutine could confirm a duty by evidence that carried a new limit up to 250 ms before the upkeep assigned the new shares, and a home that was never assigned would have been confirmed for ever. Shares are now assigned by the revision of the customer's or the roster's last change, so that other changes do not start an unfinished division over.

--- a/internal/daemon/duties.go
+++ b/internal/daemon/duties.go
@@ -28,6 +28,9 @@
 	revisions revisionFence
 	// epoch is the registered epoch; zero before the registration.
 	epoch id.Epoch
+	// acted is the catalogue revision that the limits act on. Evidence that came with a
+	// newer one confirms nothing until the limits act on it.
+	acted catalogue.Revision
 	// firstFresh is the time of the first confirmation of this process.
 	firstFresh clock.Time
 	seenFresh  bool
@@ -70,9 +73,9 @@
 	d.placement.Store(ownership.NewPlacement(roster))
 }
 
-// heard takes over what the membership table and the freshness rule say. The
-// catalogue that came with them must have been taken over before.
-func (d *duties) heard(view membershipView, verdict freshness.Verdict, now clock.Time) {
+// heard takes over what the membership table and the freshness rule say.
+// revision is that of the catalogue read after them.
+func (d *duties) heard(view membershipView, verdict freshness.Verdict, revision catalogue.Revision, now clock.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.state.HeardEpoch(d.self, view.highestEpoch)
@@ -88,7 +91,7 @@
 			Roster: record.Status.RosterAcknowledged,
 		}, now)
 	}
-	if verdict.Basis == freshness.None {
+	if verdict.Basis == freshness.None || revision > d.acted {
 		return
 	}
 	if !d.seenFresh {
@@ -135,6 +138,13 @@
 	return d.revisions.isSettled(revision, now)
 }
 
+// actsOn notes the catalogue revision that the limits act on.
+func (d *duties) actsOn(revision catalogue.Revision) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.acted = max(d.acted, revision)
+}
+
 // rosterRevision returns the revision of the roster that this process acts on.
 func (d *duties) rosterRevision() catalogue.Revision {
 	d.mu.Lock()
--- a/internal/daemon/limits.go
+++ b/internal/daemon/limits.go
@@ -19,8 +19,7 @@
 	duties    *duties
 	holder    grants.Holder
 
-	// assigned are the shares of the own home. A share is assigned again only
-	// when it differs, because an unfinished change would start over.
+	// assigned are the shares of the own home.
 	assigned map[id.CustomerID]ratelimit.Share
 	hasHome  bool
 }
@@ -60,10 +59,11 @@
 	return l.duties.placement.Load().Homes(duty, limit.HomeCount())
 }
 
-// start gives the daemon its home when its slot is first confirmed.
-func (l *limits) start(epoch id.Epoch, now clock.Time) {
+// start gives the daemon its home when its slot is first confirmed, and reports
+// whether it did.
+func (l *limits) start(epoch id.Epoch, now clock.Time) bool {
 	if l.hasHome || epoch == 0 || !l.duties.Confirmed(now) {
-		return
+		return false
 	}
 	l.hasHome = true
 	home := ratelimit.NewHome(epoch, l.duties, now)
@@ -71,17 +71,7 @@
 		home = ratelimit.NewSuccessor(epoch, l.duties, now)
 	}
 	l.holder.Set(home)
-}
-
-// behind reports whether the catalogue must be taken over although it did not
-// change: after the home started.
-func (l *limits) behind() bool {
-	return l.hasHome && len(l.assigned) == 0
-}
-
-// tick keeps the home's shares in step with its duty.
-func (l *limits) tick(now clock.Time) {
-	l.holder.Do(func(h *ratelimit.Home) { h.Tick(now) })
+	return true
 }
 
 // apply assigns the shares of a snapshot to the own home.
@@ -112,11 +102,15 @@
 	if index < 0 {
 		return false
 	}
-	share := ratelimit.NewShare(limit, index, len(homes), snapshot.Revision())
-	if old, ok := l.assigned[c.ID]; ok && sameShare(old, share) {
+	// The division depends on the customer's entry and the roster alone. With the
+	// revision of their last change, other changes do not assign the share again,
+	// which would start an unfinished division over.
+	roster, _ := snapshot.RosterRevisions()
+	share := ratelimit.NewShare(limit, index, len(homes), max(c.Revision, roster))
+	share.First = isFirstSplit(c, snapshot)
+	if l.assigned[c.ID] == share {
 		return true
 	}
-	share.First = isFirstSplit(c, snapshot)
 	l.assigned[c.ID] = share
 	l.holder.Do(func(h *ratelimit.Home) { h.Assign(now, c.ID, share) })
 	return true
@@ -129,8 +123,3 @@
 	roster, _ := snapshot.RosterRevisions()
 	return c.Created == c.Revision && roster <= c.Created && snapshot.CustomerRemoval() == 0
 }
-
-// sameShare reports whether two shares differ in nothing but the revision.
-func sameShare(a, b ratelimit.Share) bool {
-	return a.Limit == b.Limit && a.Index == b.Index && a.Homes == b.Homes
-}
--- a/internal/daemon/upkeep.go
+++ b/internal/daemon/upkeep.go
@@ -60,11 +60,7 @@
 	d.publishStatus()
 	d.recordsChanged()
 	now := d.clock.Now()
-	d.limits.start(d.state.Epoch(), now)
-	if d.limits.behind() {
-		d.limits.apply(d.syncer.Snapshot(), now)
-	}
-	d.limits.tick(now)
+	d.startHome()
 	d.health.tick(now)
 	d.judgePeers()
 	d.publishTargets()
@@ -78,15 +74,26 @@
 	}
 }
 
+// startHome starts the home when the slot is first confirmed, with the shares of
+// the catalogue that the limits act on.
+func (d *Daemon) startHome() {
+	now := d.clock.Now()
+	if d.limits.start(d.state.Epoch(), now) {
+		d.catalogueApplied()
+	}
+}
+
 // catalogueApplied takes a new catalogue over into the parts that keep state by
 // it, and acknowledges it only then.
 func (d *Daemon) catalogueApplied() {
 	snapshot := d.syncer.Snapshot()
-	d.recordsChanged()
 	now := d.clock.Now()
-	d.limits.start(d.state.Epoch(), now)
+	d.duties.rosterChanged(rosterOf(snapshot), now)
 	d.limits.apply(snapshot, now)
 	d.acted = snapshot.Revision()
+	d.duties.actsOn(d.acted)
+	d.recordsChanged()
+	d.startHome()
 	d.publishStatus()
 }
 
@@ -95,7 +102,8 @@
 	d.gossip.View(d.balancer.Sync)
 	verdict := d.fresh.update()
 	// The catalogue is read after the verdict: what the evidence came with is in it.
-	d.duties.rosterChanged(rosterOf(d.syncer.Snapshot()), d.clock.Now())
+	snapshot := d.syncer.Snapshot()
+	d.duties.rosterChanged(rosterOf(snapshot), d.clock.Now())
 	if verdict.Basis != freshness.None {
 		d.gossip.Update((*membership.Table).Confirm)
 	}
@@ -107,7 +115,7 @@
 			records:      t.Records(),
 		}
 	})
-	d.duties.heard(view, verdict, d.clock.Now())
+	d.duties.heard(view, verdict, snapshot.Revision(), d.clock.Now())
 }
 
 // publishStatus publishes the revision, the epoch and the last platform read.
