--- a/internal/daemon/provision.go
+++ b/internal/daemon/provision.go
@@ -285,7 +285,7 @@
 		Authenticator: keys,
 		Router:        routes,
 		Quarantine:    &quarantineCheck{quarantine: d.quarantine},
-		Admitter:      &admitter{grants: d.grants},
+		Admitter:      &admitter{grants: d.grants, limits: d.limits, gossip: d.gossip, clock: d.clock},
 		Ledger:        booked,
 		Tickets:       booked,
 		Picker:        &picker{balancer: d.balancer, quarantine: d.quarantine, gossip: d.gossip, clock: d.clock},
--- a/internal/experiment/metrics_test.go
+++ b/internal/experiment/metrics_test.go
@@ -1,5 +1,3 @@
-//go:build tally
-
 package experiment_test
 
 import (
--- a/internal/load/caller.go
+++ b/internal/load/caller.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -51,7 +52,7 @@
 	request.Header.Set("Authorization", "Bearer "+c.key)
 	response, err := c.client.Do(request)
 	if err != nil {
-		return "", answer{outcome: RefusedNotRun, code: "transport"}
+		return "", answer{outcome: RefusedNotRun, code: connectFailed}
 	}
 	defer func() { _ = response.Body.Close() }()
 	if response.StatusCode != http.StatusOK && response.StatusCode != http.StatusCreated {
@@ -83,6 +84,9 @@
 	}
 	response, err := c.client.Do(request)
 	if err != nil {
+		if isDialFailure(err) {
+			return answer{outcome: RefusedNotRun, code: connectFailed}
+		}
 		return answer{outcome: Unknown, code: transportCode(err)}
 	}
 	defer func() { _ = response.Body.Close() }()
@@ -145,6 +149,15 @@
 	return bytes.NewReader(make([]byte, op.BodyBytes))
 }
 
+// connectFailed is the code of a send for which no connection was made; the next daemon is tried.
+const connectFailed = "connect-failed"
+
+// isDialFailure reports whether no connection was made, so that nothing was sent.
+func isDialFailure(err error) bool {
+	var operation *net.OpError
+	return errors.As(err, &operation) && operation.Op == "dial"
+}
+
 // transportCode names a transport failure in the report.
 func transportCode(err error) string {
 	if errors.Is(err, context.DeadlineExceeded) {
--- a/internal/load/task.go
+++ b/internal/load/task.go
@@ -31,28 +31,34 @@
 	return record
 }
 
-// sends makes the first send and the resends of one request. A non-idempotent
-// request keeps its ticket for all sends, each to the next daemon.
+// sends makes the first send and the resends of one request, each to the next
+// daemon: after a failed connection, and for a non-idempotent request after an
+// unknown outcome, with the same ticket.
 func (r *Runner) sends(ctx context.Context, c *caller, t task, record *Record) answer {
-	ticket := ""
-	if !t.op.Idempotent {
-		issued, refused := c.ticket(ctx, r.plan.Daemons[t.daemon])
-		if issued == "" {
-			return refused
-		}
-		ticket = issued
-	}
-	got := answer{outcome: Unknown}
+	ticket, got := "", answer{outcome: RefusedNotRun}
 	for record.Sends < maxSends {
 		daemon := r.plan.Daemons[(t.daemon+record.Sends)%len(r.plan.Daemons)]
 		record.Sends++
-		got = c.send(ctx, daemon, t.op, record.RequestID, ticket)
-		if t.op.Idempotent || got.outcome != Unknown || ctx.Err() != nil {
-			return got
+		if !t.op.Idempotent && ticket == "" {
+			issued, refused := c.ticket(ctx, daemon)
+			if issued == "" && refused.code == connectFailed {
+				got = refused
+				continue
+			}
+			if issued == "" {
+				return refused
+			}
+			ticket = issued
 		}
-		if !sleepUntil(ctx, time.Now().Add(resendDelay)) {
+		got = c.send(ctx, daemon, t.op, record.RequestID, ticket)
+		if !sendAgain(t.op, got) || !sleepUntil(ctx, time.Now().Add(resendDelay)) {
 			return got
 		}
 	}
 	return got
 }
+
+// sendAgain reports whether a caller sends a request again.
+func sendAgain(op Operation, got answer) bool {
+	return got.code == connectFailed || (!op.Idempotent && got.outcome == Unknown)
+}
--- a/internal/metrics/scrape/tally_test.go
+++ b/internal/metrics/scrape/tally_test.go
@@ -1,5 +1,3 @@
-//go:build tally
-
 package scrape_test
 
 import (
