Remove forwarding of whole requests

A request with a ticket of another daemon was once sent on to the daemon that issued the ticket. internal/ledgerrun now claims the ticket there by a control message, and the daemon where the request arrived dispatches it, so nothing registers the handler or returns a decision to forward any more.

The handler, the decision and its peer address, the attempt table among the entry's dependencies, the second path of hop calls and the caller's certified reply are removed. The gate's arrive, dispatch and finish are private again. The key of a query is never empty, so the guards for an empty one are gone.

--- a/internal/daemon/provision.go
+++ b/internal/daemon/provision.go
@@ -289,7 +289,6 @@
 		Tickets:       booked,
 		Picker:        &picker{balancer: d.balancer, quarantine: d.quarantine, gossip: d.gossip, clock: d.clock},
 		Sender:        d.hop,
-		Attempts:      d.gate,
 		Random:        rand.Reader,
 		Log:           d.log,
 	})
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -80,7 +80,6 @@
 	q := s.query
 	return hop.Call{
 		Peer: candidate.Gate,
-		Path: s.path,
 		Request: hop.Request{
 			Attempt:     attemptID,
 			Remaining:   remaining,
@@ -175,7 +174,7 @@
 
 // reportPath tells the picker about a broken hop, unless the caller ended it.
 func (s *session) reportPath(ctx context.Context, candidate Candidate, err error) {
-	if ctx.Err() != nil || s.path != hop.Path {
+	if ctx.Err() != nil {
 		return
 	}
 	kind := PathFailed
--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -49,7 +49,7 @@
 	if err != nil && !(ended && r.ContentLength < 0) {
 		return nil, err
 	}
-	if key != "" && bytes.Contains(prefix, []byte(key)) {
+	if bytes.Contains(prefix, []byte(key)) {
 		return nil, errKeyInBody
 	}
 	if limit > 0 && int64(n) > limit {
--- a/internal/entry/decision.go
+++ b/internal/entry/decision.go
@@ -32,8 +32,6 @@
 	StoreUnavailable
 	// IssuerLost means that the ticket's issuer, which knows its claims, is lost.
 	IssuerLost
-	// Forward means that another daemon decides.
-	Forward
 )
 
 // Decision is the answer of Ledger.Begin.
@@ -47,8 +45,6 @@
 	Recorded Recorded
 	// SendNotRun says, for Unknown, Expired and IssuerLost, that this send certainly was not run.
 	SendNotRun bool
-	// Peer is the address of the daemon to forward to.
-	Peer string
 }
 
 // Recorded is a kept response.
--- a/internal/entry/deliver.go
+++ b/internal/entry/deliver.go
@@ -61,7 +61,6 @@
 // deliver streams a target's response to the caller. A response that breaks off aborts the connection.
 func (s *session) deliver(ctx context.Context, answer *hop.Answer) {
 	s.record.answering(answer.Status, answer.Header)
-	s.caller.start()
 	header := s.caller.w.Header()
 	for name, values := range answer.Header {
 		header[name] = values
@@ -79,7 +78,6 @@
 	detached := context.WithoutCancel(ctx)
 	if err == nil {
 		s.record.finish(detached, RunAnswered)
-		s.caller.complete()
 		return
 	}
 	s.record.finish(detached, RunUnknown)
@@ -103,9 +101,6 @@
 
 // reportAnswer tells the picker about a response.
 func (s *session) reportAnswer(candidate Candidate, answer *hop.Answer, latency time.Duration) {
-	if s.path != hop.Path {
-		return
-	}
 	f := Feedback{
 		Candidate: candidate, Service: s.query.service.Name, Kind: Answered, Status: answer.Status,
 		Reason: answer.Reason, Latency: latency, Load: answer.Load, LoadKnown: answer.LoadKnown,
--- a/internal/entry/deps.go
+++ b/internal/entry/deps.go
@@ -6,7 +6,6 @@
 
 	"github.com/rs/zerolog"
 
-	"buckthornlatch.example/buckthornlatch/internal/attempt"
 	"buckthornlatch.example/buckthornlatch/internal/catalogue"
 	"buckthornlatch.example/buckthornlatch/internal/clock"
 	"buckthornlatch.example/buckthornlatch/internal/hop"
@@ -26,8 +25,6 @@
 	Tickets       Tickets
 	Picker        Picker
 	Sender        Sender
-	// Attempts is the gate's attempt table, which also covers forwarded requests.
-	Attempts Attempts
 	// Random is the source of attempt ids, usually crypto/rand.Reader.
 	Random io.Reader
 	Log    zerolog.Logger
@@ -86,12 +83,3 @@
 	// dispatched. Another process on the address answers unknown.
 	Resolve(ctx context.Context, gate string, attempt id.AttemptID, incarnation id.Incarnation) (fate.Outcome, error)
 }
-
-// Attempts is the attempt table of the daemon's gate; *gate.Gate implements it.
-type Attempts interface {
-	Arrive(a id.AttemptID) attempt.State
-	Dispatch(a id.AttemptID) bool
-	Finish(a id.AttemptID, end attempt.End) attempt.State
-	// Clock returns the gate's clock, for which forwarded requests are stamped.
-	Clock() hop.GateClock
-}
--- a/internal/entry/execute.go
+++ b/internal/entry/execute.go
@@ -29,11 +29,6 @@
 	case Replay:
 		decision.Recorded.write(c)
 		return nil
-	case Forward:
-		if !q.forwarded {
-			return e.forward(c, r, q, decision.Peer)
-		}
-		return &Refusal{Code: problem.IssuerLost, Run: problem.Unknown, Send: problem.NotRun}
 	}
 	return decision.refusal()
 }
@@ -70,7 +65,6 @@
 
 // write sends a recorded response.
 func (r Recorded) write(c *caller) {
-	c.start()
 	header := c.w.Header()
 	for name, values := range r.Header {
 		header[name] = values
@@ -78,5 +72,4 @@
 	header["Idempotency-Replayed"] = []string{"true"}
 	c.begin(r.Status, int64(len(r.Body)))
 	_, _ = c.w.Write(r.Body)
-	c.complete()
 }
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -110,9 +110,6 @@
 
 // renew checks the key and takes a token again, for an attempt after the first permission has expired.
 func (e *Entry) renew(ctx context.Context, q *query) *Refusal {
-	if q.forwarded {
-		return &Refusal{Code: problem.ValidityExpired}
-	}
 	now := e.deps.Clock.Now()
 	identity, err := e.deps.Authenticator.Authenticate(q.key, now)
 	if err != nil {
--- a/internal/entry/key.go
+++ b/internal/entry/key.go
@@ -34,11 +34,8 @@
 	}
 }
 
-// containsKey reports whether s contains the key, plain or percent-encoded. An empty key is in no string.
+// containsKey reports whether s contains the key, plain or percent-encoded.
 func containsKey(s, key string) bool {
-	if key == "" {
-		return false
-	}
 	if strings.Contains(s, key) {
 		return true
 	}
--- a/internal/entry/query.go
+++ b/internal/entry/query.go
@@ -23,10 +23,9 @@
 
 // query is one authenticated request.
 type query struct {
-	// key is the caller's key; empty when the request was forwarded.
-	key       string
-	forwarded bool
-	identity  Identity
+	// key is the caller's key, never empty.
+	key      string
+	identity Identity
 	// expiry is the end of the permission to run the request.
 	expiry clock.Time
 
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -23,7 +23,7 @@
 	e.budget.request()
 	ctx, cancel := context.WithTimeout(r.Context(), q.deadline.Sub(e.deps.Clock.Now())+hopSlack)
 	defer cancel()
-	s := &session{entry: e, query: q, record: record, caller: c, path: hop.Path}
+	s := &session{entry: e, query: q, record: record, caller: c}
 	refusal := s.attempts(ctx)
 	detached := context.WithoutCancel(ctx)
 	switch {
@@ -41,12 +41,10 @@
 
 // session is the work on one request.
 type session struct {
-	entry  *Entry
-	query  *query
-	record record
-	caller *caller
-	// path is hop.Path or hop.ForwardPath.
-	path     string
+	entry    *Entry
+	query    *query
+	record   record
+	caller   *caller
 	excluded []id.TargetID
 	// maybeRan is set when some attempt may have run.
 	maybeRan bool
--- a/internal/gate/answer.go
+++ b/internal/gate/answer.go
@@ -30,7 +30,7 @@
 
 // undispatched ends an attempt that did not reach the target.
 func (d *dispatch) undispatched(ctx context.Context) {
-	d.gate.Finish(d.request.Attempt, attempt.EndRefused)
+	d.gate.finish(d.request.Attempt, attempt.EndRefused)
 	refused := d.refusal.Load()
 	switch {
 	case refused != nil:
@@ -47,7 +47,7 @@
 
 // broken records that a dispatched attempt ended without a complete answer.
 func (d *dispatch) broken(ctx context.Context, err error) {
-	d.gate.Finish(d.request.Attempt, attempt.EndBroken)
+	d.gate.finish(d.request.Attempt, attempt.EndBroken)
 	held := d.gate.deps.Clock.Now().Sub(d.sentAt)
 	var entryGone *hop.WriteError
 	switch {
@@ -67,7 +67,7 @@
 func (d *dispatch) answer(ctx context.Context, response *http.Response) {
 	latency := d.gate.deps.Clock.Now().Sub(d.sentAt)
 	if declined(response) {
-		d.gate.Finish(d.request.Attempt, attempt.EndDeclined)
+		d.gate.finish(d.request.Attempt, attempt.EndDeclined)
 		d.observe(Declined, response.StatusCode, latency)
 		d.reply.refuse(&Refused{Code: problem.QueueFull, RetryAfter: retryAfter(response)})
 		return
@@ -79,7 +79,7 @@
 		d.broken(ctx, err)
 		panic(http.ErrAbortHandler)
 	}
-	d.gate.Finish(d.request.Attempt, attempt.EndComplete)
+	d.gate.finish(d.request.Attempt, attempt.EndComplete)
 	d.observe(Completed, response.StatusCode, latency)
 	d.reply.Complete()
 }
--- a/internal/gate/dispatch.go
+++ b/internal/gate/dispatch.go
@@ -48,7 +48,7 @@
 	defer d.watch.Stop()
 	outbound, err := d.outbound(ctx, r)
 	if err != nil {
-		d.gate.Finish(d.request.Attempt, attempt.EndRefused)
+		d.gate.finish(d.request.Attempt, attempt.EndRefused)
 		d.reply.refuse(&Refused{Code: problem.BadRequest})
 		return
 	}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -119,25 +119,25 @@
 	}
 }
 
-// Arrive records an attempt of another kind, for example a forwarded request, in the gate's table.
-func (g *Gate) Arrive(a id.AttemptID) attempt.State {
+// arrive records an attempt in the table and returns what the table knew of it.
+func (g *Gate) arrive(a id.AttemptID) attempt.State {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.table.Arrive(g.deps.Clock.Now(), a)
 }
 
-// Dispatch permits a waiting attempt to run, once.
-func (g *Gate) Dispatch(a id.AttemptID) bool {
+// dispatch permits a waiting attempt to run, once.
+func (g *Gate) dispatch(a id.AttemptID) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.table.Dispatch(a)
 }
 
-// Finish records the end of an attempt and returns its verdict.
-func (g *Gate) Finish(a id.AttemptID, end attempt.End) attempt.State {
+// finish records the end of an attempt.
+func (g *Gate) finish(a id.AttemptID, end attempt.End) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.table.Finish(g.deps.Clock.Now(), a, end)
+	g.table.Finish(g.deps.Clock.Now(), a, end)
 }
 
 // Resolve reports what became of an attempt and blocks it if it was not dispatched.
--- a/internal/gate/handler.go
+++ b/internal/gate/handler.go
@@ -32,21 +32,21 @@
 		return
 	}
 	defer g.flight.Leave()
-	if state := g.Arrive(request.Attempt); state != attempt.Unseen {
+	if state := g.arrive(request.Attempt); state != attempt.Unseen {
 		reply.repeated(state)
 		return
 	}
 	g.run(reply, r, request)
 }
 
-// run waits for a slot and runs a new attempt. Each path ends with exactly one Finish.
+// run waits for a slot and runs a new attempt. Each path ends with exactly one finish.
 func (g *Gate) run(reply *reply, r *http.Request, request hop.Request) {
 	ctx, cancel := context.WithTimeout(r.Context(), request.Remaining)
 	defer cancel()
 	reply.KeepAlive()
 	lease, err := g.slot(ctx, reply, request)
 	if err != nil {
-		g.Finish(request.Attempt, attempt.EndRefused)
+		g.finish(request.Attempt, attempt.EndRefused)
 		reply.refuse(err)
 		return
 	}
@@ -90,7 +90,7 @@
 	if !g.deps.Quarantine.MayStart(request.Fingerprint) {
 		return &Refused{Code: problem.RequestQuarantined, RetryAfter: suspectRetryAfter}
 	}
-	if !g.Dispatch(request.Attempt) {
+	if !g.dispatch(request.Attempt) {
 		return &Refused{Code: problem.AttemptBlocked}
 	}
 	return nil
--- a/internal/hop/call.go
+++ b/internal/hop/call.go
@@ -12,8 +12,6 @@
 type Call struct {
 	// Peer is the address of the receiving daemon, "host:port".
 	Peer string
-	// Path is Path or ForwardPath.
-	Path string
 	// Request holds the hop headers; ValidUntil is filled in by the client.
 	Request Request
 	// Expiry is the sender's clock at which the permission to run the request ends.
--- a/internal/hop/exchange.go
+++ b/internal/hop/exchange.go
@@ -44,7 +44,7 @@
 		Method: call.Method,
 		// Without a version net/http ignores Expect.
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
-		URL:           x.client.url(x.peer, call.Path),
+		URL:           x.client.url(x.peer, Path),
 		Host:          call.Host,
 		Header:        call.Header,
 		ContentLength: call.ContentLength,
--- a/internal/hop/header.go
+++ b/internal/hop/header.go
@@ -5,13 +5,9 @@
 	"strings"
 )
 
-// Paths of the peer listener. The caller's own URI travels in HeaderURI, so that it cannot select a control handler.
-const (
-	// Path receives attempts at a gate.
-	Path = "/.buckthornlatch/v1/hop"
-	// ForwardPath receives requests whose ticket the receiving daemon issued.
-	ForwardPath = "/.buckthornlatch/v1/forward"
-)
+// Path receives attempts at a gate's peer listener. The caller's own URI travels in HeaderURI, so that it cannot
+// select a control handler.
+const Path = "/.buckthornlatch/v1/hop"
 
 // Hop headers, in canonical form.
 const (
