Let the ledger state its refusals to the entry

The daemon returns every decision that neither runs nor replays a request as a refusal with the ledger's own statement. Only test fakes returned the entry's kinds for them, so the kinds, SendNotRun and their conversion are removed. A kind that the entry does not know is still refused as unknown.

The spec of an invalid ticket then failed: the entry restated "not-run" as "unknown", which docs/callers.md does not say, because a ledger could not mark its statement as one about the key. A refusal of Ledger.Begin with an explicit "not-run" now reaches the caller as it is; this concerns an invalid ticket and a full claim table. An empty Run is still restated.

The expected answers of the specs are unchanged but for an unknown outcome, where the ledger also states that this send was not run. Without the new line in execute.go the specs of an invalid ticket and of a full table fail.

--- a/internal/entry/decision.go
+++ b/internal/entry/decision.go
@@ -8,7 +8,7 @@
 // ClaimID identifies a claim of the ledger.
 type ClaimID string
 
-// DecisionKind is the ledger's decision on a send.
+// DecisionKind is the ledger's decision on a send that it does not refuse.
 type DecisionKind uint8
 
 const (
@@ -16,22 +16,6 @@
 	Run DecisionKind = iota
 	// Replay answers with the recorded response.
 	Replay
-	// NotKept means that the request ran, but its answer was too large to keep.
-	NotKept
-	// InProgress means that an earlier send is running.
-	InProgress
-	// Unknown means that an earlier send may have run.
-	Unknown
-	// Expired means that the ticket is too old.
-	Expired
-	// Invalid means that the ticket is malformed or belongs to somebody else.
-	Invalid
-	// KeyReused means that the key was used for a different request.
-	KeyReused
-	// StoreUnavailable means that the key cannot be claimed now.
-	StoreUnavailable
-	// IssuerLost means that the ticket's issuer, which knows its claims, is lost.
-	IssuerLost
 )
 
 // Decision is the answer of Ledger.Begin.
@@ -43,8 +27,6 @@
 	ValidFor time.Duration
 	// Recorded is the response to replay.
 	Recorded Recorded
-	// SendNotRun says, for Unknown, Expired and IssuerLost, that this send certainly was not run.
-	SendNotRun bool
 }
 
 // Recorded is a kept response.
--- a/internal/entry/deps.go
+++ b/internal/entry/deps.go
@@ -55,7 +55,9 @@
 
 // Ledger makes sure that a request with an idempotency key runs at most once.
 type Ledger interface {
-	// Begin claims the key before dispatch.
+	// Begin claims the key before dispatch or returns the recorded answer. Any other decision is an error. A
+	// *Refusal whose Run is problem.NotRun states that no send with the key has run; an empty Run states it of
+	// this send only.
 	Begin(ctx context.Context, customer id.CustomerID, key, fingerprint string) (Decision, error)
 	// Finish records the end of a run that Begin permitted. It is called exactly once per run.
 	Finish(ctx context.Context, claim ClaimID, outcome Outcome)
--- a/internal/entry/execute.go
+++ b/internal/entry/execute.go
@@ -15,7 +15,7 @@
 	began := e.deps.Clock.Now()
 	decision, err := e.deps.Ledger.Begin(r.Context(), q.identity.Customer, q.idempotencyKey, q.prints.content)
 	if err != nil {
-		return refusalOf(err, problem.ClaimStoreUnavailable)
+		return unclaimed(err)
 	}
 	switch decision.Kind {
 	case Run:
@@ -30,37 +30,15 @@
 		decision.Recorded.write(c)
 		return nil
 	}
-	return decision.refusal()
+	return &Refusal{Code: problem.OutcomeUnknown, Run: problem.Unknown}
 }
 
-// refusal explains why the ledger did not permit a run.
-func (d Decision) refusal() *Refusal {
-	switch d.Kind {
-	case NotKept:
-		return &Refusal{Code: problem.AnswerNotKept, Run: problem.Unknown}
-	case InProgress:
-		return &Refusal{Code: problem.InProgress, Run: problem.Unknown, Send: problem.NotRun}
-	case Expired:
-		return d.unknown(problem.TicketExpired)
-	case IssuerLost:
-		return d.unknown(problem.IssuerLost)
-	case Invalid:
-		return &Refusal{Code: problem.TicketInvalid, aboutKey: true}
-	case KeyReused:
-		return &Refusal{Code: problem.KeyReused}
-	case StoreUnavailable:
-		return &Refusal{Code: problem.ClaimStoreUnavailable}
-	}
-	return d.unknown(problem.OutcomeUnknown)
-}
-
-// unknown is a refusal for a key whose fate is not known.
-func (d Decision) unknown(code problem.Code) *Refusal {
-	refusal := &Refusal{Code: code, Run: problem.Unknown}
-	if d.SendNotRun {
-		refusal.Send = problem.NotRun
-	}
-	return refusal
+// unclaimed explains why the ledger did not permit a run. A ledger that states "not-run" knows it of every send
+// with the key.
+func unclaimed(err error) *Refusal {
+	refusal := *refusalOf(err, problem.ClaimStoreUnavailable)
+	refusal.aboutKey = refusal.Run == problem.NotRun
+	return &refusal
 }
 
 // write sends a recorded response.
