--- a/internal/entry/deps.go
+++ b/internal/entry/deps.go
@@ -6,7 +6,6 @@
 
 	"github.com/rs/zerolog"
 
-	"buckthornlatch.example/buckthornlatch/internal/attempt"
 	"buckthornlatch.example/buckthornlatch/internal/catalogue"
 	"buckthornlatch.example/buckthornlatch/internal/clock"
 	"buckthornlatch.example/buckthornlatch/internal/hop"
@@ -26,8 +25,6 @@
 	Tickets       Tickets
 	Picker        Picker
 	Sender        Sender
-	// Attempts is the gate's attempt table, which also covers forwarded requests.
-	Attempts Attempts
 	// Random is the source of attempt ids, usually crypto/rand.Reader.
 	Random io.Reader
 	Log    zerolog.Logger
@@ -58,7 +55,9 @@
 
 // Ledger makes sure that a request with an idempotency key runs at most once.
 type Ledger interface {
-	// Begin claims the key before dispatch.
+	// Begin claims the key before dispatch or returns the recorded answer. Any other decision is an error. A
+	// *Refusal whose Run is problem.NotRun states that no send with the key has run; an empty Run states it of
+	// this send only.
 	Begin(ctx context.Context, customer id.CustomerID, key, fingerprint string) (Decision, error)
 	// Finish records the end of a run that Begin permitted. It is called exactly once per run.
 	Finish(ctx context.Context, claim ClaimID, outcome Outcome)
@@ -86,12 +85,3 @@
 	// dispatched. Another process on the address answers unknown.
 	Resolve(ctx context.Context, gate string, attempt id.AttemptID, incarnation id.Incarnation) (fate.Outcome, error)
 }
-
-// Attempts is the attempt table of the daemon's gate; *gate.Gate implements it.
-type Attempts interface {
-	Arrive(a id.AttemptID) attempt.State
-	Dispatch(a id.AttemptID) bool
-	Finish(a id.AttemptID, end attempt.End) attempt.State
-	// Clock returns the gate's clock, for which forwarded requests are stamped.
-	Clock() hop.GateClock
-}
