Keep bookings in flight when the end-to-end suite kills a daemon

Cause: with fast targets few bookings are dispatched at the moment of the kill, and the case missed a second run of a booking more often than it saw it. Change: targets work slowly for 0.5 s before the kill. After a pause, a daemon that is not ready must not have confirmed duties.

--- a/internal/e2e/kill_test.go
+++ b/internal/e2e/kill_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"buckthornlatch.example/buckthornlatch/internal/emulator/target"
 	"buckthornlatch.example/buckthornlatch/internal/problem"
 )
 
@@ -15,6 +16,9 @@
 // recoverTime is the time of load in which a recovered fleet is measured.
 const recoverTime = 4 * time.Second
 
+// slowTime is the time of slow work before the kill. Longer slowness would fill the queues.
+const slowTime = 500 * time.Millisecond
+
 // killCase kills a daemon under load and starts it again.
 func killCase(f *fleet) {
 	victim := f.hosts[1]
@@ -30,10 +34,14 @@
 	}
 	before, err := victim.status()
 	Expect(err).NotTo(HaveOccurred())
-	time.Sleep(time.Second) // requests are in flight at the kill
+	// Slow work keeps bookings in flight at the gate, so that the kill leaves dispatched ones behind
+	// and their entries still ask for their fate when the gate's next process runs.
+	f.setModes(target.Slow)
+	time.Sleep(slowTime)
 
 	killed := time.Now()
 	victim.killDaemon()
+	f.setModes(target.Healthy)
 	for _, h := range survivors {
 		f.expectLost(c, h, used, unused, "")
 	}
@@ -63,6 +71,14 @@
 	}
 }
 
+// setModes changes how all targets treat work.
+func (f *fleet) setModes(mode target.Mode) {
+	GinkgoHelper()
+	for _, h := range f.hosts {
+		h.setMode(mode)
+	}
+}
+
 // killName is the request id of a booking of the case.
 func killName(kind string, i int) string {
 	return fmt.Sprintf("kill-%s-%d", kind, i)
--- a/internal/e2e/pause_test.go
+++ b/internal/e2e/pause_test.go
@@ -45,6 +45,10 @@
 	victim.daemon.signal(syscall.SIGCONT)
 	first, firstErr := victim.status()
 	GinkgoWriter.Printf("first status %v after the pause: %+v, %v\n", time.Since(continued).Round(time.Millisecond), first, firstErr)
+	Expect(firstErr).NotTo(HaveOccurred())
+	if !first.Ready {
+		Expect(first.DutiesConfirmed).To(BeFalse(), "duties are performed without a confirmation")
+	}
 	for time.Since(continued) < 4*time.Second {
 		r := c.get(victim)
 		Expect(r.served()).To(BeFalse(), "revoked key served %v after the pause", time.Since(continued))
