--- a/internal/daemon/meteredentry.go
+++ b/internal/daemon/meteredentry.go
@@ -86,8 +86,6 @@
 		return "run"
 	case entry.Replay:
 		return "replay"
-	case entry.Forward:
-		return "forward"
 	default:
 		return metrics.Other
 	}
