Show refusals below the rate after a first change of hosts and customers

Cause: a daemon that gets the first catalogue before its own first complete read of the platform cannot tell that the customers are new. Its homes withhold their shares until the fence has passed, and the other homes cannot make up for it.

--- a/internal/e2e/catalogue_test.go
+++ b/internal/e2e/catalogue_test.go
@@ -64,18 +64,17 @@
 	return file
 }
 
-// writeCatalogue writes the first catalogue, without customers.
-func (f *fleet) writeCatalogue() string {
+// catalogue is the first catalogue without customers.
+func (f *fleet) catalogue() string {
 	var b strings.Builder
 	b.WriteString(catalogueText)
 	for _, h := range f.hosts {
 		fmt.Fprintf(&b, "[[host]]\nid = %q\nowner = \"senderos\"\nfailure_domain = %q\n", h.name, h.domain)
 	}
-	return f.writeFile("catalogue.toml", b.String())
+	return b.String()
 }
 
-// writeCustomers writes the customers.
-func (f *fleet) writeCustomers() string {
-	return f.writeFile("customers.toml",
-		customerText(largeCustomer, largeRate, largeRate, 0)+customerText(tightCustomer, tightRate, tightBurst, 0))
+// customers are the catalogue's customers.
+func (f *fleet) customers() string {
+	return customerText(largeCustomer, largeRate, largeRate, 0) + customerText(tightCustomer, tightRate, tightBurst, 0)
 }
--- a/internal/e2e/fleet_test.go
+++ b/internal/e2e/fleet_test.go
@@ -39,6 +39,8 @@
 	operators    []operator
 	keys         load.Keys
 	watcher      *revisionWatcher
+	// oneChange says that hosts and customers come with one first change.
+	oneChange bool
 	// histories are all recorded loads; late runs are checked at the end.
 	histories []load.History
 }
@@ -66,13 +68,7 @@
 		f.startDaemon(h)
 	}
 	f.awaitReady(0)
-	_, err = f.apply(f.operators[0], f.hosts[0], f.writeCatalogue())
-	Expect(err).NotTo(HaveOccurred())
-	// A daemon that performs its duties under the first roster knows that the customers are new. Homes that
-	// cannot know it withhold their shares for longer than a fence, and the first cases would measure that.
-	f.awaitDuties()
-	_, err = f.apply(f.operators[0], f.hosts[0], f.writeCustomers())
-	Expect(err).NotTo(HaveOccurred())
+	f.applyCatalogue()
 	f.keys = load.Keys{
 		largeCustomer: f.issueKey(largeCustomer).secret,
 		tightCustomer: f.issueKey(tightCustomer).secret,
@@ -81,6 +77,25 @@
 	f.watcher = watchRevisions(f.hosts)
 }
 
+// applyCatalogue creates all entries.
+func (f *fleet) applyCatalogue() {
+	GinkgoHelper()
+	entries, customers := f.catalogue(), f.customers()
+	if f.oneChange {
+		entries += customers
+	}
+	_, err := f.apply(f.operators[0], f.hosts[0], f.writeFile("catalogue.toml", entries))
+	Expect(err).NotTo(HaveOccurred())
+	if f.oneChange {
+		return
+	}
+	// A daemon that performs its duties under the first roster knows that the customers are new. Homes that
+	// cannot know it withhold their shares for longer than a fence, and the first cases would measure that.
+	f.awaitDuties()
+	_, err = f.apply(f.operators[0], f.hosts[0], f.writeFile("customers.toml", customers))
+	Expect(err).NotTo(HaveOccurred())
+}
+
 // build compiles the binary with the race detector.
 func (f *fleet) build() {
 	f.binary = filepath.Join(f.dir, "buckthornlatch")
