--- a/internal/hop/inbound.go
+++ b/internal/hop/inbound.go
@@ -9,9 +9,12 @@
 
 const (
 	// drainBytes bounds the part of a refused request's body that is read to keep the connection usable.
-	drainBytes = 64 << 10
+	drainBytes = 256 << 10
 	// drainTime bounds the time for it.
 	drainTime = 100 * time.Millisecond
+	// lingerTime bounds the time for reading a further part after the response. It is longer, because nobody
+	// waits for it and a reset would cost the sender the response.
+	lingerTime = time.Second
 )
 
 // Inbound is the body of a request that may be answered before it was read. In its default mode net/http
@@ -79,5 +82,5 @@
 		_ = b.control.SetReadDeadline(time.Time{})
 		return
 	}
-	_ = b.control.SetReadDeadline(time.Now().Add(drainTime))
+	_ = b.control.SetReadDeadline(time.Now().Add(lingerTime))
 }
