Test that the TLS settings are required together

A missing file or an empty peer name must stop the start, because a daemon without them would serve in plain text or accept any peer of its authority.

--- a/internal/settings/load_test.go
+++ b/internal/settings/load_test.go
@@ -61,6 +61,21 @@
 		Expect(lines).To(HaveKeyWithValue("platform.poll_interval", 14))
 	})
 
+	// Guards against a daemon that starts without TLS, or accepts any peer of its
+	// authority, because one of the TLS settings is missing.
+	It("requires the TLS settings together", func() {
+		complete := valid + "[tls]\ncert_file = \"c\"\nkey_file = \"k\"\npeer_ca_file = \"a\"\n"
+		s, err := settings.Parse("daemon.toml", []byte(complete))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.TLS.PeerName).To(Equal("buckthornlatch-peer"))
+		for _, line := range []string{"cert_file = \"c\"\n", "key_file = \"k\"\n", "peer_ca_file = \"a\"\n"} {
+			_, err := settings.Parse("daemon.toml", []byte(strings.Replace(complete, line, "", 1)))
+			Expect(err).To(HaveOccurred(), line)
+		}
+		_, err = settings.Parse("daemon.toml", []byte(complete+"peer_name = \"\"\n"))
+		Expect(err).To(MatchError(ContainSubstring("tls.peer_name")))
+	})
+
 	It("reports the line of a syntax error", func() {
 		_, err := settings.Parse("daemon.toml", []byte("[host]\nname = \n"))
 		Expect(err).To(MatchError(ContainSubstring("daemon.toml:2")))
