--- a/internal/daemon/upkeep.go
+++ b/internal/daemon/upkeep.go
@@ -2,20 +2,16 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"buckthornlatch.example/buckthornlatch/internal/clock"
 	"buckthornlatch.example/buckthornlatch/internal/ejection"
 	"buckthornlatch.example/buckthornlatch/internal/fault"
 	"buckthornlatch.example/buckthornlatch/internal/freshness"
-	"buckthornlatch.example/buckthornlatch/internal/gate"
 	"buckthornlatch.example/buckthornlatch/internal/hop"
 	"buckthornlatch.example/buckthornlatch/internal/id"
 	"buckthornlatch.example/buckthornlatch/internal/membership"
 	"buckthornlatch.example/buckthornlatch/internal/quarantine"
-	"buckthornlatch.example/buckthornlatch/internal/registration"
-	"buckthornlatch.example/buckthornlatch/internal/targetapi"
 )
 
 const (
@@ -83,6 +79,7 @@
 }
 
 // startHome starts the home when the slot is first confirmed, with the shares of
+
 // the catalogue that the limits act on.
 func (d *Daemon) startHome() {
 	now := d.clock.Now()
@@ -92,6 +89,7 @@
 }
 
 // catalogueApplied takes a new catalogue over into the parts that keep state by
+
 // it, and acknowledges it only then.
 func (d *Daemon) catalogueApplied() {
 	snapshot := d.syncer.Snapshot()
@@ -126,26 +124,8 @@
 	d.duties.heard(view, verdict, snapshot.Revision(), d.clock.Now())
 }
 
-// publishStatus publishes the revision, the epoch and the last platform read.
-func (d *Daemon) publishStatus() {
-	status := d.syncer.Status()
-	held := d.held()
-	ownersAt, ownersRead := d.owners.confirmedAt()
-	d.gossip.Update(func(t *membership.Table) {
-		if status.Confirmed && ownersRead {
-			t.NotePlatformRead(min(status.ConfirmedAt, ownersAt))
-		}
-		t.SetStatus(membership.Status{
-			Epoch:              d.state.Epoch(),
-			CatalogueRevision:  d.acted,
-			RosterAcknowledged: d.duties.rosterRevision(),
-			RevocationsMark:    d.revoked.Digest().Low,
-		})
-		t.SetHeld(held)
-	})
-}
-
 // passClocks hands the gates' clocks that gossip carried to the hop client, which
+
 // otherwise needs a round trip before the first attempt at a gate.
 func (d *Daemon) passClocks() {
 	d.gossip.View(func(t *membership.Table) {
@@ -160,47 +140,6 @@
 	})
 }
 
-// held returns the epochs whose ticket records decide here.
-func (d *Daemon) held() []membership.Held {
-	var out []membership.Held
-	for _, held := range d.tickets.Held() {
-		out = append(out, membership.Held{Host: held.At.Host, Epoch: held.At.Epoch, Active: held.Active})
-	}
-	return out
-}
-
-// publishTargets publishes the announced targets and the judgement on them.
-func (d *Daemon) publishTargets() {
-	now := d.clock.Now()
-	announced := d.gate.Targets()
-	d.health.sync(announced, now)
-	targets := make([]membership.Target, 0, len(announced))
-	for _, status := range announced {
-		targets = append(targets, d.publishedTarget(status, now))
-	}
-	var suspects []membership.Suspect
-	d.quarantine.With(func(q *quarantine.Quarantine, now clock.Time) { suspects = q.Publish(now) })
-	d.gossip.Update(func(t *membership.Table) {
-		t.SetTargets(targets)
-		t.SetSuspects(suspects)
-	})
-}
-
-// publishedTarget returns what the own record says about a target.
-func (d *Daemon) publishedTarget(status gate.TargetStatus, now clock.Time) membership.Target {
-	target := membership.Target{
-		Name:    status.ID.Name,
-		Service: status.Service,
-		State:   publishedState(status.State),
-		Slots:   status.Slots,
-	}
-	if target.State != membership.TargetServing {
-		return target
-	}
-	d.judge.With(func(j *ejection.Judge) { target.State, target.TargetSummary = j.Summary(status.ID, now) })
-	return target
-}
-
 // judgePeers tells the judge and the quarantine what other hosts published.
 func (d *Daemon) judgePeers() {
 	var peers map[id.ServiceName][]ejection.Peer
@@ -223,60 +162,4 @@
 	}
 }
 
-// publishedState converts an announced state.
-func publishedState(s targetapi.State) membership.TargetState {
-	switch s {
-	case targetapi.Serving:
-		return membership.TargetServing
-	case targetapi.Starting:
-		return membership.TargetStarting
-	default:
-		return membership.TargetDraining
-	}
-}
-
 // register registers the process for its host slot and learns the peers'
-// addresses, repeating until both worked once.
-func (d *Daemon) register(ctx context.Context) error {
-	// Daemons that start at once must not write at once.
-	pause := rand.N(registerSpread)
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-time.After(pause):
-		}
-		err := d.registerOnce(ctx)
-		if err == nil {
-			return nil
-		}
-		d.log.Warn().Err(err).Msg("registration: not registered yet")
-		pause = jittered(registerBackoff)
-	}
-}
-
-// registerOnce makes one try.
-func (d *Daemon) registerOnce(ctx context.Context) error {
-	own, err := d.registrar.Register(ctx, d.owner())
-	if err != nil {
-		return err
-	}
-	d.state.epoch.Store(uint64(own.Epoch))
-	if err := d.tickets.Registered(own.Epoch); err != nil {
-		return err
-	}
-	d.duties.registered(own.Epoch)
-	d.log.Info().Uint64("epoch", uint64(own.Epoch)).Msg("registration: host slot registered")
-	return nil
-}
-
-// learnOwners takes over new registrations.
-func (d *Daemon) learnOwners(owners []registration.Owner) {
-	d.peers.learn(owners)
-	d.gossip.SetSeeds(append(d.peers.addresses(d.duties.self), d.settings.Peers.Seeds...))
-	d.gossip.Update(func(t *membership.Table) {
-		for _, owner := range owners {
-			t.RaiseEpoch(owner.Host, owner.Epoch)
-		}
-	})
-}
