--- a/internal/command/check.go
+++ b/internal/command/check.go
@@ -12,8 +12,8 @@
 
 // Check is the subcommand "check".
 type Check struct {
-	Catalogue []string `arg:"--catalogue" placeholder:"FILE" help:"catalogue files, checked as one catalogue"`
-	Settings  []string `arg:"--settings" placeholder:"FILE" help:"settings files of daemons"`
+	Catalogue []string `arg:"--catalogue,separate" placeholder:"FILE" help:"catalogue file; several are checked as one catalogue"`
+	Settings  []string `arg:"--settings,separate" placeholder:"FILE" help:"settings file of a daemon; may be given several times"`
 }
 
 // errNothingToCheck reports a check without files.
