Stop the daemon in the graceful case only after enough requests

Cause: scripts/test ran beside a second quickstart and the case had served 11 requests in its fixed second, while it asks for more than 20 before the stop. It now waits for more than 30 replies; the checks are unchanged.

--- a/internal/e2e/graceful_test.go
+++ b/internal/e2e/graceful_test.go
@@ -40,6 +40,8 @@
 	direct := startProbes(f, victim)
 	downloads := f.startDownloads()
 	time.Sleep(time.Second) // requests and downloads are in flight at the stop
+	// A busy machine serves fewer requests in that second than expectUncut asks for.
+	Eventually(direct.count).WithTimeout(downloadTime / 2).Should(BeNumerically(">", 30))
 
 	stopped := time.Now()
 	victim.daemon.signal(syscall.SIGTERM)
@@ -201,6 +203,13 @@
 	return p
 }
 
+// count returns the number of replies so far.
+func (p *probes) count() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.replies)
+}
+
 // add keeps a reply and reports whether the daemon is gone.
 func (p *probes) add(at time.Time, r reply) bool {
 	p.mu.Lock()
