--- a/cmd/buckthornlatch/main.go
+++ b/cmd/buckthornlatch/main.go
@@ -23,6 +23,7 @@
 	Status     *command.Status     `arg:"subcommand:status" help:"show the state of a daemon"`
 	Audit      *command.Audit      `arg:"subcommand:audit" help:"list accepted changes"`
 	Check      *command.Check      `arg:"subcommand:check" help:"check settings and catalogue files"`
+	Mesh       *command.Mesh       `arg:"subcommand:mesh" help:"run the daemon beside a target on the users' platform"`
 	Devcerts   *command.Devcerts   `arg:"subcommand:devcerts" help:"write a development authority and a daemon certificate"`
 	Emulate    *command.Emulate    `arg:"subcommand:emulate" help:"run a stand-in for the platform or for targets"`
 	Load       *command.Load       `arg:"subcommand:load" help:"send traffic and check the answers"`
--- /dev/null
+++ b/internal/command/mesh.go
@@ -0,0 +1,82 @@
+package command
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"os"
+
+	"buckthornlatch.example/buckthornlatch/internal/id"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/daemon"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/logging"
+	"buckthornlatch.example/buckthornlatch/platform"
+)
+
+// Mesh runs the daemon beside a target on the users' platform.
+type Mesh struct {
+	Settings string `arg:"--settings" help:"settings file; default is the platform's"`
+}
+
+// Run serves until the context ends, then drains.
+func (c *Mesh) Run(ctx context.Context, _ io.Writer) error {
+	path := c.Settings
+	if path == "" {
+		path = platform.SettingsPath()
+	}
+	source, err := platform.NewSettingsSource(path)
+	if err != nil {
+		return err
+	}
+	settings := source.Current()
+	lines := logging.New(os.Stdout, settings.HostName, nil)
+	defer func() { _ = lines.Close() }()
+	applyMeshMemory(settings.MemoryBytes)
+	go source.Follow(ctx, lines.Events)
+	d := daemon.New(meshConfig(settings, source, lines))
+	if err := d.Provision(); err != nil {
+		return err
+	}
+	defer d.Cleanup()
+	return d.Run(ctx)
+}
+
+// meshConfig connects the daemon with the platform's adapter.
+func meshConfig(s platform.Settings, source *platform.SettingsSource, lines *logging.Lines) daemon.Config {
+	return daemon.Config{
+		Host: id.HostID(s.Peers), Domain: id.FailureDomain(s.Domain),
+		Service: id.ServiceName(s.Service), TargetAddress: s.TargetAddress,
+		Callers: s.Callers, Peers: s.Peers, Targets: s.Targets, Probes: s.Probes, Metrics: s.Metrics,
+		Headers: platform.Headers(),
+		Bounds: func() daemon.Bounds {
+			now := source.Current()
+			return daemon.Bounds{
+				Grace: now.Grace, RepeatRatio: now.RepeatRatio, RepeatSlack: now.RepeatSlack, RepeatWindow: now.RepeatWindow,
+			}
+		},
+		Store:        platform.NewStore(func() string { return source.Current().Store }),
+		Keys:         platform.Keys(),
+		DecodePolicy: platform.DecodePolicy,
+		Seeds:        func() []id.HostID { return peersOfSeeds(source.Current()) },
+		TargetHandler: func(a daemon.Announcer) http.Handler {
+			return platform.TargetHandler(a, lines.Events)
+		},
+		ProbeHandler: platform.ReadyHandler,
+		Lines:        lines,
+	}
+}
+
+// peersOfSeeds returns the seeds' addresses for other hosts. Ports are the same on all hosts.
+func peersOfSeeds(s platform.Settings) []id.HostID {
+	_, port, err := net.SplitHostPort(s.Peers)
+	if err != nil {
+		return nil
+	}
+	var hosts []id.HostID
+	for _, seed := range s.Seeds {
+		if host, _, err := net.SplitHostPort(seed); err == nil {
+			hosts = append(hosts, id.HostID(net.JoinHostPort(host, port)))
+		}
+	}
+	return hosts
+}
--- /dev/null
+++ b/internal/mesh/daemon/daemon.go
@@ -0,0 +1,201 @@
+package daemon
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"buckthornlatch.example/buckthornlatch/internal/clock"
+	"buckthornlatch.example/buckthornlatch/internal/fault"
+	"buckthornlatch.example/buckthornlatch/internal/id"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/choose"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/entry"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/gate"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/limits"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/link"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/policy"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/roster"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/slots"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/statesync"
+	"buckthornlatch.example/buckthornlatch/internal/metrics/scrape"
+)
+
+// Daemon is the process beside a target.
+type Daemon struct {
+	config   Config
+	clock    clock.Clock
+	exporter *scrape.Exporter
+	meters   *meters
+	syncer   *statesync.Syncer
+	gate     *gate.Gate
+	client   *link.Client
+	chooser  *choose.Shared
+	limits   *limits.Limits
+	entry    *entry.Entry
+	servers  []*server
+	draining atomic.Bool
+}
+
+// New returns a daemon without listeners.
+func New(config Config) *Daemon {
+	config.Headers = config.Headers.Canonical()
+	return &Daemon{config: config, clock: clock.NewSystem()}
+}
+
+// Provision builds the parts and opens the listeners.
+func (d *Daemon) Provision() error {
+	exporter, err := scrape.New()
+	if err != nil {
+		return fault.New("create metrics", "", err)
+	}
+	d.exporter, d.meters = exporter, newMeters(exporter.Scope)
+	d.client = link.NewClient()
+	d.chooser = choose.NewShared(choose.New(d.config.Host, d.config.Domain, rand.Uint64()), d.clock)
+	d.syncer = statesync.New(statesync.Config{
+		Self: d.config.Host, Clock: d.clock, Store: d.config.Store, Keys: d.config.Keys, Decode: d.config.DecodePolicy,
+		Seeds: d.config.Seeds, Changed: d.stateChanged, Restored: d.restore, Log: d.config.Lines.Events,
+	})
+	d.gate = gate.New(gate.Config{
+		Host: d.config.Host, Domain: d.config.Domain, Service: d.config.Service, TargetAddress: d.config.TargetAddress,
+		Headers: d.config.Headers, Clock: d.clock, Version: d.syncer.Version, Changed: d.publish, Repeats: d.repeats,
+		Log: d.config.Lines.Decisions, Events: d.config.Lines.Events, Metrics: d.meters,
+	})
+	d.limits = limits.New(limits.Config{
+		Self: d.config.Host, Clock: d.clock, HTTP: newControlClient(), Distance: d.distance, Incarnation: id.Epoch(rand.Uint64()),
+	})
+	d.entry = entry.New(entry.Config{
+		Service: d.config.Service, Headers: d.config.Headers, Clock: d.clock, Policy: d.syncer, Limits: d.limits,
+		Chooser: d.chooser, Sender: &sender{self: d.config.Host, gate: d.gate, client: d.client, syncer: d.syncer},
+		Draw: rand.Float64, Draining: d.draining.Load, Log: d.config.Lines.Decisions, Metrics: d.meters,
+	})
+	return d.listen()
+}
+
+// restore takes over what an earlier process of this host published of its target.
+func (d *Daemon) restore(r roster.Record) {
+	d.gate.Restore(r)
+}
+
+// stateChanged passes a new policy or view on.
+func (d *Daemon) stateChanged(p *policy.Snapshot, view *roster.View) {
+	d.chooser.SetView(view)
+	d.client.Retain(func(host id.HostID) bool {
+		_, known := view.Find(host)
+		return known
+	})
+	d.limits.Update(d.clock.Now(), p, view)
+}
+
+// leavingWait is how long the acknowledgement of a leaving target waits for the store. The record keeps a restarted
+// process from using the target again; a store that is out of reach must not hold the acknowledgement back, which
+// the target waits for only a second.
+const leavingWait = 500 * time.Millisecond
+
+// publish writes the host's record. For a target that leaves it waits until the store has it, for a while.
+func (d *Daemon) publish(r roster.Record) {
+	written := d.syncer.Publish(r)
+	if r.State == roster.Serving {
+		return
+	}
+	timer := time.NewTimer(leavingWait)
+	defer timer.Stop()
+	select {
+	case <-written:
+	case <-timer.C:
+	}
+}
+
+// repeatMargin is the part of the fleet's budget for repeats that the gates hand out. Calls that a repeated run makes
+// count as repeats too, and no gate sees that of them.
+const repeatMargin = 0.6
+
+// repeats returns the own gate's part of its service's budget for repeats.
+func (d *Daemon) repeats() slots.RepeatBudget {
+	b := d.config.Bounds()
+	gates := max(d.chooser.Targets(d.config.Service), 1)
+	return slots.RepeatBudget{
+		Ratio: repeatMargin * b.RepeatRatio, Allowance: repeatMargin * b.RepeatSlack / float64(gates), Window: b.RepeatWindow,
+	}
+}
+
+// distance orders hosts: the own failure domain first.
+func (d *Daemon) distance(host id.HostID) int {
+	if r, known := d.syncer.View().Find(host); known && r.Domain == d.config.Domain {
+		return 0
+	}
+	return 1
+}
+
+// Announce implements Announcer.
+func (d *Daemon) Announce(a gate.Announcement) error {
+	return d.gate.Announce(a)
+}
+
+// ready reports whether callers should come here.
+func (d *Daemon) ready() bool {
+	return !d.draining.Load() && d.syncer.Version() > 0
+}
+
+// Run serves until ctx ends, then drains.
+func (d *Daemon) Run(ctx context.Context) error {
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	failed := make(chan error, len(d.servers)+1)
+	for _, s := range d.servers {
+		go func() { failed <- s.serve() }()
+	}
+	go func() { failed <- d.syncer.Run(work) }()
+	go d.tick(work)
+	d.config.Lines.Events.Info().Str("address", string(d.config.Host)).Str("service", string(d.config.Service)).
+		Msg("daemon: started")
+	select {
+	case err := <-failed:
+		if err != nil {
+			return err
+		}
+	case <-ctx.Done():
+	}
+	d.drain()
+	return nil
+}
+
+// tick does timed work until ctx ends.
+func (d *Daemon) tick(ctx context.Context) {
+	ticker := time.NewTicker(limits.TickPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			d.limits.Tick(d.clock.Now())
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// Cleanup releases what Provision made.
+func (d *Daemon) Cleanup() {
+	for _, s := range d.servers {
+		s.close()
+	}
+	if d.limits != nil {
+		d.limits.Close()
+	}
+	if d.exporter != nil {
+		d.exporter.Close()
+	}
+}
+
+// newControlClient returns the client for token grants.
+func newControlClient() *http.Client {
+	dialer := link.Dialer()
+	return &http.Client{Transport: &http.Transport{
+		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: controlIdle, DisableCompression: true,
+	}}
+}
+
+// controlIdle is how long an unused connection for token grants is kept; grants of a busy customer follow each other
+// within seconds.
+const controlIdle = 15 * time.Second
--- /dev/null
+++ b/internal/mesh/daemon/drain.go
@@ -0,0 +1,48 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"buckthornlatch.example/buckthornlatch/internal/mesh/roster"
+)
+
+const (
+	// leaveTime is how long callers are still served after the signal: they are told by a probe each second and leave
+	// after two that fail.
+	leaveTime = 2600 * time.Millisecond
+	// exitMargin is left of the grace period for the end of the process.
+	exitMargin = 350 * time.Millisecond
+	// drainPoll is the period of the check whether requests are still being served.
+	drainPoll = 20 * time.Millisecond
+)
+
+// drain serves callers until they have left, then what is in flight.
+func (d *Daemon) drain() {
+	started := time.Now()
+	grace := d.config.Bounds().Grace
+	d.draining.Store(true)
+	d.config.Lines.Events.Info().Dur("grace", grace).Msg("daemon: draining")
+	d.gate.Drain()
+	if r, known := d.gate.Record(); known && r.State == roster.Gone {
+		d.syncer.Leave()
+	}
+	time.Sleep(min(leaveTime, max(grace/2, 0)))
+	deadline := started.Add(max(grace-exitMargin, 0))
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	for _, s := range d.servers {
+		if s.name == callersServer {
+			s.shutdown(ctx, d.config.Lines.Events)
+		}
+	}
+	for !d.idle() && ctx.Err() == nil {
+		time.Sleep(drainPoll)
+	}
+	d.config.Lines.Events.Info().Bool("complete", d.idle()).Dur("took", time.Since(started)).Msg("daemon: stopped")
+}
+
+// idle reports whether neither the entry nor the gate is working.
+func (d *Daemon) idle() bool {
+	return d.meters.inFlight.idle() && d.gate.Idle()
+}
--- /dev/null
+++ b/internal/mesh/daemon/server.go
@@ -0,0 +1,106 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"buckthornlatch.example/buckthornlatch/internal/fault"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/limits"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/link"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/statesync"
+)
+
+const (
+	// headerTimeout bounds the time in which a sender must have sent a request's header.
+	headerTimeout = 10 * time.Second
+	// idleTimeout closes unused connections. It is above the longest time for which callers are told that they may
+	// keep a connection, so that no request crosses the close.
+	idleTimeout = 90 * time.Second
+	// maxHeader bounds a request's header in bytes.
+	maxHeader = 64 << 10
+)
+
+// Names of the servers, for logs.
+const (
+	callersServer = "callers"
+	peersServer   = "peers"
+	targetsServer = "targets"
+	probesServer  = "probes"
+	metricsServer = "metrics"
+)
+
+// server is an HTTP server with its listener.
+type server struct {
+	name     string
+	listener net.Listener
+	http     *http.Server
+}
+
+// listen opens the listeners.
+func (d *Daemon) listen() error {
+	for _, s := range []struct {
+		name, address string
+		handler       http.Handler
+	}{
+		{callersServer, d.config.Callers, d.entry},
+		{peersServer, d.config.Peers, d.peerHandler()},
+		{targetsServer, d.config.Targets, d.config.TargetHandler(d)},
+		{probesServer, d.config.Probes, d.config.ProbeHandler(d.ready)},
+		{metricsServer, d.config.Metrics, d.exporter.Handler},
+	} {
+		if s.address == "" {
+			continue
+		}
+		listener, err := net.Listen("tcp", s.address)
+		if err != nil {
+			return fault.New("listen for "+s.name, s.address, err)
+		}
+		d.servers = append(d.servers, &server{name: s.name, listener: listener, http: &http.Server{
+			Handler: s.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
+		}})
+	}
+	return nil
+}
+
+// peerHandler serves other hosts: attempts, token grants and the shared state.
+func (d *Daemon) peerHandler() http.Handler {
+	grants := d.limits.Handler()
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch {
+		case r.Header[link.HeaderAttempt] != nil:
+			d.gate.ServeHTTP(w, r)
+		case r.URL.Path == statesync.StatePath:
+			d.syncer.ServeHTTP(w, r)
+		case len(r.URL.Path) > len(limits.Path) && r.URL.Path[:len(limits.Path)] == limits.Path:
+			grants.ServeHTTP(w, r)
+		default:
+			http.NotFound(w, r)
+		}
+	})
+}
+
+// serve serves until the server is closed.
+func (s *server) serve() error {
+	err := s.http.Serve(s.listener)
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return fault.New("serve "+s.name, s.listener.Addr().String(), err)
+}
+
+// shutdown closes the listener and unused connections and waits for running requests until ctx ends.
+func (s *server) shutdown(ctx context.Context, log zerolog.Logger) {
+	if err := s.http.Shutdown(ctx); err != nil {
+		log.Warn().Err(err).Str("server", s.name).Msg("daemon: requests are cut off")
+	}
+}
+
+// close closes the server at once.
+func (s *server) close() {
+	_ = s.http.Close()
+}
--- /dev/null
+++ b/internal/mesh/gate/announcement.go
@@ -0,0 +1,49 @@
+package gate
+
+import (
+	"fmt"
+	"time"
+
+	"buckthornlatch.example/buckthornlatch/internal/id"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/roster"
+)
+
+// Announcement is what a target says of itself.
+type Announcement struct {
+	Target  roster.TargetIncarnation
+	Service id.ServiceName
+	State   roster.State
+	Slots   int
+	// Sequence orders the announcements of one incarnation. It is not set for roster.Gone, which ends them.
+	Sequence uint64
+	// WarmUp is how long the target will be slow after its start.
+	WarmUp time.Duration
+}
+
+// AnnouncementError reports an announcement that names no target to use.
+type AnnouncementError struct {
+	Target string
+	Reason string
+}
+
+// Error implements error.
+func (e *AnnouncementError) Error() string {
+	return fmt.Sprintf("announcement of target %q: %s", e.Target, e.Reason)
+}
+
+// validate checks an announcement for the service of this host.
+func (a Announcement) validate(service id.ServiceName) error {
+	switch {
+	case a.Target.ID == "":
+		return &AnnouncementError{Reason: "the id is missing"}
+	case a.State == roster.Gone:
+		return nil
+	case a.Service != service:
+		return &AnnouncementError{Target: a.Target.ID, Reason: "service " + string(a.Service) + " is not this host's"}
+	case a.Slots <= 0:
+		return &AnnouncementError{Target: a.Target.ID, Reason: "the number of slots is not positive"}
+	case a.State != roster.Serving && a.State != roster.Draining:
+		return &AnnouncementError{Target: a.Target.ID, Reason: "the state is unknown"}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/mesh/gate/gate.go
@@ -0,0 +1,156 @@
+package gate
+
+import (
+	"sync"
+
+	"buckthornlatch.example/buckthornlatch/internal/mesh/choose"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/roster"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/slots"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/targetconn"
+)
+
+// Gate runs attempts on one target. It is safe for concurrent use.
+type Gate struct {
+	config Config
+
+	mu       sync.Mutex
+	slots    *slots.Gate
+	target   *target
+	draining bool
+	nextID   slots.ID
+	waiting  map[slots.ID]chan slots.Turn
+}
+
+// New returns a gate without a target.
+func New(config Config) *Gate {
+	return &Gate{config: config, slots: slots.New(), waiting: map[slots.ID]chan slots.Turn{}}
+}
+
+// Drain refuses new attempts from now on. Running ones go on.
+func (g *Gate) Drain() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.draining = true
+	g.answer(g.slots.Close())
+}
+
+// Record returns what the gate publishes of its host, and whether it knows a target.
+func (g *Gate) Record() (roster.Record, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.record()
+}
+
+// record is Record with the lock held.
+func (g *Gate) record() (roster.Record, bool) {
+	if g.target == nil {
+		return roster.Record{}, false
+	}
+	return roster.Record{
+		Host: g.config.Host, Domain: g.config.Domain, Service: g.config.Service,
+		State: g.target.state, Slots: g.target.slots, Target: g.target.incarnation,
+	}, true
+}
+
+// Announce applies an announcement. When it returns, a target that leaves gets no more work. The error is an
+// *AnnouncementError; an announcement that came too late is no error and changes nothing.
+func (g *Gate) Announce(a Announcement) error {
+	if err := a.validate(g.config.Service); err != nil {
+		return err
+	}
+	g.mu.Lock()
+	if g.target != nil && g.target.older(a) {
+		g.reopen(a)
+		g.mu.Unlock()
+		return nil
+	}
+	before, known := g.record()
+	g.apply(a)
+	after, _ := g.record()
+	g.mu.Unlock()
+	if !known || before != after {
+		g.config.Events.Info().Str("target", a.Target.ID).Int64("born", a.Target.Born).Uint64("sequence", a.Sequence).
+			Str("state", string(a.State)).Int("slots", a.Slots).Dur("warm_up", a.WarmUp).Msg("gate: target changed")
+		g.config.Changed(after)
+	}
+	return nil
+}
+
+// reopen takes an announcement as proof that the target is back at its address after another process answered there.
+func (g *Gate) reopen(a Announcement) {
+	if g.target.misdirected && a.Target == g.target.incarnation && a.State == roster.Serving {
+		g.target.misdirected = false
+		g.admit()
+	}
+}
+
+// apply takes over an announcement that is not overtaken.
+func (g *Gate) apply(a Announcement) {
+	if g.target == nil || g.target.incarnation.ID != a.Target.ID || (a.Target.Born != 0 && g.target.incarnation.Born != a.Target.Born) {
+		g.replace(a.Target)
+	}
+	t := g.target
+	t.state, t.sequence, t.misdirected = a.State, max(t.sequence, a.Sequence), false
+	if a.State != roster.Gone {
+		t.slots = a.Slots
+	}
+	g.admit()
+}
+
+// replace starts with a new target incarnation.
+func (g *Gate) replace(incarnation roster.TargetIncarnation) {
+	if g.target != nil {
+		g.target.pool.Close()
+	}
+	g.target = &target{incarnation: incarnation, pool: targetconn.New(g.config.TargetAddress)}
+	g.slots.Replace(g.config.Clock.Now())
+}
+
+// admit opens or closes the slots as the target's state asks.
+func (g *Gate) admit() {
+	t := g.target
+	if g.draining || t.misdirected || t.state != roster.Serving {
+		g.answer(g.slots.Close())
+		return
+	}
+	g.answer(g.slots.Open(g.config.Clock.Now(), t.slots))
+}
+
+// Restore takes over the record that an earlier process of this host wrote. It does nothing once the target has
+// announced itself.
+func (g *Gate) Restore(r roster.Record) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.target != nil || r.Host != g.config.Host || r.Service != g.config.Service || r.Target.ID == "" {
+		return
+	}
+	g.replace(r.Target)
+	g.target.state, g.target.slots = r.State, r.Slots
+	g.admit()
+	g.config.Events.Info().Str("target", r.Target.ID).Int64("born", r.Target.Born).Str("state", string(r.State)).
+		Msg("gate: target restored from the host's record")
+}
+
+// answer gives turns to waiting attempts.
+func (g *Gate) answer(turns []slots.Turn) {
+	for _, turn := range turns {
+		if wait := g.waiting[turn.ID]; wait != nil {
+			delete(g.waiting, turn.ID)
+			wait <- turn
+		}
+	}
+}
+
+// load returns the load as the entries are told.
+func (g *Gate) load() choose.Load {
+	inUse, waiting, slots := g.slots.Load()
+	return choose.Load{InUse: inUse, Waiting: waiting, Slots: slots}
+}
+
+// Idle reports whether no attempt is at the target or waiting.
+func (g *Gate) Idle() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	inUse, waiting, _ := g.slots.Load()
+	return inUse == 0 && waiting == 0
+}
--- /dev/null
+++ b/internal/mesh/gate/handler.go
@@ -0,0 +1,59 @@
+package gate
+
+import (
+	"net/http"
+
+	"buckthornlatch.example/buckthornlatch/internal/hop"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/link"
+)
+
+// ServeHTTP takes attempts of other hosts' entries.
+func (g *Gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	inbound := hop.NewInbound(w, r)
+	defer inbound.Done()
+	a, err := link.DecodeAttempt(r)
+	if err != nil {
+		g.config.Events.Warn().Err(err).Str("peer", r.RemoteAddr).Msg("gate: attempt refused")
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	a.RequestID = r.Header.Get(g.config.Headers.RequestID)
+	reply := &reply{w: w}
+	result := g.Do(r.Context(), a, reply)
+	defer result.Close()
+	inbound.BeforeHeader()
+	reply.write(result)
+}
+
+// reply writes the response to one attempt.
+type reply struct {
+	w        http.ResponseWriter
+	accepted bool
+}
+
+// Accepted implements link.Signals.
+func (r *reply) Accepted() {
+	if !r.accepted {
+		r.accepted = true
+		r.w.WriteHeader(link.StatusAccepted)
+	}
+}
+
+// Overdue implements link.Signals.
+func (r *reply) Overdue() {
+	r.w.WriteHeader(link.StatusOverdue)
+}
+
+// write sends a result.
+func (r *reply) write(result *link.Result) {
+	header := r.w.Header()
+	status := http.StatusServiceUnavailable
+	if result.Verdict == hop.Ran {
+		status = result.Status
+		for name, values := range result.Header {
+			header[name] = values
+		}
+	}
+	result.Encode(header)
+	link.WriteBody(r.w, status, result)
+}
--- /dev/null
+++ b/internal/mesh/limits/limits.go
@@ -0,0 +1,191 @@
+package limits
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"buckthornlatch.example/buckthornlatch/internal/catalogue"
+	"buckthornlatch.example/buckthornlatch/internal/clock"
+	"buckthornlatch.example/buckthornlatch/internal/grants"
+	"buckthornlatch.example/buckthornlatch/internal/id"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/policy"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/roster"
+	"buckthornlatch.example/buckthornlatch/internal/ownership"
+	"buckthornlatch.example/buckthornlatch/internal/ratelimit"
+	rpc "buckthornlatch.example/buckthornlatch/rpc/grants"
+)
+
+// Config is what Limits needs.
+type Config struct {
+	Self  id.HostID
+	Clock clock.Clock
+	// HTTP sends the calls to other hosts.
+	HTTP rpc.HTTPClient
+	// Distance orders homes, nearest first.
+	Distance func(id.HostID) int
+	// Incarnation tells this process's grants from those of earlier ones on the host.
+	Incarnation id.Epoch
+}
+
+// Limits admits requests and performs this host's part as a home. It is safe for concurrent use.
+type Limits struct {
+	config  Config
+	holder  grants.Holder
+	service *grants.Service
+
+	mu        sync.RWMutex
+	policy    *policy.Snapshot
+	placement *ownership.Placement
+	version   uint64
+	assigned  map[id.CustomerID]ratelimit.Share
+	// divided says that the customers were divided before by this process.
+	divided bool
+}
+
+// New returns limits that admit nothing until Update.
+func New(config Config) *Limits {
+	l := &Limits{config: config, assigned: map[id.CustomerID]ratelimit.Share{}}
+	l.placement = ownership.NewPlacement(ownership.NewRoster(0, 0, nil))
+	l.holder.Set(ratelimit.NewHome(config.Incarnation, duty{}, config.Clock.Now()))
+	l.service = grants.New(grants.Config{
+		Clock: config.Clock, Self: config.Self, Placement: l, Peers: peers{}, HTTP: config.HTTP, Distance: config.Distance,
+	}, &l.holder)
+	return l
+}
+
+// Close ends all calls.
+func (l *Limits) Close() {
+	l.service.Close()
+}
+
+// Handler serves the calls of other hosts under Path.
+func (l *Limits) Handler() http.Handler {
+	return l.service.Handler()
+}
+
+// Path is the path prefix of Handler.
+const Path = rpc.GrantsPathPrefix
+
+// Admit takes a token of the customer's rate. The error may be a *ratelimit.Denied.
+func (l *Limits) Admit(ctx context.Context, customer id.CustomerID) error {
+	_, err := l.service.Admit(ctx, customer)
+	return err
+}
+
+// Tick puts shares in force that waited for an older division to end. It is called every ratelimit.TickPeriod.
+func (l *Limits) Tick(now clock.Time) {
+	l.holder.Do(func(h *ratelimit.Home) { h.Tick(now) })
+}
+
+// Update takes over a policy and a view.
+func (l *Limits) Update(now clock.Time, p *policy.Snapshot, view *roster.View) {
+	if p == nil {
+		return
+	}
+	var members []ownership.Member
+	for _, r := range view.Hosts() {
+		if r.State != roster.Gone {
+			members = append(members, ownership.Member{Host: r.Host, FailureDomain: r.Domain})
+		}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.policy = p
+	if !slices.Equal(members, l.placement.Roster().Members) {
+		l.placement = ownership.NewPlacement(ownership.NewRoster(0, 0, members))
+	}
+	l.version++
+	l.assign(now)
+}
+
+// assign gives this host's home its shares.
+func (l *Limits) assign(now clock.Time) {
+	current := map[id.CustomerID]bool{}
+	for customer, spec := range l.policy.Customers() {
+		if !spec.Limited() {
+			continue
+		}
+		limit := l.limit(customer)
+		homes := l.homes(customer, limit)
+		index := slices.Index(homes, l.config.Self)
+		if index < 0 {
+			continue
+		}
+		current[customer] = true
+		share := ratelimit.NewShare(limit, index, len(homes), catalogue.Revision(1))
+		// A restarted process takes up the division that was in force; only a change of it must wait until no other
+		// home grants under the old one.
+		share.First = !l.divided
+		if before, known := l.assigned[customer]; known && before.Limit == share.Limit && before.Index == index && before.Homes == len(homes) {
+			continue
+		}
+		l.assigned[customer] = share
+		l.holder.Do(func(h *ratelimit.Home) { h.Assign(now, customer, share) })
+	}
+	for customer := range l.assigned {
+		if !current[customer] {
+			delete(l.assigned, customer)
+			l.holder.Do(func(h *ratelimit.Home) { h.Unassign(customer) })
+		}
+	}
+	l.divided = l.divided || len(l.placement.Roster().Members) > 0
+}
+
+// Version implements ratelimit.Placement.
+func (l *Limits) Version() uint64 {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	return l.version
+}
+
+// Limit implements ratelimit.Placement.
+func (l *Limits) Limit(customer id.CustomerID) ratelimit.Limit {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	return l.limit(customer)
+}
+
+// limit is Limit with the lock held.
+func (l *Limits) limit(customer id.CustomerID) ratelimit.Limit {
+	if l.policy == nil || l.policy.Customers()[customer] == nil {
+		return ratelimit.Limit{}
+	}
+	spec := l.policy.Customers()[customer]
+	return ratelimit.NewLimit(spec.RatePerSecond, spec.Burst)
+}
+
+// Homes implements ratelimit.Placement.
+func (l *Limits) Homes(customer id.CustomerID) []id.HostID {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	return l.homes(customer, l.limit(customer))
+}
+
+// homes is Homes with the lock held.
+func (l *Limits) homes(customer id.CustomerID, limit ratelimit.Limit) []id.HostID {
+	return l.placement.Homes(ownership.Duty{Kind: ownership.RateHome, Name: string(customer)}, limit.HomeCount())
+}
+
+// duty is a home's permission to act. A home needs none here: its part of the rate is its own as long as the roster
+// places it, and two views that differ for a moment differ by one part at most.
+type duty struct{}
+
+// Confirmed implements ratelimit.Duty.
+func (duty) Confirmed(clock.Time) bool { return true }
+
+// Settled implements ratelimit.Duty. All hosts learn a roster within the time for which the new division waits.
+func (duty) Settled(catalogue.Revision, clock.Time) bool { return true }
+
+// peers implements grants.Peers: a host's name is its address.
+type peers struct{}
+
+// BaseURL implements grants.Peers.
+func (peers) BaseURL(host id.HostID) (string, bool) {
+	return "http://" + string(host), true
+}
+
+// TickPeriod is how often Tick is called.
+const TickPeriod time.Duration = ratelimit.TickPeriod
--- /dev/null
+++ b/internal/mesh/link/encode.go
@@ -0,0 +1,161 @@
+package link
+
+import (
+	"errors"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"buckthornlatch.example/buckthornlatch/internal/hop"
+	"buckthornlatch.example/buckthornlatch/internal/id"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/choose"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/policy"
+)
+
+const (
+	// HeaderAttempt marks a request as an attempt and carries its fields, separated by spaces. One header costs fewer
+	// bytes between failure domains than one for each field.
+	HeaderAttempt = "Bl-Attempt"
+	// HeaderResult carries the fields of a result.
+	HeaderResult = "Bl-Result"
+)
+
+const (
+	attemptFields = 10
+	resultFields  = 7
+	// none stands for an empty field.
+	none = "-"
+)
+
+// ErrMalformed reports a header that another version of the daemon may have written.
+var ErrMalformed = errors.New("malformed attempt or result header")
+
+// Flags of an attempt.
+const (
+	flagIdempotent = 'i'
+	flagRepeat     = 'r'
+	flagForced     = 'f'
+)
+
+// encode writes the attempt's fields into its header.
+func (a *Attempt) encode(header http.Header) {
+	flags := []byte{'.'}
+	for _, f := range []struct {
+		set  bool
+		flag byte
+	}{{a.Idempotent, flagIdempotent}, {a.Repeat, flagRepeat}, {a.Forced, flagForced}} {
+		if f.set {
+			flags = append(flags, f.flag)
+		}
+	}
+	header[HeaderAttempt] = []string{strings.Join([]string{
+		text(string(a.Service)), text(string(a.Caller)), text(string(a.Route)), text(string(a.Customer)),
+		strconv.Itoa(a.Rank), string(flags), millis(a.Remaining), millis(a.Objective), millis(a.Patience),
+		strconv.FormatUint(uint64(a.Policy), 16),
+	}, " ")}
+}
+
+// DecodeAttempt reads an attempt from a request and removes its header.
+func DecodeAttempt(r *http.Request) (*Attempt, error) {
+	fields := strings.Fields(r.Header.Get(HeaderAttempt))
+	delete(r.Header, HeaderAttempt)
+	if len(fields) != attemptFields {
+		return nil, ErrMalformed
+	}
+	p := parser{}
+	a := &Attempt{
+		Service: id.ServiceName(untext(fields[0])), Caller: id.ServiceName(untext(fields[1])),
+		Route: id.RouteID(untext(fields[2])), Customer: id.CustomerID(untext(fields[3])),
+		Rank:       int(p.number(fields[4], 10)),
+		Idempotent: strings.IndexByte(fields[5], flagIdempotent) >= 0,
+		Repeat:     strings.IndexByte(fields[5], flagRepeat) >= 0,
+		Forced:     strings.IndexByte(fields[5], flagForced) >= 0,
+		Remaining:  p.millis(fields[6]), Objective: p.millis(fields[7]), Patience: p.millis(fields[8]),
+		Policy: policy.Version(p.number(fields[9], 16)),
+		Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: r.Header,
+		Body: &Body{Length: r.ContentLength},
+	}
+	if r.Body != nil && r.ContentLength != 0 {
+		a.Body.Rest = r.Body
+	}
+	return a, p.err
+}
+
+// Encode writes the result's fields into a header.
+func (r *Result) Encode(header http.Header) {
+	load := []string{none, none, none}
+	if r.LoadKnown {
+		load = []string{strconv.Itoa(r.Load.InUse), strconv.Itoa(r.Load.Waiting), strconv.Itoa(r.Load.Slots)}
+	}
+	header[HeaderResult] = []string{strings.Join([]string{
+		string(r.Verdict), text(string(r.Reason)), millis(r.RetryAfter), load[0], load[1], load[2],
+		strconv.FormatUint(uint64(r.Policy), 16),
+	}, " ")}
+}
+
+// decodeResult reads a result's fields and removes its header.
+func decodeResult(header http.Header) (*Result, error) {
+	fields := strings.Fields(header.Get(HeaderResult))
+	delete(header, HeaderResult)
+	if len(fields) != resultFields {
+		return nil, ErrMalformed
+	}
+	p := parser{}
+	r := &Result{
+		Verdict: hop.Verdict(fields[0]), Reason: Reason(untext(fields[1])), RetryAfter: p.millis(fields[2]),
+		Policy: policy.Version(p.number(fields[6], 16)),
+	}
+	if fields[3] != none {
+		r.LoadKnown = true
+		r.Load = choose.Load{
+			InUse: int(p.number(fields[3], 10)), Waiting: int(p.number(fields[4], 10)), Slots: int(p.number(fields[5], 10)),
+		}
+	}
+	switch r.Verdict {
+	case hop.NotRun, hop.Ran, hop.Unknown:
+	default:
+		return nil, ErrMalformed
+	}
+	return r, p.err
+}
+
+// parser parses fields and keeps the first error.
+type parser struct {
+	err error
+}
+
+// number parses a number that is not negative.
+func (p *parser) number(s string, base int) uint64 {
+	n, err := strconv.ParseUint(s, base, 63)
+	if err != nil && p.err == nil {
+		p.err = ErrMalformed
+	}
+	return n
+}
+
+// millis parses a duration in milliseconds.
+func (p *parser) millis(s string) time.Duration {
+	return time.Duration(p.number(s, 10)) * time.Millisecond
+}
+
+// millis writes a duration in milliseconds; a negative one counts as zero.
+func millis(d time.Duration) string {
+	return strconv.FormatInt(max(d.Milliseconds(), 0), 10)
+}
+
+// text writes a name, which must not be empty on the wire.
+func text(s string) string {
+	if s == "" {
+		return none
+	}
+	return s
+}
+
+// untext is the inverse of text.
+func untext(s string) string {
+	if s == none {
+		return ""
+	}
+	return s
+}
--- /dev/null
+++ b/internal/mesh/logging/lines.go
@@ -0,0 +1,44 @@
+package logging
+
+import (
+	"io"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/rs/zerolog/diode"
+)
+
+const (
+	// ringLines is the number of lines that wait for a slow reader: a few seconds at the highest rate.
+	ringLines = 2000
+	// failuresPerSecond and successesPerSecond bound the lines about decisions. At about 400 bytes a line they stay
+	// below 150 KB a second.
+	failuresPerSecond  = 250
+	successesPerSecond = 100
+)
+
+// Lines are a process's loggers.
+type Lines struct {
+	// Events takes lines that are not sampled.
+	Events zerolog.Logger
+	// Decisions takes lines about requests.
+	Decisions zerolog.Logger
+	writer    diode.Writer
+}
+
+// New returns loggers that write to w. lost is told how many lines a slow reader cost.
+func New(w io.Writer, host string, lost func(lines int)) *Lines {
+	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
+	l := &Lines{writer: diode.NewWriter(w, ringLines, 0, lost)}
+	l.Events = zerolog.New(l.writer).With().Timestamp().Str("host", host).Logger()
+	l.Decisions = l.Events.Sample(&zerolog.LevelSampler{
+		InfoSampler: &zerolog.BurstSampler{Burst: successesPerSecond, Period: time.Second},
+		WarnSampler: &zerolog.BurstSampler{Burst: failuresPerSecond, Period: time.Second},
+	})
+	return l
+}
+
+// Close writes what is left.
+func (l *Lines) Close() error {
+	return l.writer.Close()
+}
--- /dev/null
+++ b/internal/mesh/policy/error.go
@@ -0,0 +1,16 @@
+package policy
+
+import "fmt"
+
+// InvalidError reports a configuration that cannot be used.
+type InvalidError struct {
+	Version Version
+	// Entry names the part at fault, for example "route r-1".
+	Entry  string
+	Reason string
+}
+
+// Error implements error.
+func (e *InvalidError) Error() string {
+	return fmt.Sprintf("configuration %d, %s: %s", e.Version, e.Entry, e.Reason)
+}
--- /dev/null
+++ b/internal/mesh/policy/snapshot.go
@@ -0,0 +1,144 @@
+package policy
+
+import (
+	"strings"
+
+	"buckthornlatch.example/buckthornlatch/internal/id"
+)
+
+// Snapshot is one configuration. It is immutable and safe for concurrent use; what it returns must not be modified.
+type Snapshot struct {
+	version   Version
+	bounds    Bounds
+	raw       []byte
+	routes    map[string]map[string]*Route
+	services  map[id.ServiceName]bool
+	customers map[id.CustomerID]*Customer
+	keys      map[string]*Customer
+}
+
+// Build validates a document. The error is an *InvalidError.
+func Build(d Document) (*Snapshot, error) {
+	s := &Snapshot{
+		version: d.Version, bounds: d.Bounds, raw: d.Raw,
+		routes:    map[string]map[string]*Route{},
+		services:  map[id.ServiceName]bool{},
+		customers: map[id.CustomerID]*Customer{},
+		keys:      map[string]*Customer{},
+	}
+	if d.Version == 0 {
+		return nil, &InvalidError{Entry: "version", Reason: "is missing or zero"}
+	}
+	for _, name := range d.Services {
+		s.services[id.ServiceName(name)] = true
+	}
+	for i := range d.Routes {
+		if err := s.addRoute(d.Routes[i]); err != nil {
+			return nil, err
+		}
+	}
+	for i := range d.Customers {
+		if err := s.addCustomer(d.Customers[i]); err != nil {
+			return nil, err
+		}
+	}
+	return s, nil
+}
+
+// addRoute validates and indexes a route.
+func (s *Snapshot) addRoute(r Route) error {
+	invalid := func(reason string) error {
+		return &InvalidError{Version: s.version, Entry: "route " + string(r.ID), Reason: reason}
+	}
+	if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
+		return invalid("the prefix does not begin and end with a slash")
+	}
+	if r.MaxAttempts < 1 {
+		return invalid("the number of attempts is below 1")
+	}
+	if r.Timeout < 0 || r.Objective < 0 {
+		return invalid("a duration is negative")
+	}
+	for _, part := range r.Parts {
+		if !s.services[part.Service] {
+			return invalid("service " + string(part.Service) + " is unknown")
+		}
+		if part.Weight < 0 {
+			return invalid("a weight is negative")
+		}
+		r.totalWeight += part.Weight
+	}
+	if r.totalWeight <= 0 {
+		return invalid("no service has a weight")
+	}
+	r.Host = canonicalHost(r.Host)
+	atHost := s.routes[r.Host]
+	if atHost == nil {
+		atHost = map[string]*Route{}
+		s.routes[r.Host] = atHost
+	}
+	if atHost[r.Prefix] != nil {
+		return invalid("another route has the same host and prefix")
+	}
+	atHost[r.Prefix] = &r
+	return nil
+}
+
+// addCustomer validates and indexes a customer.
+func (s *Snapshot) addCustomer(c Customer) error {
+	invalid := func(reason string) error {
+		return &InvalidError{Version: s.version, Entry: "customer " + string(c.ID), Reason: reason}
+	}
+	if c.RatePerSecond < 0 || c.Burst < 0 {
+		return invalid("the rate or the burst is negative")
+	}
+	s.customers[c.ID] = &c
+	for _, key := range c.Keys {
+		if s.keys[key] != nil {
+			return invalid("a key belongs to two customers")
+		}
+		s.keys[key] = &c
+	}
+	return nil
+}
+
+// Version returns the configuration's version.
+func (s *Snapshot) Version() Version { return s.version }
+
+// Bounds returns the bounds on what callers may send.
+func (s *Snapshot) Bounds() Bounds { return s.bounds }
+
+// Raw returns the configuration as the operator wrote it.
+func (s *Snapshot) Raw() []byte { return s.raw }
+
+// HasCustomers reports whether requests need keys.
+func (s *Snapshot) HasCustomers() bool { return len(s.customers) > 0 }
+
+// Customers returns all customers.
+func (s *Snapshot) Customers() map[id.CustomerID]*Customer { return s.customers }
+
+// ByKey returns the customer that holds a key, or nil.
+func (s *Snapshot) ByKey(key string) *Customer { return s.keys[key] }
+
+// Match returns the route with the longest prefix of the path at the host, or nil. The path is the escaped path
+// of the request, without a query.
+func (s *Snapshot) Match(host, path string) *Route {
+	atHost := s.routes[canonicalHost(host)]
+	if atHost == nil {
+		return nil
+	}
+	for end := strings.LastIndexByte(path, '/'); end >= 0; end = strings.LastIndexByte(path[:end], '/') {
+		if route := atHost[path[:end+1]]; route != nil {
+			return route
+		}
+	}
+	return nil
+}
+
+// canonicalHost returns the host in lower case and without its port.
+func canonicalHost(host string) string {
+	if at := strings.LastIndexByte(host, ':'); at >= 0 && !strings.HasSuffix(host, "]") {
+		host = host[:at]
+	}
+	return strings.ToLower(host)
+}
--- /dev/null
+++ b/internal/mesh/roster/view.go
@@ -0,0 +1,34 @@
+package roster
+
+import (
+	"slices"
+	"strings"
+
+	"buckthornlatch.example/buckthornlatch/internal/id"
+)
+
+// View is an immutable set of records.
+type View struct {
+	hosts []Record
+}
+
+// NewView returns a view of the records, ordered by host.
+func NewView(records []Record) *View {
+	hosts := slices.Clone(records)
+	slices.SortFunc(hosts, func(a, b Record) int { return strings.Compare(string(a.Host), string(b.Host)) })
+	return &View{hosts: hosts}
+}
+
+// Hosts returns all records ordered by host. The slice must not be modified.
+func (v *View) Hosts() []Record { return v.hosts }
+
+// Find returns the record of a host.
+func (v *View) Find(host id.HostID) (Record, bool) {
+	i, found := slices.BinarySearchFunc(v.hosts, host, func(r Record, h id.HostID) int {
+		return strings.Compare(string(r.Host), string(h))
+	})
+	if !found {
+		return Record{}, false
+	}
+	return v.hosts[i], true
+}
--- /dev/null
+++ b/internal/mesh/slots/demand.go
@@ -0,0 +1,45 @@
+package slots
+
+import (
+	"time"
+
+	"buckthornlatch.example/buckthornlatch/internal/clock"
+	"buckthornlatch.example/buckthornlatch/internal/id"
+)
+
+// ID names an attempt at one gate.
+type ID uint64
+
+// Demand is what an attempt needs.
+type Demand struct {
+	ID       ID
+	Route    id.RouteID
+	Customer id.CustomerID
+	// Rank orders attempts; 0 is the most urgent.
+	Rank       int
+	Idempotent bool
+	// Repeat says that an earlier attempt of the same request may have reached a target.
+	Repeat bool
+	// Forced attempts were refused by the other gates and pass a suspected target's gate.
+	Forced bool
+	// Remaining is the time until the answer is of no use.
+	Remaining time.Duration
+	// Objective is the time until the answer loses a part of its worth.
+	Objective time.Duration
+	// Patience bounds the wait for a slot; zero means that the attempt does not wait.
+	Patience time.Duration
+}
+
+// waiter is an attempt in the queue.
+type waiter struct {
+	Demand
+	arrived clock.Time
+}
+
+// running is an attempt at the target.
+type running struct {
+	Demand
+	started clock.Time
+	// overdue is set once the attempt counted as evidence.
+	overdue bool
+}
--- /dev/null
+++ b/internal/mesh/slots/gate.go
@@ -0,0 +1,274 @@
+package slots
+
+import (
+	"time"
+
+	"buckthornlatch.example/buckthornlatch/internal/clock"
+	"buckthornlatch.example/buckthornlatch/internal/id"
+	"buckthornlatch.example/buckthornlatch/internal/invariant"
+)
+
+const (
+	// maxQueue bounds the waiting attempts of one gate.
+	maxQueue = 256
+	// workMargin is the part of the usual work time that must be left for an attempt to be handed over: an answer
+	// that comes a little late is lost, but work that is usually shorter than its mean is not given up too early.
+	workMargin = 0.7
+	// minRetryAfter bounds the advice to come back, so that refused callers do not return in one wave at once.
+	minRetryAfter = 100 * time.Millisecond
+)
+
+// Gate decides for one target.
+type Gate struct {
+	slots     int
+	open      bool
+	running   map[ID]*running
+	queue     []*waiter
+	estimates map[id.RouteID]*estimate
+	all       estimate
+	suspicion suspicion
+	repeats   repeats
+	usage     usage
+}
+
+// New returns a gate without a target.
+func New() *Gate {
+	return &Gate{running: map[ID]*running{}, estimates: map[id.RouteID]*estimate{}}
+}
+
+// Open says that the target takes new work on so many slots.
+func (g *Gate) Open(now clock.Time, slots int) []Turn {
+	g.open, g.slots = true, max(slots, 1)
+	return g.pump(now)
+}
+
+// Close says that the target takes no new work. The waiting attempts are refused.
+func (g *Gate) Close() []Turn {
+	g.open = false
+	var turns []Turn
+	for _, w := range g.queue {
+		turns = append(turns, Turn{ID: w.ID, Reason: NoTarget})
+	}
+	g.queue = nil
+	return turns
+}
+
+// Replace forgets the evidence against an earlier target.
+func (g *Gate) Replace(now clock.Time) {
+	g.suspicion = suspicion{at: now}
+}
+
+// SetRepeatBudget changes the bound on repeated attempts.
+func (g *Gate) SetRepeatBudget(now clock.Time, b RepeatBudget) {
+	g.repeats.set(now, b)
+}
+
+// Load returns the attempts at the target, the waiting ones and the slots.
+func (g *Gate) Load() (inUse, waiting, slots int) {
+	return len(g.running), len(g.queue), g.slots
+}
+
+// Suspected reports whether the target is suspected of failing its work.
+func (g *Gate) Suspected(now clock.Time) bool {
+	g.suspicion.settle(now)
+	return g.suspicion.suspected
+}
+
+// Arrive decides on a new attempt.
+func (g *Gate) Arrive(now clock.Time, d Demand) Decision {
+	if !g.open {
+		return Decision{Kind: Refuse, Reason: NoTarget}
+	}
+	if d.Remaining < g.needed(d.Route) {
+		return Decision{Kind: Refuse, Reason: TooLate}
+	}
+	full := len(g.running) >= g.slots || len(g.queue) > 0
+	wait := g.expectedWait(d)
+	if full && (wait > d.Patience || len(g.queue) >= maxQueue) {
+		return Decision{Kind: Refuse, Reason: Full, RetryAfter: max(wait, minRetryAfter)}
+	}
+	if !g.suspicion.permits(now, d) {
+		return Decision{Kind: Refuse, Reason: Suspected, RetryAfter: trialPeriod}
+	}
+	if d.Repeat && !g.repeats.take(now) {
+		return Decision{Kind: Refuse, Reason: RepeatsUsedUp}
+	}
+	if !d.Repeat && d.Customer != "" {
+		g.repeats.earn()
+	}
+	if full {
+		g.queue = append(g.queue, &waiter{Demand: d, arrived: now})
+		return Decision{Kind: Wait}
+	}
+	g.start(now, d)
+	return Decision{Kind: Run}
+}
+
+// start occupies a slot.
+func (g *Gate) start(now clock.Time, d Demand) {
+	invariant.Check(len(g.running) < g.slots, "slots-not-exceeded", "%d of %d slots in use", len(g.running), g.slots)
+	g.running[d.ID] = &running{Demand: d, started: now}
+}
+
+// Abandon removes a waiting attempt. It reports false if the attempt has had its turn.
+func (g *Gate) Abandon(attempt ID) bool {
+	for i, w := range g.queue {
+		if w.ID == attempt {
+			g.queue = append(g.queue[:i], g.queue[i+1:]...)
+			return true
+		}
+	}
+	return false
+}
+
+// Done frees the slot of an attempt, takes its outcome as evidence and serves the queue.
+func (g *Gate) Done(now clock.Time, attempt ID, outcome Outcome) []Turn {
+	r := g.running[attempt]
+	if r == nil {
+		return nil
+	}
+	delete(g.running, attempt)
+	took := now.Sub(r.started)
+	g.usage.add(now, r.Customer, took)
+	g.judge(now, r, outcome, took)
+	return g.pump(now)
+}
+
+// judge takes an outcome as evidence.
+func (g *Gate) judge(now clock.Time, r *running, outcome Outcome, took time.Duration) {
+	switch outcome {
+	case Succeeded:
+		g.observe(r.Route, took)
+		if !r.overdue {
+			g.suspicion.praise(now)
+		}
+	case Failed, Declined, Broken:
+		g.suspicion.blame(now, failureWeight)
+	case TimedOut:
+		g.Overdue(now, r)
+	case Cancelled:
+	}
+}
+
+// observe adds a sample to the estimates. A sample far above the estimate counts only up to the overdue limit, so
+// that a slow target does not become the norm at once.
+func (g *Gate) observe(route id.RouteID, took time.Duration) {
+	e := g.estimates[route]
+	if e == nil {
+		e = &estimate{}
+		g.estimates[route] = e
+	}
+	if e.known() {
+		took = min(took, e.overdueAfter())
+	}
+	e.observe(took)
+	g.all.observe(took)
+}
+
+// Overdue takes a running attempt that exceeded its limit as evidence, once.
+func (g *Gate) Overdue(now clock.Time, r *running) {
+	if r.overdue {
+		return
+	}
+	r.overdue = true
+	g.suspicion.blame(now, overdueWeight)
+}
+
+// MarkOverdue is Overdue by id. It reports whether the attempt still runs.
+func (g *Gate) MarkOverdue(now clock.Time, attempt ID) bool {
+	r := g.running[attempt]
+	if r != nil {
+		g.Overdue(now, r)
+	}
+	return r != nil
+}
+
+// OverdueAfter returns the time from the start of an attempt after which it is overdue.
+func (g *Gate) OverdueAfter(d Demand) time.Duration {
+	if e := g.estimates[d.Route]; e.known() {
+		return e.overdueAfter()
+	}
+	if d.Objective > 0 {
+		return d.Objective
+	}
+	return defaultOverdue
+}
+
+// Expected returns the usual duration of a route's work.
+func (g *Gate) Expected(route id.RouteID) time.Duration {
+	if e := g.estimates[route]; e.known() {
+		return time.Duration(e.mean)
+	}
+	if g.all.known() {
+		return time.Duration(g.all.mean)
+	}
+	return defaultExpected
+}
+
+// needed returns the time that must be left for an attempt to be useful.
+func (g *Gate) needed(route id.RouteID) time.Duration {
+	return time.Duration(workMargin * float64(g.Expected(route)))
+}
+
+// expectedWait returns the time until an attempt would have its turn.
+func (g *Gate) expectedWait(d Demand) time.Duration {
+	ahead := len(g.running) - g.slots + 1
+	for _, w := range g.queue {
+		if w.Rank <= d.Rank {
+			ahead++
+		}
+	}
+	if ahead <= 0 {
+		return 0
+	}
+	work := float64(defaultExpected)
+	if g.all.known() {
+		work = g.all.mean
+	}
+	return time.Duration(float64(ahead) * work / float64(g.slots))
+}
+
+// pump gives turns to waiting attempts while there are free slots.
+func (g *Gate) pump(now clock.Time) []Turn {
+	var turns []Turn
+	for g.open && len(g.running) < g.slots && len(g.queue) > 0 {
+		next := g.next(now)
+		w := g.queue[next]
+		g.queue = append(g.queue[:next], g.queue[next+1:]...)
+		if w.Remaining-now.Sub(w.arrived) < g.needed(w.Route) {
+			turns = append(turns, Turn{ID: w.ID, Reason: TooLate})
+			continue
+		}
+		g.start(now, w.Demand)
+		turns = append(turns, Turn{ID: w.ID, Run: true})
+	}
+	return turns
+}
+
+// next returns the index of the waiting attempt that is served next.
+func (g *Gate) next(now clock.Time) int {
+	best := 0
+	for i := 1; i < len(g.queue); i++ {
+		if g.before(now, g.queue[i], g.queue[best]) {
+			best = i
+		}
+	}
+	return best
+}
+
+// before reports whether a is served before b. The queue is in the order of arrival, which decides between equals.
+func (g *Gate) before(now clock.Time, a, b *waiter) bool {
+	if a.Rank != b.Rank {
+		return a.Rank < b.Rank
+	}
+	aLate, bLate := g.late(now, a), g.late(now, b)
+	if aLate != bLate {
+		return bLate
+	}
+	return g.usage.of(now, a.Customer) < g.usage.of(now, b.Customer)
+}
+
+// late reports whether a waiting attempt can no longer meet its objective.
+func (g *Gate) late(now clock.Time, w *waiter) bool {
+	return w.Objective > 0 && w.Objective-now.Sub(w.arrived) < g.needed(w.Route)
+}
--- /dev/null
+++ b/internal/mesh/statesync/config.go
@@ -0,0 +1,57 @@
+package statesync
+
+import (
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"buckthornlatch.example/buckthornlatch/internal/clock"
+	"buckthornlatch.example/buckthornlatch/internal/id"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/policy"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/roster"
+	"buckthornlatch.example/buckthornlatch/internal/platform"
+)
+
+const (
+	// WatchWait is the longest time that one watch lasts without a change. A silent connection is noticed sooner, by
+	// the probes of the store's client.
+	WatchWait = 20 * time.Second
+	// callTimeout bounds other calls. A slow store answers within a fraction of it.
+	callTimeout = 2 * time.Second
+	// watchSlack is how much longer than its wait a watch may take.
+	watchSlack = 2 * time.Second
+	// firstPause and longestPause bound the time between two tries after a failure.
+	firstPause   = 200 * time.Millisecond
+	longestPause = time.Second
+	// gatherTime is the pause between two watches of the roster, in which changes gather: with n hosts, n changes
+	// would otherwise cost n*n calls. A gate knows its own state, so that an older roster is harmless.
+	gatherTime = 300 * time.Millisecond
+	// scanLimit is the largest number of rows that the store returns at once.
+	scanLimit = 500
+)
+
+// Config is what a Syncer needs.
+type Config struct {
+	Self  id.HostID
+	Clock clock.Clock
+	Store platform.Feed
+	Keys  Keys
+	// Decode reads a policy as the operator wrote it.
+	Decode func(raw []byte) (policy.Document, error)
+	// Seeds are hosts to ask when neither the store nor the roster is known.
+	Seeds func() []id.HostID
+	// Changed is called after the policy or the view changed, one call at a time.
+	Changed func(*policy.Snapshot, *roster.View)
+	// Restored is called once with the record that an earlier process of this host wrote.
+	Restored func(roster.Record)
+	Log      zerolog.Logger
+}
+
+// Keys are the places in the store.
+type Keys struct {
+	// PolicyPrefix is the common prefix of the operator's rows, PolicyKey the row of the policy.
+	PolicyPrefix string
+	PolicyKey    string
+	// HostPrefix is the common prefix of the hosts' records; the rest of a key is the host's name.
+	HostPrefix string
+}
--- /dev/null
+++ b/internal/mesh/statesync/follow.go
@@ -0,0 +1,168 @@
+package statesync
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"buckthornlatch.example/buckthornlatch/internal/id"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/roster"
+	"buckthornlatch.example/buckthornlatch/internal/platform"
+)
+
+// follower reads one part of the store and then its changes.
+type follower struct {
+	part   part
+	prefix string
+	// gather is the pause between two watches.
+	gather time.Duration
+	// apply takes over rows; complete says that they are all rows of the part.
+	apply func(rows []platform.Row, complete bool)
+}
+
+// followPolicy keeps the policy up to date.
+func (s *Syncer) followPolicy(ctx context.Context) {
+	s.follow(ctx, follower{part: policyPart, prefix: s.config.Keys.PolicyPrefix, apply: s.applyPolicy})
+}
+
+// followRoster keeps the roster up to date.
+func (s *Syncer) followRoster(ctx context.Context) {
+	s.follow(ctx, follower{part: rosterPart, prefix: s.config.Keys.HostPrefix, gather: gatherTime, apply: s.applyRoster})
+}
+
+// follow reads a part and its changes until ctx ends.
+func (s *Syncer) follow(ctx context.Context, f follower) {
+	var since platform.Revision
+	wait := firstPause
+	for ctx.Err() == nil {
+		through, err := s.step(ctx, f, since)
+		switch {
+		case err == nil:
+			since, wait = through, firstPause
+			s.reached(f.part)
+			if f.gather > 0 && !pause(ctx, f.gather) {
+				return
+			}
+			continue
+		case ctx.Err() != nil:
+			return
+		case errors.Is(err, platform.ErrHistoryLost):
+			s.config.Log.Info().Str("part", string(f.part)).Uint64("since", uint64(since)).Msg("sync: history lost, reading anew")
+			since = 0
+			continue
+		}
+		s.failed(f.part, err)
+		// Half of the pause is random, so that the daemons do not return to a store in one wave.
+		if !pause(ctx, wait/2+rand.N(wait/2)) {
+			return
+		}
+		wait = min(2*wait, longestPause)
+	}
+}
+
+// step reads a part once, or waits for its next changes.
+func (s *Syncer) step(ctx context.Context, f follower, since platform.Revision) (platform.Revision, error) {
+	if since == 0 {
+		return s.readAll(ctx, f)
+	}
+	ctx, cancel := context.WithTimeout(ctx, WatchWait+watchSlack)
+	defer cancel()
+	rows, err := s.config.Store.Watch(ctx, f.prefix, since, WatchWait)
+	if err != nil {
+		return 0, err
+	}
+	if len(rows.Rows) > 0 {
+		f.apply(rows.Rows, false)
+	}
+	return rows.Through, nil
+}
+
+// readAll reads all rows of a part. Changes between two pages are seen by the first watch, which starts at the
+// revision of the first page.
+func (s *Syncer) readAll(ctx context.Context, f follower) (platform.Revision, error) {
+	var all []platform.Row
+	var first platform.Revision
+	after := ""
+	for {
+		rows, err := s.scan(ctx, f.prefix, after)
+		if err != nil {
+			return 0, err
+		}
+		if first == 0 {
+			first = rows.Through
+		}
+		all = append(all, rows.Rows...)
+		if !rows.More || len(rows.Rows) == 0 {
+			f.apply(all, true)
+			return first, nil
+		}
+		after = rows.Rows[len(rows.Rows)-1].Key
+	}
+}
+
+// scan reads one page.
+func (s *Syncer) scan(ctx context.Context, prefix, after string) (platform.Rows, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return s.config.Store.Scan(ctx, prefix, after, scanLimit)
+}
+
+// applyPolicy takes over the operator's rows.
+func (s *Syncer) applyPolicy(rows []platform.Row, _ bool) {
+	for _, row := range rows {
+		if row.Key == s.config.Keys.PolicyKey && row.Exists() {
+			s.setPolicy(row.Value, "store")
+		}
+	}
+}
+
+// applyRoster takes over records of hosts.
+func (s *Syncer) applyRoster(rows []platform.Row, complete bool) {
+	s.mu.Lock()
+	if complete {
+		s.records = map[id.HostID]stored{}
+	}
+	for _, row := range rows {
+		s.applyRecord(row)
+	}
+	s.rebuild()
+	own, found := s.records[s.config.Self]
+	restore := complete && !s.restored
+	s.restored = s.restored || complete
+	republish := s.own.known && (!found || own.record != s.own.record)
+	s.mu.Unlock()
+	if restore && found {
+		s.config.Restored(own.record)
+	}
+	if republish {
+		s.wakePublisher()
+	}
+	s.changed()
+}
+
+// applyRecord takes over one row. The lock is held.
+func (s *Syncer) applyRecord(row platform.Row) {
+	host := id.HostID(strings.TrimPrefix(row.Key, s.config.Keys.HostPrefix))
+	if !row.Exists() {
+		delete(s.records, host)
+		return
+	}
+	var record roster.Record
+	if err := json.Unmarshal(row.Value, &record); err != nil || record.Host != host || !record.Valid() {
+		s.config.Log.Warn().AnErr("cause", err).Str("key", row.Key).Msg("sync: record ignored")
+		return
+	}
+	s.records[host] = stored{record: record, revision: row.Revision}
+}
+
+// rebuild makes the view of the records. The lock is held.
+func (s *Syncer) rebuild() {
+	records := make([]roster.Record, 0, len(s.records))
+	for _, r := range s.records {
+		records = append(records, r.record)
+	}
+	s.view = roster.NewView(records)
+}
--- /dev/null
+++ b/internal/mesh/targetconn/request.go
@@ -0,0 +1,49 @@
+package targetconn
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"net/url"
+)
+
+// Request is what a target is asked.
+type Request struct {
+	Method string
+	// URI is the request target as the caller sent it.
+	URI    string
+	Host   string
+	Header http.Header
+	// Body is the beginning of the body; Rest is what follows, nil when nothing does.
+	Body []byte
+	Rest io.Reader
+	// Length is the length of the whole body in bytes, -1 when unknown.
+	Length int64
+	// IDHeader names the header that the target echoes; its value in Header identifies the answer.
+	IDHeader string
+	// Unfamiliar reports whether an answer without the echo may still be the target's.
+	Unfamiliar func(*http.Response) bool
+	// Fresh asks for a connection that was used within FreshFor, or a new one.
+	Fresh bool
+}
+
+// encode converts the request for net/http.
+func (r *Request) encode() *http.Request {
+	out := &http.Request{
+		Method: r.Method, URL: &url.URL{Opaque: r.URI}, Host: r.Host,
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Header: r.Header,
+	}
+	if _, named := r.Header["User-Agent"]; !named {
+		// An empty value keeps net/http from adding its own.
+		r.Header["User-Agent"] = []string{""}
+	}
+	switch {
+	case r.Rest != nil:
+		out.Body = io.NopCloser(io.MultiReader(bytes.NewReader(r.Body), r.Rest))
+		out.ContentLength = r.Length
+	case len(r.Body) > 0:
+		out.Body = io.NopCloser(bytes.NewReader(r.Body))
+		out.ContentLength = int64(len(r.Body))
+	}
+	return out
+}
