Answer requests in flight before the process ends

Change: at nine tenths of the period all attempts are cancelled and each request is answered with what is known.

--- a/internal/mesh/daemon/daemon.go
+++ b/internal/mesh/daemon/daemon.go
@@ -36,12 +36,13 @@
 	entry    *entry.Entry
 	servers  []*server
 	draining atomic.Bool
+	stopping chan struct{}
 }
 
 // New returns a daemon without listeners.
 func New(config Config) *Daemon {
 	config.Headers = config.Headers.Canonical()
-	return &Daemon{config: config, clock: clock.NewSystem()}
+	return &Daemon{config: config, clock: clock.NewSystem(), stopping: make(chan struct{})}
 }
 
 // Provision builds the parts and opens the listeners.
@@ -68,7 +69,7 @@
 	d.entry = entry.New(entry.Config{
 		Service: d.config.Service, Headers: d.config.Headers, Clock: d.clock, Policy: d.syncer, Limits: d.limits,
 		Chooser: d.chooser, Sender: &sender{self: d.config.Host, gate: d.gate, client: d.client, syncer: d.syncer},
-		Draw: rand.Float64, Draining: d.draining.Load, Log: d.config.Lines.Decisions, Metrics: d.meters,
+		Draw: rand.Float64, Draining: d.draining.Load, Stopping: d.stopping, Log: d.config.Lines.Decisions, Metrics: d.meters,
 	})
 	return d.listen()
 }
--- a/internal/mesh/daemon/drain.go
+++ b/internal/mesh/daemon/drain.go
@@ -13,6 +13,9 @@
 	leaveTime = 2600 * time.Millisecond
 	// exitMargin is left of the grace period for the end of the process.
 	exitMargin = 350 * time.Millisecond
+	// giveUpShare is the part of the grace period after which requests still in flight are answered with what is known
+	// of them. Targets that work until then have had most of the period.
+	giveUpShare = 0.9
 	// drainPoll is the period of the check whether requests are still being served.
 	drainPoll = 20 * time.Millisecond
 )
@@ -31,6 +34,8 @@
 	deadline := started.Add(max(grace-exitMargin, 0))
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
+	giveUp := time.AfterFunc(time.Until(started.Add(time.Duration(giveUpShare*float64(grace)))), func() { close(d.stopping) })
+	defer giveUp.Stop()
 	for _, s := range d.servers {
 		if s.name == callersServer {
 			s.shutdown(ctx, d.config.Lines.Events)
--- a/internal/mesh/entry/config.go
+++ b/internal/mesh/entry/config.go
@@ -28,6 +28,9 @@
 	Draw func() float64
 	// Draining reports whether callers should move to another connection.
 	Draining func() bool
+	// Stopping is closed shortly before the process ends; requests still in flight are then answered with what is
+	// known of them.
+	Stopping <-chan struct{}
 	Log      zerolog.Logger
 	Metrics  Metrics
 }
--- /dev/null
+++ b/internal/mesh/entry/harness_test.go
@@ -0,0 +1,194 @@
+package entry_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"buckthornlatch.example/buckthornlatch/internal/clock"
+	"buckthornlatch.example/buckthornlatch/internal/hop"
+	"buckthornlatch.example/buckthornlatch/internal/id"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/choose"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/dialect"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/entry"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/link"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/policy"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/roster"
+)
+
+// headers are the header names of the tests.
+var headers = dialect.Headers{
+	RequestID: "Request-Id", Deadline: "Deadline", Seal: "Seal", Customer: "Customer", Target: "Target",
+	Instance: "Instance", NotRun: "Not-Run", Caller: "Caller",
+}
+
+// gateFunc is the behaviour of one host's gate.
+type gateFunc func(ctx context.Context, a *link.Attempt, signals link.Signals) *link.Result
+
+// harness is an entry before gates that tests define.
+type harness struct {
+	entry    *entry.Entry
+	stopping chan struct{}
+
+	mu    sync.Mutex
+	gates map[id.HostID]gateFunc
+	// sent lists the attempts in order.
+	sent []sentAttempt
+	// age is the time for which the store has been out of reach, snapshot the policy in force.
+	age      time.Duration
+	snapshot *policy.Snapshot
+	denied   error
+}
+
+// sentAttempt is one attempt that the entry made.
+type sentAttempt struct {
+	host    id.HostID
+	attempt link.Attempt
+}
+
+// newHarness returns an entry with so many hosts named h0, h1, … whose gates answer 200.
+func newHarness(hosts int) *harness {
+	h := &harness{stopping: make(chan struct{}), gates: map[id.HostID]gateFunc{}}
+	snapshot, err := policy.Build(policy.Document{
+		Version:  7,
+		Services: []string{"walks"},
+		Routes: []policy.Route{
+			{
+				ID: "browse", Host: "trails.example", Prefix: "/browse/", Idempotent: true, Rank: 2, MaxAttempts: 2,
+				Timeout: 3 * time.Second, Objective: time.Second, Parts: []policy.Part{{Service: "walks", Weight: 1}},
+			},
+			{
+				ID: "book", Host: "trails.example", Prefix: "/book/", Rank: 1, MaxAttempts: 2,
+				Timeout: 3 * time.Second, Objective: time.Second, Parts: []policy.Part{{Service: "walks", Weight: 1}},
+			},
+			{
+				ID: "lookup", Host: "trails.example", Prefix: "/lookup/", Idempotent: true, Public: true, Rank: 1, MaxAttempts: 2,
+				Timeout: 3 * time.Second, Objective: time.Second, Parts: []policy.Part{{Service: "walks", Weight: 1}},
+			},
+		},
+		Customers: []policy.Customer{{ID: "school", Keys: []string{"school-key"}, RatePerSecond: 10, Burst: 10}},
+	})
+	Expect(err).NotTo(HaveOccurred())
+	h.snapshot = snapshot
+	clk := clock.NewSystem()
+	var records []roster.Record
+	for i := range hosts {
+		name := id.HostID(fmt.Sprintf("h%d", i))
+		records = append(records, roster.Record{
+			Host: name, Domain: "north", Service: "walks", State: roster.Serving, Slots: 5, Target: roster.TargetIncarnation{ID: "t", Born: 1},
+		})
+		h.gates[name] = answer(http.StatusOK)
+	}
+	chooser := choose.New("self", "north", 1)
+	chooser.SetView(roster.NewView(records))
+	h.entry = entry.New(entry.Config{
+		Service: "desk", Headers: headers, Clock: clk, Policy: h, Limits: h, Chooser: choose.NewShared(chooser, clk), Sender: h,
+		Draw: func() float64 { return 0 }, Draining: func() bool { return false }, Stopping: h.stopping,
+		Log: zerolog.Nop(), Metrics: noMetrics{},
+	})
+	return h
+}
+
+// Policy implements entry.PolicySource.
+func (h *harness) Policy() (*policy.Snapshot, time.Duration) { return h.snapshot, h.age }
+
+// Admit implements entry.Admitter.
+func (h *harness) Admit(context.Context, id.CustomerID) error { return h.denied }
+
+// Send implements entry.Sender.
+func (h *harness) Send(ctx context.Context, host id.HostID, a *link.Attempt, signals link.Signals) *link.Result {
+	h.mu.Lock()
+	h.sent = append(h.sent, sentAttempt{host: host, attempt: *a})
+	gate := h.gates[host]
+	h.mu.Unlock()
+	return gate(ctx, a, signals)
+}
+
+// attempts returns what was sent so far.
+func (h *harness) attempts() []sentAttempt {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.sent
+}
+
+// each sets the behaviour of every gate.
+func (h *harness) each(gate gateFunc) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for host := range h.gates {
+		h.gates[host] = gate
+	}
+}
+
+// first makes the gate that is asked first behave in one way and all others in another.
+func (h *harness) first(first, others gateFunc) {
+	var once sync.Once
+	h.each(func(ctx context.Context, a *link.Attempt, signals link.Signals) *link.Result {
+		chosen := others
+		once.Do(func() { chosen = first })
+		return chosen(ctx, a, signals)
+	})
+}
+
+// do sends a request and returns the response.
+func (h *harness) do(method, path, body string, edit ...func(*http.Request)) *httptest.ResponseRecorder {
+	r := httptest.NewRequest(method, path, strings.NewReader(body))
+	r.Host = "trails.example"
+	r.Header.Set("Request-Id", "r1")
+	r.Header.Set("Authorization", "Bearer school-key")
+	for _, e := range edit {
+		e(r)
+	}
+	recorder := httptest.NewRecorder()
+	h.entry.ServeHTTP(recorder, r)
+	return recorder
+}
+
+// answer is a gate whose target answers with a status.
+func answer(status int) gateFunc {
+	return func(_ context.Context, _ *link.Attempt, signals link.Signals) *link.Result {
+		signals.Accepted()
+		return &link.Result{
+			Verdict: hop.Ran, Reason: link.Answered, Status: status, Header: http.Header{"Seal": {"s"}}, Body: []byte("done"), Length: 4,
+		}
+	}
+}
+
+// refuse is a gate that refuses for a reason.
+func refuse(reason link.Reason, retryAfter time.Duration) gateFunc {
+	return func(context.Context, *link.Attempt, link.Signals) *link.Result {
+		return &link.Result{Verdict: hop.NotRun, Reason: reason, RetryAfter: retryAfter}
+	}
+}
+
+// breakOff is a gate whose target breaks off.
+func breakOff(context.Context, *link.Attempt, link.Signals) *link.Result {
+	return &link.Result{Verdict: hop.Unknown, Reason: link.TargetBroken}
+}
+
+// hang is a gate that accepts the attempt and gives the verdict when the attempt is cancelled.
+func hang(verdict hop.Verdict, overdue bool) gateFunc {
+	return func(ctx context.Context, _ *link.Attempt, signals link.Signals) *link.Result {
+		signals.Accepted()
+		if overdue {
+			signals.Overdue()
+		}
+		<-ctx.Done()
+		return &link.Result{Verdict: verdict, Reason: link.Ended, Err: context.Cause(ctx)}
+	}
+}
+
+// noMetrics counts nothing.
+type noMetrics struct{}
+
+func (noMetrics) Request(int, string, time.Duration) {}
+func (noMetrics) Repeat()                            {}
+func (noMetrics) Begin()                             {}
+func (noMetrics) End()                               {}
--- a/internal/mesh/entry/session.go
+++ b/internal/mesh/entry/session.go
@@ -57,6 +57,8 @@
 	repeatsUsedUp bool
 	// hedged says that an attempt was made beside an overdue one.
 	hedged bool
+	// stopped says that the process is about to end.
+	stopped bool
 	// fallback is a target's failure, delivered when no repeat does better.
 	fallback   *link.Result
 	retryAfter time.Duration
@@ -101,6 +103,7 @@
 	if !s.next(ctx) {
 		return nil, s.exhausted()
 	}
+	stopping := s.entry.config.Stopping
 	for {
 		select {
 		case e := <-s.events:
@@ -109,6 +112,9 @@
 			}
 		case <-ctx.Done():
 			return s.timedOut()
+		case <-stopping:
+			stopping = nil
+			s.giveUp()
 		}
 		if len(s.active) > 0 {
 			continue
@@ -151,13 +157,24 @@
 
 // mayContinue reports whether another attempt is permitted after all earlier ones have ended.
 func (s *session) mayContinue() bool {
-	return s.runs == 0 || s.mayRepeat()
+	return !s.stopped && (s.runs == 0 || s.mayRepeat())
 }
 
+// giveUp ends all attempts before the process does, so that the caller learns what became of its request.
+func (s *session) giveUp() {
+	s.stopped = true
+	for _, a := range s.active {
+		a.cancel(errStopping)
+	}
+}
+
+// errStopping ends an attempt because its entry's process ends.
+var errStopping = errors.New("the daemon is stopping")
+
 // mayRepeat reports whether the request may be attempted beside or after an attempt that may have run.
 func (s *session) mayRepeat() bool {
 	q := s.query
-	return q.route.Idempotent && q.body.Repeatable() && !s.repeatsUsedUp && s.runs+len(s.active) < q.route.MaxAttempts
+	return q.route.Idempotent && q.body.Repeatable() && !s.repeatsUsedUp && !s.stopped && s.runs+len(s.active) < q.route.MaxAttempts
 }
 
 // next starts an attempt at the best host that is left, and reports whether there was one.
