--- a/internal/mesh/entry/query.go
+++ b/internal/mesh/entry/query.go
@@ -115,3 +115,9 @@
 	}
 	return q.customer.ID
 }
+
+// nested reports whether a target makes the request for one that it is working on. Targets hold no key and use routes
+// that need none.
+func (q *query) nested() bool {
+	return q.customer == nil && q.route.Public
+}
--- a/internal/mesh/entry/session.go
+++ b/internal/mesh/entry/session.go
@@ -25,6 +25,8 @@
 	maxWaits = 2
 	// patienceShare is the largest part of the time left that a request waits for a slot at one host.
 	patienceShare = 0.5
+	// nestedPatienceShare is that of a nested request, whose refusal wastes the work of the target that made it.
+	nestedPatienceShare = 0.75
 	// defaultRetryAfter is the advice when no gate told when it may have room.
 	defaultRetryAfter = 400 * time.Millisecond
 )
@@ -216,7 +218,11 @@
 
 // patience returns how long the request may wait for a slot at one host.
 func (s *session) patience() time.Duration {
-	return time.Duration(patienceShare * float64(time.Until(s.query.deadline)))
+	share := patienceShare
+	if s.query.nested() {
+		share = nestedPatienceShare
+	}
+	return time.Duration(share * float64(time.Until(s.query.deadline)))
 }
 
 // start makes an attempt at a host that the chooser counts as started.
@@ -231,7 +237,7 @@
 	s.active[host] = a
 	message := &link.Attempt{
 		RequestID: q.requestID, Service: q.service, Caller: s.entry.config.Service, Route: q.route.ID,
-		Customer: q.customerID(), Rank: q.rank(), Idempotent: q.route.Idempotent,
+		Customer: q.customerID(), Rank: q.rank(), Nested: q.nested(), Idempotent: q.route.Idempotent,
 		Repeat: s.arrivals > 0 || len(s.active) > 1, Forced: forced,
 		Remaining: time.Until(q.deadline), Objective: s.objective(), Patience: patience, Policy: q.policy.Version(),
 		Method: q.request.Method, URI: q.request.RequestURI, Host: q.request.Host, Header: q.header,
--- a/internal/mesh/gate/attempt.go
+++ b/internal/mesh/gate/attempt.go
@@ -87,7 +87,7 @@
 	g.slots.SetRepeatBudget(now, g.config.Repeats())
 	g.nextID++
 	w.demand = slots.Demand{
-		ID: g.nextID, Route: a.Route, Customer: a.Customer, Rank: a.Rank, Idempotent: a.Idempotent, Repeat: a.Repeat,
+		ID: g.nextID, Route: a.Route, Customer: a.Customer, Rank: a.Rank, Nested: a.Nested, Idempotent: a.Idempotent, Repeat: a.Repeat,
 		Forced: a.Forced, Remaining: a.Remaining, Objective: a.Objective, Patience: a.Patience,
 	}
 	decision := slots.Decision{Kind: slots.Refuse, Reason: slots.NoTarget}
--- a/internal/mesh/link/attempt.go
+++ b/internal/mesh/link/attempt.go
@@ -18,7 +18,9 @@
 	Route    id.RouteID
 	Customer id.CustomerID
 	// Rank orders attempts under load; 0 is the most urgent.
-	Rank       int
+	Rank int
+	// Nested says that a target makes the request for one that it is working on.
+	Nested     bool
 	Idempotent bool
 	// Repeat says that an earlier attempt of the request may have reached a target.
 	Repeat bool
--- a/internal/mesh/link/encode.go
+++ b/internal/mesh/link/encode.go
@@ -36,6 +36,7 @@
 	flagIdempotent = 'i'
 	flagRepeat     = 'r'
 	flagForced     = 'f'
+	flagNested     = 'n'
 )
 
 // encode writes the attempt's fields into its header.
@@ -44,7 +45,7 @@
 	for _, f := range []struct {
 		set  bool
 		flag byte
-	}{{a.Idempotent, flagIdempotent}, {a.Repeat, flagRepeat}, {a.Forced, flagForced}} {
+	}{{a.Idempotent, flagIdempotent}, {a.Repeat, flagRepeat}, {a.Forced, flagForced}, {a.Nested, flagNested}} {
 		if f.set {
 			flags = append(flags, f.flag)
 		}
--- a/internal/mesh/slots/demand.go
+++ b/internal/mesh/slots/demand.go
@@ -16,7 +16,9 @@
 	Route    id.RouteID
 	Customer id.CustomerID
 	// Rank orders attempts; 0 is the most urgent.
-	Rank       int
+	Rank int
+	// Nested attempts are made by a target for a request that it is working on.
+	Nested     bool
 	Idempotent bool
 	// Repeat says that an earlier attempt of the same request may have reached a target.
 	Repeat bool
@@ -30,6 +32,18 @@
 	Patience time.Duration
 }
 
+// nestedClass is the class of nested attempts, ahead of all ranks: they are short, and one that is refused wastes the
+// work of the target that made it.
+const nestedClass = -1
+
+// class returns the attempt's place in the order of the queue; lower ones are served first.
+func (d Demand) class() int {
+	if d.Nested {
+		return nestedClass
+	}
+	return d.Rank
+}
+
 // waiter is an attempt in the queue.
 type waiter struct {
 	Demand
--- a/internal/mesh/slots/gate.go
+++ b/internal/mesh/slots/gate.go
@@ -214,7 +214,7 @@
 func (g *Gate) expectedWait(d Demand) time.Duration {
 	ahead := len(g.running) - g.slots + 1
 	for _, w := range g.queue {
-		if w.Rank <= d.Rank {
+		if w.class() <= d.class() {
 			ahead++
 		}
 	}
@@ -258,8 +258,8 @@
 
 // before reports whether a is served before b. The queue is in the order of arrival, which decides between equals.
 func (g *Gate) before(now clock.Time, a, b *waiter) bool {
-	if a.Rank != b.Rank {
-		return a.Rank < b.Rank
+	if a.class() != b.class() {
+		return a.class() < b.class()
 	}
 	aLate, bLate := g.late(now, a), g.late(now, b)
 	if aLate != bLate {
