Look for another host again while an idempotent attempt is overdue

Change: hosts are asked anew and the request may wait at one; up to three gates are asked for budget; a short deadline is no evidence against a target.

--- a/internal/mesh/daemon/daemon.go
+++ b/internal/mesh/daemon/daemon.go
@@ -110,7 +110,7 @@
 
 // repeatMargin is the part of the fleet's budget for repeats that the gates hand out. Calls that a repeated run makes
 // count as repeats too, and no gate sees that of them.
-const repeatMargin = 0.6
+const repeatMargin = 0.75
 
 // repeats returns the own gate's part of its service's budget for repeats.
 func (d *Daemon) repeats() slots.RepeatBudget {
--- a/internal/mesh/entry/session.go
+++ b/internal/mesh/entry/session.go
@@ -23,6 +23,8 @@
 	maxAsked = 5
 	// maxWaits bounds the hosts at which one request waits for a slot.
 	maxWaits = 2
+	// maxRepeatRefusals bounds the gates that are asked for a part of the budget for repeats.
+	maxRepeatRefusals = 3
 	// patienceShare is the largest part of the time left that a request waits for a slot at one host.
 	patienceShare = 0.5
 	// nestedPatienceShare is that of a nested request, whose refusal wastes the work of the target that made it.
@@ -55,10 +57,12 @@
 	// arrivals counts the attempts that may have reached a target, runs those that may have run.
 	arrivals int
 	runs     int
-	// repeatsUsedUp says that a gate had no budget for a repeat.
-	repeatsUsedUp bool
-	// hedged says that an attempt was made beside an overdue one.
-	hedged bool
+	// repeatRefusals counts the gates that had no budget for a repeat.
+	repeatRefusals int
+	// hedging says that another host is looked for beside an overdue attempt.
+	hedging bool
+	// refusedLast says that the last attempt that ended was refused.
+	refusedLast bool
 	// stopped says that the process is about to end.
 	stopped bool
 	// fallback is a target's failure, delivered when no repeat does better.
@@ -109,6 +113,7 @@
 	for {
 		select {
 		case e := <-s.events:
+			s.refusedLast = false
 			if result, done := s.handle(ctx, e); done {
 				return result, nil
 			}
@@ -119,6 +124,9 @@
 			s.giveUp()
 		}
 		if len(s.active) > 0 {
+			if s.hedging && s.refusedLast && s.mayRepeat() {
+				s.next(ctx)
+			}
 			continue
 		}
 		if s.fallback != nil && !s.mayRepeat() {
@@ -176,7 +184,7 @@
 // mayRepeat reports whether the request may be attempted beside or after an attempt that may have run.
 func (s *session) mayRepeat() bool {
 	q := s.query
-	return q.route.Idempotent && q.body.Repeatable() && !s.repeatsUsedUp && !s.stopped && s.runs+len(s.active) < q.route.MaxAttempts
+	return q.route.Idempotent && q.body.Repeatable() && s.repeatRefusals < maxRepeatRefusals && !s.stopped && s.runs+len(s.active) < q.route.MaxAttempts
 }
 
 // next starts an attempt at the best host that is left, and reports whether there was one.
@@ -306,19 +314,18 @@
 	return nil, false
 }
 
-// hedge makes an attempt beside one that is overdue, at a host that has room.
+// hedge starts to look for another host beside an attempt that is overdue. All hosts but those in use are asked anew,
+// since what they told when the request came is out of date.
 func (s *session) hedge(ctx context.Context) {
-	if s.hedged || !s.mayRepeat() {
+	if s.hedging || !s.mayRepeat() {
 		return
 	}
-	exclude := slices.Clone(s.asked)
-	host, ok := s.entry.config.Chooser.Start(s.query.service, exclude)
-	if !ok {
-		return
+	s.hedging = true
+	s.asked, s.full, s.suspected, s.waits = nil, nil, nil, 0
+	for host := range s.active {
+		s.asked = append(s.asked, host)
 	}
-	s.hedged = true
-	s.asked = append(s.asked, host)
-	s.start(ctx, host, 0, false)
+	s.next(ctx)
 }
 
 // ended takes the end of an attempt into account.
@@ -329,6 +336,7 @@
 		Host: a.host, Verdict: result.Verdict, Reason: result.Reason, TookMS: time.Since(a.started).Milliseconds(),
 	})
 	s.entry.config.Chooser.Finish(a.host, reportOf(result))
+	s.refusedLast = result.Verdict == hop.NotRun
 	switch result.Verdict {
 	case hop.Ran:
 		s.arrivals++
@@ -365,7 +373,7 @@
 	case link.Reason(slots.Suspected):
 		s.suspected = append(s.suspected, host)
 	case link.Reason(slots.RepeatsUsedUp):
-		s.repeatsUsedUp = true
+		s.repeatRefusals++
 	case link.TargetDeclined, link.TargetReplaced:
 		s.arrivals++
 	}
--- a/internal/mesh/gate/log.go
+++ b/internal/mesh/gate/log.go
@@ -23,7 +23,7 @@
 		return
 	}
 	event.Str("request", w.attempt.RequestID).Str("route", string(w.attempt.Route)).Str("customer", string(w.attempt.Customer)).
-		Int("rank", w.attempt.Rank).Bool("repeat", w.attempt.Repeat).Bool("forced", w.attempt.Forced).
+		Int("rank", w.attempt.Rank).Bool("idempotent", w.attempt.Idempotent).Bool("repeat", w.attempt.Repeat).Bool("forced", w.attempt.Forced).
 		Dur("remaining", w.attempt.Remaining).Dur("patience", w.attempt.Patience).
 		Uint64("entry_policy", uint64(w.attempt.Policy)).Uint64("policy", uint64(r.Policy)).
 		Int("in_use", r.Load.InUse).Int("waiting", r.Load.Waiting).Int("slots", r.Load.Slots).
--- a/internal/mesh/slots/estimate.go
+++ b/internal/mesh/slots/estimate.go
@@ -12,6 +12,8 @@
 	deviations = 4
 	// minOverdue keeps attempts of very short work from counting as overdue after a short delay.
 	minOverdue = 300 * time.Millisecond
+	// unknownRouteFactor is applied to the limit of all work for a route without samples.
+	unknownRouteFactor = 2
 	// defaultOverdue is used until there are enough samples and no objective is known.
 	defaultOverdue = 3 * time.Second
 	// defaultExpected is used for the duration of work of which no sample is known.
--- a/internal/mesh/slots/gate.go
+++ b/internal/mesh/slots/gate.go
@@ -145,7 +145,10 @@
 	case Failed, Declined, Broken:
 		g.suspicion.blame(now, failureWeight)
 	case TimedOut:
-		g.Overdue(now, r)
+		// A caller that waits only a short time says nothing about the target.
+		if limit, known := g.overdueLimit(r.Route); known && took >= limit {
+			g.Overdue(now, r)
+		}
 	case Cancelled:
 	}
 }
@@ -185,8 +188,8 @@
 
 // OverdueAfter returns the time from the start of an attempt after which it is overdue.
 func (g *Gate) OverdueAfter(d Demand) time.Duration {
-	if e := g.estimates[d.Route]; e.known() {
-		return e.overdueAfter()
+	if limit, known := g.overdueLimit(d.Route); known {
+		return limit
 	}
 	if d.Objective > 0 {
 		return d.Objective
@@ -194,6 +197,18 @@
 	return defaultOverdue
 }
 
+// overdueLimit returns the duration from which an attempt on the route counts as overdue, if enough is known. A route
+// without samples of its own is measured by all work, with a margin since its work may be longer.
+func (g *Gate) overdueLimit(route id.RouteID) (time.Duration, bool) {
+	if e := g.estimates[route]; e.known() {
+		return e.overdueAfter(), true
+	}
+	if g.all.known() {
+		return unknownRouteFactor * g.all.overdueAfter(), true
+	}
+	return 0, false
+}
+
 // Expected returns the usual duration of a route's work.
 func (g *Gate) Expected(route id.RouteID) time.Duration {
 	if e := g.estimates[route]; e.known() {
