Keep slots for attempts made by targets

Cause: attempts made by targets were refused while all slots were held by work of several seconds. Change: each gate keeps as many slots free of other work as such attempts used lately, a third at most.

--- a/internal/mesh/slots/gate.go
+++ b/internal/mesh/slots/gate.go
@@ -29,6 +29,7 @@
 	suspicion suspicion
 	repeats   repeats
 	usage     usage
+	nested    nestedLoad
 }
 
 // New returns a gate without a target.
@@ -82,7 +83,7 @@
 	if d.Remaining < g.needed(d.Route) {
 		return Decision{Kind: Refuse, Reason: TooLate}
 	}
-	full := len(g.running) >= g.slots || len(g.queue) > 0
+	full := !g.fits(now, d) || g.overtaken(d)
 	wait := g.expectedWait(d)
 	if full && (wait > d.Patience || len(g.queue) >= maxQueue) {
 		return Decision{Kind: Refuse, Reason: Full, RetryAfter: max(wait, minRetryAfter)}
@@ -104,6 +105,33 @@
 	return Decision{Kind: Run}
 }
 
+// fits reports whether a slot is free for the attempt. Some slots are kept for nested attempts.
+func (g *Gate) fits(now clock.Time, d Demand) bool {
+	if len(g.running) >= g.slots {
+		return false
+	}
+	if d.Nested {
+		return true
+	}
+	others := 0
+	for _, r := range g.running {
+		if !r.Nested {
+			others++
+		}
+	}
+	return others < g.slots-g.nested.reserve(now, g.slots)
+}
+
+// overtaken reports whether an attempt of the same or a more urgent class waits.
+func (g *Gate) overtaken(d Demand) bool {
+	for _, w := range g.queue {
+		if w.class() <= d.class() {
+			return true
+		}
+	}
+	return false
+}
+
 // start occupies a slot.
 func (g *Gate) start(now clock.Time, d Demand) {
 	invariant.Check(len(g.running) < g.slots, "slots-not-exceeded", "%d of %d slots in use", len(g.running), g.slots)
@@ -130,6 +158,9 @@
 	delete(g.running, attempt)
 	took := now.Sub(r.started)
 	g.usage.add(now, r.Customer, took)
+	if r.Nested {
+		g.nested.add(now, took)
+	}
 	g.judge(now, r, outcome, took)
 	return g.pump(now)
 }
@@ -246,9 +277,13 @@
 // pump gives turns to waiting attempts while there are free slots.
 func (g *Gate) pump(now clock.Time) []Turn {
 	var turns []Turn
-	for g.open && len(g.running) < g.slots && len(g.queue) > 0 {
+	for g.open && len(g.queue) > 0 {
 		next := g.next(now)
 		w := g.queue[next]
+		if !g.fits(now, w.Demand) {
+			// The order puts nested attempts first, so that no other waiting attempt fits either.
+			break
+		}
 		g.queue = append(g.queue[:next], g.queue[next+1:]...)
 		if w.Remaining-now.Sub(w.arrived) < g.needed(w.Route) {
 			turns = append(turns, Turn{ID: w.ID, Reason: TooLate})
