Give up attempts that hang while others need the slot

Change: a gate that must refuse or queue an attempt names the oldest run that is far beyond its usual time; its entry cancels it unless the entry is stopping.

--- a/internal/mesh/daemon/daemon.go
+++ b/internal/mesh/daemon/daemon.go
@@ -189,7 +189,7 @@
 	}
 }
 
-// newControlClient returns the client for token grants.
+// newControlClient returns the client for control messages to other hosts.
 func newControlClient() *http.Client {
 	dialer := link.Dialer()
 	return &http.Client{Transport: &http.Transport{
--- a/internal/mesh/entry/session.go
+++ b/internal/mesh/entry/session.go
@@ -86,8 +86,8 @@
 
 const (
 	ended eventKind = iota
-	accepted
 	overdue
+	hopeless
 	silent
 )
 
@@ -155,6 +155,9 @@
 	}
 }
 
+// errHopeless ends an attempt that others need the slot of.
+var errHopeless = errors.New("the attempt was given up for others")
+
 // errNotNeeded ends an attempt whose request was answered otherwise.
 var errNotNeeded = errors.New("the request was answered")
 
@@ -296,6 +299,11 @@
 	go s.session.tell(event{kind: overdue, attempt: s.attempt})
 }
 
+// Hopeless implements link.Signals.
+func (s *signals) Hopeless() {
+	go s.session.tell(event{kind: hopeless, attempt: s.attempt})
+}
+
 // handle takes an event into account. It returns the answer when there is one.
 func (s *session) handle(ctx context.Context, e event) (*link.Result, bool) {
 	switch e.kind {
@@ -308,6 +316,11 @@
 			s.entry.config.Chooser.Report(e.attempt.host, choose.Report{Kind: choose.Overdue})
 			s.hedge(ctx)
 		}
+	case hopeless:
+		// A planned stop must not cost callers their answers, so that a stopping entry lets everything run.
+		if s.active[e.attempt.host] == e.attempt && !s.entry.config.Draining() {
+			e.attempt.cancel(errHopeless)
+		}
 	case ended:
 		return s.ended(e.attempt, e.result)
 	}
--- a/internal/mesh/gate/attempt.go
+++ b/internal/mesh/gate/attempt.go
@@ -36,11 +36,13 @@
 	signals link.Signals
 	// cancel ends the exchange with the target.
 	cancel context.CancelFunc
+	// hopeless receives a value when the entry should give the attempt up.
+	hopeless chan struct{}
 }
 
 // Do runs an attempt and returns what became of it. Cancelling ctx ends it.
 func (g *Gate) Do(ctx context.Context, a *link.Attempt, signals link.Signals) *link.Result {
-	w := &work{gate: g, attempt: a, signals: signals, arrived: time.Now()}
+	w := &work{gate: g, attempt: a, signals: signals, arrived: time.Now(), hopeless: make(chan struct{}, 1)}
 	ctx, w.cancel = context.WithTimeout(ctx, a.Remaining)
 	result := w.run(ctx)
 	if result.Rest == nil {
@@ -93,6 +95,10 @@
 	decision := slots.Decision{Kind: slots.Refuse, Reason: slots.NoTarget}
 	if a.Service == g.config.Service {
 		decision = g.slots.Arrive(now, w.demand)
+		g.offer(decision)
+	}
+	if decision.Kind == slots.Run {
+		g.working[w.demand.ID] = w
 	}
 	w.target = g.target
 	var turn chan slots.Turn
@@ -143,6 +149,7 @@
 	}
 	w.gate.mu.Lock()
 	w.target = w.gate.target
+	w.gate.working[w.demand.ID] = w
 	w.gate.mu.Unlock()
 	return nil
 }
@@ -220,6 +227,8 @@
 			w.gate.slots.MarkOverdue(w.gate.config.Clock.Now(), w.demand.ID)
 			w.gate.mu.Unlock()
 			w.signals.Overdue()
+		case <-w.hopeless:
+			w.signals.Hopeless()
 		}
 	}
 }
@@ -316,6 +325,16 @@
 	return result
 }
 
+// offer tells the entry of an attempt that the slots would give up. The lock is held.
+func (g *Gate) offer(d slots.Decision) {
+	if !d.Reclaims {
+		return
+	}
+	if w := g.working[d.Reclaim]; w != nil {
+		w.hopeless <- struct{}{}
+	}
+}
+
 // misdirected stops the use of an address at which another process answers.
 func (w *work) misdirected() {
 	g := w.gate
@@ -333,6 +352,7 @@
 	g := w.gate
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	delete(g.working, w.demand.ID)
 	g.answer(g.slots.Done(g.config.Clock.Now(), w.demand.ID, outcome))
 }
 
--- a/internal/mesh/gate/gate.go
+++ b/internal/mesh/gate/gate.go
@@ -19,11 +19,13 @@
 	draining bool
 	nextID   slots.ID
 	waiting  map[slots.ID]chan slots.Turn
+	// working are the attempts that have a slot.
+	working map[slots.ID]*work
 }
 
 // New returns a gate without a target.
 func New(config Config) *Gate {
-	return &Gate{config: config, slots: slots.New(), waiting: map[slots.ID]chan slots.Turn{}}
+	return &Gate{config: config, slots: slots.New(), waiting: map[slots.ID]chan slots.Turn{}, working: map[slots.ID]*work{}}
 }
 
 // Drain refuses new attempts from now on. Running ones go on.
--- a/internal/mesh/gate/handler.go
+++ b/internal/mesh/gate/handler.go
@@ -44,6 +44,11 @@
 	r.w.WriteHeader(link.StatusOverdue)
 }
 
+// Hopeless implements link.Signals.
+func (r *reply) Hopeless() {
+	r.w.WriteHeader(link.StatusHopeless)
+}
+
 // write sends a result.
 func (r *reply) write(result *link.Result) {
 	header := r.w.Header()
--- a/internal/mesh/link/attempt.go
+++ b/internal/mesh/link/attempt.go
@@ -48,4 +48,7 @@
 	Accepted()
 	// Overdue says that the attempt takes far longer than usual.
 	Overdue()
+	// Hopeless says that the attempt will most likely not be answered in time and that others need its slot. The entry
+	// decides whether to cancel it, because only it knows what its caller was promised.
+	Hopeless()
 }
--- a/internal/mesh/link/client.go
+++ b/internal/mesh/link/client.go
@@ -21,6 +21,8 @@
 	StatusAccepted = http.StatusProcessing
 	// StatusOverdue is the informational response for an attempt that takes far longer than usual.
 	StatusOverdue = http.StatusEarlyHints
+	// StatusHopeless is the informational response for an attempt that should be given up. Only daemons see it.
+	StatusHopeless = 104
 	// keptAnswer is the largest answer that is read before it is returned, in bytes.
 	keptAnswer = 64 << 10
 )
@@ -117,6 +119,8 @@
 		switch code {
 		case StatusOverdue:
 			c.signals.Overdue()
+		case StatusHopeless:
+			c.signals.Hopeless()
 		default:
 			c.signals.Accepted()
 		}
--- a/internal/mesh/slots/decision.go
+++ b/internal/mesh/slots/decision.go
@@ -37,6 +37,9 @@
 	Reason Reason
 	// RetryAfter is the time until there may be room; zero when unknown.
 	RetryAfter time.Duration
+	// Reclaim is an attempt at the target that its entry should give up, if Reclaims is set.
+	Reclaim  ID
+	Reclaims bool
 }
 
 // Turn ends the wait of one attempt: it runs, or it is refused for Reason.
--- a/internal/mesh/slots/demand.go
+++ b/internal/mesh/slots/demand.go
@@ -56,4 +56,8 @@
 	started clock.Time
 	// overdue is set once the attempt counted as evidence.
 	overdue bool
+	// overtaken counts the attempts that started later and have succeeded.
+	overtaken int
+	// offered is set once the attempt was named as one to give up.
+	offered bool
 }
--- a/internal/mesh/slots/gate.go
+++ b/internal/mesh/slots/gate.go
@@ -77,6 +77,15 @@
 
 // Arrive decides on a new attempt.
 func (g *Gate) Arrive(now clock.Time, d Demand) Decision {
+	decision := g.decide(now, d)
+	if decision.Kind == Wait || decision.Reason == Full {
+		decision.Reclaim, decision.Reclaims = g.reclaim(now)
+	}
+	return decision
+}
+
+// decide is Arrive without giving up attempts.
+func (g *Gate) decide(now clock.Time, d Demand) Decision {
 	if !g.open {
 		return Decision{Kind: Refuse, Reason: NoTarget}
 	}
@@ -170,6 +179,7 @@
 	switch outcome {
 	case Succeeded:
 		g.observe(r.Route, took)
+		g.overtake(r.started)
 		if !r.overdue {
 			g.suspicion.praise(now)
 		}
