Give up an idempotent attempt only when another one has a slot

Change: gates tell apart that an attempt waits and that it has a slot; the hanging run goes on until its replacement has one.

--- a/internal/mesh/entry/harness_test.go
+++ b/internal/mesh/entry/harness_test.go
@@ -154,7 +154,7 @@
 // answer is a gate whose target answers with a status.
 func answer(status int) gateFunc {
 	return func(_ context.Context, _ *link.Attempt, signals link.Signals) *link.Result {
-		signals.Accepted()
+		signals.Started()
 		return &link.Result{
 			Verdict: hop.Ran, Reason: link.Answered, Status: status, Header: http.Header{"Seal": {"s"}}, Body: []byte("done"), Length: 4,
 		}
@@ -176,7 +176,7 @@
 // hang is a gate that accepts the attempt and gives the verdict when the attempt is cancelled.
 func hang(verdict hop.Verdict, overdue bool) gateFunc {
 	return func(ctx context.Context, _ *link.Attempt, signals link.Signals) *link.Result {
-		signals.Accepted()
+		signals.Started()
 		if overdue {
 			signals.Overdue()
 		}
--- a/internal/mesh/entry/session.go
+++ b/internal/mesh/entry/session.go
@@ -74,11 +74,14 @@
 
 // attempt is one attempt in flight.
 type attempt struct {
-	host     id.HostID
-	started  time.Time
-	accepted bool
-	cancel   context.CancelCauseFunc
-	silence  *time.Timer
+	host   id.HostID
+	sentAt time.Time
+	cancel context.CancelCauseFunc
+	// silence ends the attempt when its host does not show that it has it.
+	silence *time.Timer
+	// running says that the attempt has a slot, hopeless that its gate would give it up.
+	running  bool
+	hopeless bool
 }
 
 // eventKind says what happened to an attempt.
@@ -86,6 +89,7 @@
 
 const (
 	ended eventKind = iota
+	started
 	overdue
 	hopeless
 	silent
@@ -155,6 +159,23 @@
 	}
 }
 
+// dropHopeless cancels the attempts that their gates would give up, once another attempt runs or if there cannot be
+// one. A planned stop must not cost callers their answers, so that a stopping entry lets everything run.
+func (s *session) dropHopeless() {
+	if s.entry.config.Draining() {
+		return
+	}
+	replaced := false
+	for _, a := range s.active {
+		replaced = replaced || (a.running && !a.hopeless)
+	}
+	for _, a := range s.active {
+		if a.hopeless && (replaced || (len(s.active) == 1 && !s.mayRepeat())) {
+			a.cancel(errHopeless)
+		}
+	}
+}
+
 // errHopeless ends an attempt that others need the slot of.
 var errHopeless = errors.New("the attempt was given up for others")
 
@@ -243,7 +264,7 @@
 		s.entry.config.Metrics.Repeat()
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
-	a := &attempt{host: host, started: time.Now(), cancel: cancel}
+	a := &attempt{host: host, sentAt: time.Now(), cancel: cancel}
 	a.silence = time.AfterFunc(acceptWithin, func() { s.tell(event{kind: silent, attempt: a}) })
 	s.active[host] = a
 	message := &link.Attempt{
@@ -289,11 +310,17 @@
 	attempt *attempt
 }
 
-// Accepted implements link.Signals.
-func (s *signals) Accepted() {
+// Queued implements link.Signals.
+func (s *signals) Queued() {
 	s.attempt.silence.Stop()
 }
 
+// Started implements link.Signals.
+func (s *signals) Started() {
+	s.attempt.silence.Stop()
+	go s.session.tell(event{kind: started, attempt: s.attempt})
+}
+
 // Overdue implements link.Signals.
 func (s *signals) Overdue() {
 	go s.session.tell(event{kind: overdue, attempt: s.attempt})
@@ -316,10 +343,14 @@
 			s.entry.config.Chooser.Report(e.attempt.host, choose.Report{Kind: choose.Overdue})
 			s.hedge(ctx)
 		}
+	case started:
+		e.attempt.running = true
+		s.dropHopeless()
 	case hopeless:
-		// A planned stop must not cost callers their answers, so that a stopping entry lets everything run.
-		if s.active[e.attempt.host] == e.attempt && !s.entry.config.Draining() {
-			e.attempt.cancel(errHopeless)
+		if s.active[e.attempt.host] == e.attempt {
+			e.attempt.hopeless = true
+			s.hedge(ctx)
+			s.dropHopeless()
 		}
 	case ended:
 		return s.ended(e.attempt, e.result)
@@ -346,7 +377,7 @@
 	a.silence.Stop()
 	delete(s.active, a.host)
 	s.tries = append(s.tries, try{
-		Host: a.host, Verdict: result.Verdict, Reason: result.Reason, TookMS: time.Since(a.started).Milliseconds(),
+		Host: a.host, Verdict: result.Verdict, Reason: result.Reason, TookMS: time.Since(a.sentAt).Milliseconds(),
 	})
 	s.entry.config.Chooser.Finish(a.host, reportOf(result))
 	s.refusedLast = result.Verdict == hop.NotRun
--- a/internal/mesh/gate/attempt.go
+++ b/internal/mesh/gate/attempt.go
@@ -64,7 +64,7 @@
 	w.started = time.Now()
 	// A gate that asks for the body shows by it that it has the attempt.
 	if w.attempt.Body.Repeatable() {
-		w.signals.Accepted()
+		w.signals.Started()
 	} else if refusal := w.fetchBody(ctx); refusal != nil {
 		w.done(slots.Cancelled)
 		return refusal
@@ -113,7 +113,7 @@
 	case slots.Refuse:
 		return refused(link.Reason(decision.Reason), decision.RetryAfter)
 	}
-	w.signals.Accepted()
+	w.signals.Queued()
 	return w.wait(ctx, turn)
 }
 
--- a/internal/mesh/gate/handler.go
+++ b/internal/mesh/gate/handler.go
@@ -27,16 +27,17 @@
 
 // reply writes the response to one attempt.
 type reply struct {
-	w        http.ResponseWriter
-	accepted bool
+	w http.ResponseWriter
 }
 
-// Accepted implements link.Signals.
-func (r *reply) Accepted() {
-	if !r.accepted {
-		r.accepted = true
-		r.w.WriteHeader(link.StatusAccepted)
-	}
+// Queued implements link.Signals.
+func (r *reply) Queued() {
+	r.w.WriteHeader(link.StatusQueued)
+}
+
+// Started implements link.Signals.
+func (r *reply) Started() {
+	r.w.WriteHeader(link.StatusStarted)
 }
 
 // Overdue implements link.Signals.
--- a/internal/mesh/link/attempt.go
+++ b/internal/mesh/link/attempt.go
@@ -44,8 +44,10 @@
 
 // Signals are what a gate tells about an attempt before its end. The methods must not block.
 type Signals interface {
-	// Accepted says that the gate has the attempt.
-	Accepted()
+	// Queued says that the gate has the attempt and that it waits for a slot.
+	Queued()
+	// Started says that the gate has the attempt and that it has a slot.
+	Started()
 	// Overdue says that the attempt takes far longer than usual.
 	Overdue()
 	// Hopeless says that the attempt will most likely not be answered in time and that others need its slot. The entry
--- a/internal/mesh/link/client.go
+++ b/internal/mesh/link/client.go
@@ -17,12 +17,15 @@
 )
 
 const (
-	// StatusAccepted is the informational response of a gate that has the attempt.
-	StatusAccepted = http.StatusProcessing
-	// StatusOverdue is the informational response for an attempt that takes far longer than usual.
-	StatusOverdue = http.StatusEarlyHints
-	// StatusHopeless is the informational response for an attempt that should be given up. Only daemons see it.
-	StatusHopeless = 104
+	// StatusQueued is the informational response of a gate at which the attempt waits. The codes after it have no
+	// standard meaning; only daemons see them.
+	StatusQueued = http.StatusProcessing
+	// StatusStarted is that of a gate at which the attempt has a slot.
+	StatusStarted = 110
+	// StatusOverdue is that for an attempt that takes far longer than usual.
+	StatusOverdue = 111
+	// StatusHopeless is that for an attempt that should be given up.
+	StatusHopeless = 112
 	// keptAnswer is the largest answer that is read before it is returned, in bytes.
 	keptAnswer = 64 << 10
 )
@@ -121,12 +124,14 @@
 			c.signals.Overdue()
 		case StatusHopeless:
 			c.signals.Hopeless()
+		case StatusStarted:
+			c.signals.Started()
 		default:
-			c.signals.Accepted()
+			c.signals.Queued()
 		}
 		return nil
 	}
-	trace.Got100Continue = c.signals.Accepted
+	trace.Got100Continue = c.signals.Started
 	return r.WithContext(httptrace.WithClientTrace(ctx, trace))
 }
 
@@ -152,7 +157,7 @@
 
 // accept converts a response.
 func (c *call) accept(response *http.Response) *Result {
-	c.signals.Accepted()
+	c.signals.Queued()
 	r, err := decodeResult(response.Header)
 	if err != nil {
 		_ = response.Body.Close()
