Stop asking after three full gates

Cause: refused attempts made most of the bytes between failure domains. Change: three full gates end the round of questions, hosts that refuse for other reasons do not count.

--- a/internal/mesh/entry/session.go
+++ b/internal/mesh/entry/session.go
@@ -19,8 +19,10 @@
 	// acceptWithin is the time in which a host must show that it has an attempt. It is many round trips between
 	// failure domains and leaves most requests enough time for another host.
 	acceptWithin = 400 * time.Millisecond
-	// maxAsked bounds the hosts that are asked without waiting. Each one costs a round trip.
-	maxAsked = 5
+	// maxFull bounds the full gates, and maxAsked all hosts, that are asked without waiting. Each one costs a round trip
+	// and bytes between failure domains, and after a few full ones the others are most likely full too.
+	maxFull  = 3
+	maxAsked = 8
 	// maxWaits bounds the hosts at which one request waits for a slot.
 	maxWaits = 2
 	// maxRepeatRefusals bounds the gates that are asked for a part of the budget for repeats.
@@ -50,8 +52,10 @@
 	active map[id.HostID]*attempt
 	tries  []try
 
-	asked     []id.HostID
-	full      []id.HostID
+	asked []id.HostID
+	full  []id.HostID
+	// fullAsked counts the full gates, those that were tried again too.
+	fullAsked int
 	suspected []id.HostID
 	waits     int
 	// arrivals counts the attempts that may have reached a target, runs those that may have run.
@@ -217,7 +221,7 @@
 		return false
 	}
 	chooser := s.entry.config.Chooser
-	if len(s.asked) < maxAsked {
+	if s.fullAsked < maxFull && len(s.asked) < maxAsked {
 		if host, ok := chooser.Start(s.query.service, s.asked); ok {
 			s.asked = append(s.asked, host)
 			s.start(ctx, host, s.firstPatience(), false)
@@ -365,7 +369,7 @@
 		return
 	}
 	s.hedging = true
-	s.asked, s.full, s.suspected, s.waits = nil, nil, nil, 0
+	s.asked, s.full, s.suspected, s.waits, s.fullAsked = nil, nil, nil, 0, 0
 	for host := range s.active {
 		s.asked = append(s.asked, host)
 	}
@@ -413,6 +417,7 @@
 	}
 	switch result.Reason {
 	case link.Reason(slots.Full):
+		s.fullAsked++
 		s.full = append(s.full, host)
 	case link.Reason(slots.Suspected):
 		s.suspected = append(s.suspected, host)
