Test the connections to targets and mend a data race of long bodies

Cause: the request's header was completed in the goroutine that writes a long body, while the answer was being read. The race detector found it in the new spec on early answers.

--- /dev/null
+++ b/internal/mesh/targetconn/do_test.go
@@ -0,0 +1,231 @@
+package targetconn_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"buckthornlatch.example/buckthornlatch/internal/mesh/targetconn"
+)
+
+// bytesReader returns a reader of b.
+func bytesReader(b []byte) io.Reader { return bytes.NewReader(b) }
+
+// ask returns a request with an id.
+func ask(id string) *targetconn.Request {
+	return &targetconn.Request{
+		Method: "POST", URI: "/a/b?c=%2F", Host: "trails.example", Header: http.Header{"Request-Id": {id}},
+		Body: []byte("seats"), Length: 5, IDHeader: "Request-Id",
+		Unfamiliar: func(r *http.Response) bool { return r.StatusCode == http.StatusMisdirectedRequest },
+	}
+}
+
+var _ = Describe("Pool", func() {
+	ctx := context.Background()
+	sent := func(err error) bool {
+		var failure *targetconn.Error
+		Expect(errors.As(err, &failure)).To(BeTrue())
+		return failure.Sent
+	}
+
+	It("sends the request unchanged and uses the connection again", func() {
+		var seen []string
+		target := newRawTarget(func(conn net.Conn, r *http.Request, _ int) bool {
+			body, _ := io.ReadAll(r.Body)
+			seen = append(seen, fmt.Sprint(r.Method, r.RequestURI, r.Host, string(body), r.UserAgent()))
+			write(conn, r.Header.Get("Request-Id"), "done")
+			return true
+		})
+		pool := targetconn.New(target.listener.Addr().String())
+		for _, id := range []string{"1", "2"} {
+			response, err := pool.Do(ctx, ask(id))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(string(response.Body)).To(Equal("done"))
+		}
+		Expect(seen).To(Equal([]string{"POST/a/b?c=%2Ftrails.exampleseats", "POST/a/b?c=%2Ftrails.exampleseats"}))
+		Expect(pool.Opened()).To(Equal(1))
+	})
+
+	// Guards against a second answer that is taken for the answer to the next request.
+	It("drops a connection with bytes after the answer", func() {
+		target := newRawTarget(func(conn net.Conn, r *http.Request, _ int) bool {
+			id := r.Header.Get("Request-Id")
+			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\nRequest-Id: %s\r\nContent-Length: 3\r\n\r\nbad", id, id)
+			return true
+		})
+		pool := targetconn.New(target.listener.Addr().String())
+		for _, id := range []string{"1", "2"} {
+			response, err := pool.Do(ctx, ask(id))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(string(response.Body)).To(Equal("ok"))
+		}
+		Expect(pool.Opened()).To(Equal(2))
+	})
+
+	// Guards against an extra answer that comes late, where the next answer is expected: the right one must be read.
+	It("skips an answer to an earlier request", func() {
+		target := newRawTarget(func(conn net.Conn, r *http.Request, n int) bool {
+			if n == 1 {
+				write(conn, "1", "late")
+			}
+			write(conn, r.Header.Get("Request-Id"), "done")
+			return true
+		})
+		pool := targetconn.New(target.listener.Addr().String())
+		for _, id := range []string{"1", "2"} {
+			response, err := pool.Do(ctx, ask(id))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(string(response.Body)).To(Equal("done"))
+		}
+		Expect(pool.Opened()).To(Equal(1))
+	})
+
+	// Guards against answers that are cut or spoiled and look complete.
+	DescribeTable("reports what is no complete answer as sent",
+		func(answer string, clean bool) {
+			target := newRawTarget(func(conn net.Conn, _ *http.Request, _ int) bool {
+				_, _ = io.WriteString(conn, answer)
+				if !clean {
+					time.Sleep(10 * time.Millisecond)
+					reset(conn)
+				}
+				return false
+			})
+			_, err := targetconn.New(target.listener.Addr().String()).Do(ctx, ask("1"))
+			Expect(err).To(HaveOccurred())
+			Expect(sent(err)).To(BeTrue())
+		},
+		Entry("closed without an answer", "", true),
+		Entry("cut in the body", "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nContent-Length: 9\r\n\r\ndone", true),
+		Entry("cut in a chunk", "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n9\r\ndone", true),
+		Entry("without a length, reset", "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\n\r\ndone", false),
+		Entry("no HTTP", "garbage garbage\r\n\r\n", true),
+		Entry("for another request", "HTTP/1.1 200 OK\r\nRequest-Id: 9\r\nContent-Length: 4\r\n\r\ndone", true),
+		Entry("without the echo", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone", true),
+		Entry("encoded", "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nContent-Encoding: gzip\r\nContent-Length: 4\r\n\r\ndone", true),
+	)
+
+	It("takes an answer without a length that ends with its connection", func() {
+		target := newRawTarget(func(conn net.Conn, _ *http.Request, _ int) bool {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\n\r\ndone")
+			return false
+		})
+		response, err := targetconn.New(target.listener.Addr().String()).Do(ctx, ask("1"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(response.Body)).To(Equal("done"))
+	})
+
+	It("takes a refusal to run without the echo", func() {
+		target := newRawTarget(func(conn net.Conn, _ *http.Request, _ int) bool {
+			_, _ = io.WriteString(conn, "HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n")
+			return true
+		})
+		response, err := targetconn.New(target.listener.Addr().String()).Do(ctx, ask("1"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.Status).To(Equal(http.StatusMisdirectedRequest))
+	})
+
+	It("reports a target that cannot be reached as not sent", func() {
+		target := newRawTarget(nil)
+		address := target.listener.Addr().String()
+		Expect(target.listener.Close()).To(Succeed())
+		_, err := targetconn.New(address).Do(ctx, ask("1"))
+		Expect(sent(err)).To(BeFalse())
+	})
+
+	// Guards against a booking that is lost on a connection that the target has closed meanwhile.
+	It("does not use a connection that the target has closed", func() {
+		target := newRawTarget(func(conn net.Conn, r *http.Request, _ int) bool {
+			write(conn, r.Header.Get("Request-Id"), "done")
+			return false
+		})
+		pool := targetconn.New(target.listener.Addr().String())
+		for _, id := range []string{"1", "2", "3"} {
+			_, err := pool.Do(ctx, ask(id))
+			Expect(err).NotTo(HaveOccurred())
+			time.Sleep(20 * time.Millisecond)
+		}
+		Expect(pool.Opened()).To(Equal(3))
+	})
+
+	// Guards against bytes of one request where the rest of another request's body is due.
+	It("drops a connection whose request was answered before its body was sent", func() {
+		var requests atomic.Int32
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(listener.Close)
+		go func() {
+			for {
+				conn, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				requests.Add(1)
+				go func() {
+					buffer := make([]byte, 1024)
+					_, _ = conn.Read(buffer)
+					write(conn, "1", "early")
+					time.Sleep(100 * time.Millisecond)
+					_ = conn.Close()
+				}()
+			}
+		}()
+		pool := targetconn.New(listener.Addr().String())
+		for range 2 {
+			r := ask("1")
+			r.Body, r.Rest, r.Length = nil, io.MultiReader(strings.NewReader("x"), blocked{}), 1<<20
+			response, err := pool.Do(ctx, r)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(string(response.Body)).To(Equal("early"))
+		}
+		Expect(requests.Load()).To(Equal(int32(2)))
+	})
+
+	It("streams a long answer and reports when it is cut", func() {
+		long := strings.Repeat("x", 200<<10)
+		target := newRawTarget(func(conn net.Conn, _ *http.Request, _ int) bool {
+			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nContent-Length: %d\r\n\r\n%s", len(long)+1, long)
+			return false
+		})
+		response, err := targetconn.New(target.listener.Addr().String()).Do(ctx, ask("1"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.Rest).NotTo(BeNil())
+		_, err = io.ReadAll(response.Rest)
+		Expect(err).To(MatchError(io.ErrUnexpectedEOF))
+		Expect(response.Rest.Close()).To(Succeed())
+	})
+
+	// Guards against a target that works on for a caller that is gone.
+	It("closes the connection when the request is cancelled", func() {
+		closed := make(chan struct{})
+		target := newRawTarget(func(conn net.Conn, _ *http.Request, _ int) bool {
+			_, _ = conn.Read(make([]byte, 1))
+			close(closed)
+			return false
+		})
+		cancelled, cancel := context.WithCancel(ctx)
+		time.AfterFunc(50*time.Millisecond, cancel)
+		_, err := targetconn.New(target.listener.Addr().String()).Do(cancelled, ask("1"))
+		Expect(errors.Is(err, context.Canceled)).To(BeTrue())
+		Eventually(closed).Should(BeClosed())
+	})
+})
+
+// blocked is a body that never comes.
+type blocked struct{}
+
+// Read implements io.Reader.
+func (blocked) Read([]byte) (int, error) {
+	time.Sleep(time.Second)
+	return 0, io.ErrUnexpectedEOF
+}
--- a/internal/mesh/targetconn/write.go
+++ b/internal/mesh/targetconn/write.go
@@ -30,9 +30,10 @@
 func (p *Pool) write(c *conn, r *Request) *writing {
 	w := &writing{done: make(chan struct{}), bytes: &countingWriter{conn: c}}
 	c.writer.Reset(w.bytes)
+	request := r.encode()
 	send := func() {
 		defer close(w.done)
-		if w.err = r.encode().Write(c.writer); w.err == nil {
+		if w.err = request.Write(c.writer); w.err == nil {
 			w.err = c.writer.Flush()
 		}
 		if w.err != nil {
