--- /dev/null
+++ b/internal/mesh/gate/gate_test.go
@@ -0,0 +1,323 @@
+package gate_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"buckthornlatch.example/buckthornlatch/internal/hop"
+	"buckthornlatch.example/buckthornlatch/internal/id"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/gate"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/link"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/roster"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/slots"
+)
+
+// done is a target that answers at once.
+func done(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Seal", "s")
+	_, _ = io.WriteString(w, "done")
+}
+
+// after is a target that answers when release is closed or the request is cancelled.
+func after(release <-chan struct{}) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.ReadAll(r.Body)
+		select {
+		case <-release:
+			done(w, r)
+		case <-r.Context().Done():
+		}
+	}
+}
+
+var _ = Describe("Gate", func() {
+	ctx := context.Background()
+
+	It("runs attempts of other hosts and sets what the target must know", func() {
+		var body string
+		h := newHarness(func(w http.ResponseWriter, r *http.Request) {
+			read, _ := io.ReadAll(r.Body)
+			body = string(read)
+			w.WriteHeader(http.StatusCreated)
+			done(w, r)
+		})
+		h.serve = func(w http.ResponseWriter, r *http.Request) {
+			read, _ := io.ReadAll(r.Body)
+			body = string(read)
+			w.Header().Set("Seal", "s")
+			w.WriteHeader(http.StatusCreated)
+			_, _ = io.WriteString(w, "done")
+		}
+		result, told := h.remote(ctx, attempt("seats"))
+		Expect(result.Verdict).To(Equal(hop.Ran))
+		Expect(result.Status).To(Equal(http.StatusCreated))
+		Expect(string(result.Body)).To(Equal("done"))
+		Expect(result.Header.Get("Seal")).To(Equal("s"))
+		Expect(result.Load.Slots).To(Equal(2))
+		Expect(uint64(result.Policy)).To(Equal(uint64(7)))
+		Expect(told.names()).To(ContainElement("started"))
+		r := h.requests()[0]
+		Expect(body).To(Equal("seats"))
+		Expect(r.RequestURI).To(Equal("/book/1?seats=2"))
+		Expect(r.Host).To(Equal("trails.example"))
+		Expect(r.Header.Get("Customer")).To(Equal("school"))
+		Expect(r.Header.Get("Caller")).To(Equal("desk"))
+		Expect(r.Header.Get("Target")).To(Equal("t"))
+		Expect(r.Header.Get("X-Note")).To(Equal("kept"))
+		Expect(r.Header.Get("Deadline")).NotTo(BeEmpty())
+		for name := range r.Header {
+			Expect(name).NotTo(HavePrefix("Bl-"))
+		}
+	})
+
+	DescribeTable("what the target says decides the verdict",
+		func(serve http.HandlerFunc, verdict hop.Verdict, reason link.Reason) {
+			h := newHarness(serve)
+			result, _ := h.remote(ctx, attempt("seats"))
+			Expect(result.Verdict).To(Equal(verdict))
+			Expect(result.Reason).To(Equal(reason))
+		},
+		Entry("it sheds", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Not-Run", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}, hop.NotRun, link.TargetDeclined),
+		Entry("another process answers", func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(http.StatusMisdirectedRequest)
+		}, hop.NotRun, link.TargetReplaced),
+		Entry("a success without a seal", func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, "done")
+		}, hop.Unknown, link.TargetBroken),
+		Entry("a failure", func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(http.StatusInternalServerError)
+		}, hop.Ran, link.Answered),
+		Entry("it breaks off", func(http.ResponseWriter, *http.Request) {
+			panic(http.ErrAbortHandler)
+		}, hop.Unknown, link.TargetBroken),
+	)
+
+	// Guards against work for another service that got the address of a target that is gone.
+	It("stops when another process answers, until the target announces itself", func() {
+		h := newHarness(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusMisdirectedRequest) })
+		h.remote(ctx, attempt("seats"))
+		result, _ := h.remote(ctx, attempt("seats"))
+		Expect(result.Reason).To(Equal(link.Reason(slots.NoTarget)))
+		Expect(h.requests()).To(HaveLen(1))
+		Expect(h.announce(roster.Serving, 1, 1)).To(Succeed())
+		result, _ = h.remote(ctx, attempt("seats"))
+		Expect(result.Reason).To(Equal(link.TargetReplaced))
+	})
+
+	It("refuses work of another service", func() {
+		h := newHarness(done)
+		result, _ := h.remote(ctx, attempt("seats", func(a *link.Attempt) { a.Service = "guides" }))
+		Expect(result.Verdict).To(Equal(hop.NotRun))
+		Expect(h.requests()).To(BeEmpty())
+	})
+
+	Context("announcements", func() {
+		// Guards against a target that gets work after its leaving was acknowledged.
+		It("give a target that leaves no more work, nor what waits for it", func() {
+			release := make(chan struct{})
+			h := newHarness(after(release))
+			running := make(chan *link.Result, 3)
+			for range 3 {
+				go func() {
+					result, _ := h.remote(ctx, attempt("seats", func(a *link.Attempt) { a.Patience = time.Second }))
+					running <- result
+				}()
+			}
+			Eventually(h.requests).Should(HaveLen(2))
+			Eventually(func() bool { return h.gate.Idle() }).Should(BeFalse())
+			time.Sleep(50 * time.Millisecond)
+			Expect(h.announce(roster.Draining, 1, 2)).To(Succeed())
+			Expect((<-running).Reason).To(Equal(link.Reason(slots.NoTarget)))
+			result, _ := h.remote(ctx, attempt("seats"))
+			Expect(result.Verdict).To(Equal(hop.NotRun))
+			close(release)
+			Expect((<-running).Verdict).To(Equal(hop.Ran))
+			Expect((<-running).Verdict).To(Equal(hop.Ran))
+			Expect(h.requests()).To(HaveLen(2))
+		})
+
+		// Guards against a late message that brings back a target that has left, or an earlier one.
+		It("that come late change nothing", func() {
+			h := newHarness(done)
+			Expect(h.announce(roster.Draining, 1, 5)).To(Succeed())
+			Expect(h.announce(roster.Serving, 1, 4)).To(Succeed())
+			Expect(h.announce(roster.Serving, 0, 9)).To(Succeed())
+			record, _ := h.gate.Record()
+			Expect(record.State).To(Equal(roster.Draining))
+			Expect(h.gate.Announce(gate.Announcement{Target: roster.TargetIncarnation{ID: "t"}, State: roster.Gone})).To(Succeed())
+			Expect(h.announce(roster.Serving, 1, 6)).To(Succeed())
+			record, _ = h.gate.Record()
+			Expect(record.State).To(Equal(roster.Gone))
+		})
+
+		It("of a new start count although its sequence starts anew", func() {
+			h := newHarness(done)
+			Expect(h.announce(roster.Draining, 1, 50)).To(Succeed())
+			Expect(h.announce(roster.Serving, 2, 1)).To(Succeed())
+			result, _ := h.remote(ctx, attempt("seats"))
+			Expect(result.Verdict).To(Equal(hop.Ran))
+		})
+
+		DescribeTable("that name no target to use are refused",
+			func(edit func(*gate.Announcement)) {
+				h := newHarness(done)
+				a := gate.Announcement{
+					Target: roster.TargetIncarnation{ID: "x", Born: 9}, Service: "walks", State: roster.Serving, Slots: 2, Sequence: 1,
+				}
+				edit(&a)
+				Expect(h.gate.Announce(a)).NotTo(Succeed())
+				record, _ := h.gate.Record()
+				Expect(record.Target.ID).To(Equal("t"))
+			},
+			Entry("no id", func(a *gate.Announcement) { a.Target.ID = "" }),
+			Entry("another service", func(a *gate.Announcement) { a.Service = "guides" }),
+			Entry("no slots", func(a *gate.Announcement) { a.Slots = 0 }),
+			Entry("an unknown state", func(a *gate.Announcement) { a.State = "" }),
+		)
+
+		It("are published when they change something", func() {
+			h := newHarness(done)
+			Expect(h.announce(roster.Serving, 1, 2)).To(Succeed())
+			Expect(h.announce(roster.Draining, 1, 3)).To(Succeed())
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			Expect(h.published).To(HaveLen(2))
+		})
+	})
+
+	// Guards against a restarted daemon that does not use its target until the next announcement, or uses one that
+	// has said that it leaves.
+	DescribeTable("a restored record",
+		func(state roster.State, want hop.Verdict) {
+			h := newHarness(done)
+			fresh := gate.New(h.gate.Config())
+			fresh.Restore(roster.Record{
+				Host: h.host, Service: "walks", State: state, Slots: 2, Target: roster.TargetIncarnation{ID: "t", Born: 1},
+			})
+			Expect(fresh.Do(ctx, attempt("seats"), &signals{}).Verdict).To(Equal(want))
+		},
+		Entry("of a serving target is used", roster.Serving, hop.Ran),
+		Entry("of a leaving target is not", roster.Draining, hop.NotRun),
+	)
+
+	// Guards against a stopping daemon that takes new work, or drops what is running.
+	It("finishes what runs and refuses what comes while it drains", func() {
+		release := make(chan struct{})
+		h := newHarness(after(release))
+		running := make(chan *link.Result, 1)
+		go func() {
+			result, _ := h.remote(ctx, attempt("seats"))
+			running <- result
+		}()
+		Eventually(h.requests).Should(HaveLen(1))
+		h.gate.Drain()
+		result, _ := h.remote(ctx, attempt("seats"))
+		Expect(result.Reason).To(Equal(link.GateDraining))
+		close(release)
+		Expect((<-running).Verdict).To(Equal(hop.Ran))
+		Expect(h.gate.Idle()).To(BeTrue())
+	})
+
+	Context("broken links", func() {
+		// Guards against a booking that counts as unknown although its body never left the entry.
+		It("do not run an attempt whose body was not asked for", func() {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(listener.Close)
+			go func() {
+				for {
+					conn, err := listener.Accept()
+					if err != nil {
+						return
+					}
+					_, _ = conn.Read(make([]byte, 4096))
+					_ = conn.Close()
+				}
+			}()
+			client := link.NewClient()
+			host := id.HostID(listener.Addr().String())
+			Expect(client.Send(ctx, host, attempt("seats"), &signals{}).Verdict).To(Equal(hop.NotRun))
+			Expect(client.Send(ctx, host, attempt(""), &signals{}).Verdict).To(Equal(hop.NotRun))
+			Expect(client.Send(ctx, host, attempt("", idempotent), &signals{}).Verdict).To(Equal(hop.Unknown))
+		})
+
+		It("report a host that cannot be reached", func() {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			Expect(err).NotTo(HaveOccurred())
+			Expect(listener.Close()).To(Succeed())
+			result := link.NewClient().Send(ctx, id.HostID(listener.Addr().String()), attempt("", idempotent), &signals{})
+			Expect(result.Verdict).To(Equal(hop.NotRun))
+			Expect(result.Reason).To(Equal(link.NotConnected))
+		})
+
+		// Guards against a target that works on after the caller has left.
+		It("end the work of an attempt that is cancelled", func() {
+			ended := make(chan struct{})
+			h := newHarness(func(_ http.ResponseWriter, r *http.Request) {
+				_, _ = io.ReadAll(r.Body)
+				<-r.Context().Done()
+				close(ended)
+			})
+			cancelled, cancel := context.WithCancel(ctx)
+			go func() {
+				defer GinkgoRecover()
+				Eventually(h.requests).Should(HaveLen(1))
+				cancel()
+			}()
+			result, _ := h.remote(cancelled, attempt("seats"))
+			Expect(result.Verdict).To(Equal(hop.Unknown))
+			Eventually(ended).Should(BeClosed())
+		})
+	})
+
+	It("streams a long answer", func() {
+		long := strings.Repeat("x", 300<<10)
+		h := newHarness(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Seal", "s")
+			_, _ = io.WriteString(w, long)
+		})
+		result, _ := h.remote(ctx, attempt("", idempotent))
+		Expect(result.Rest).NotTo(BeNil())
+		rest, err := io.ReadAll(result.Rest)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(len(result.Body) + len(rest)).To(Equal(len(long)))
+		result.Close()
+		Eventually(h.gate.Idle).Should(BeTrue())
+	})
+
+	// Guards against an answer that is cut on the way and looks complete.
+	It("passes the cut of a long answer on", func() {
+		h := newHarness(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Seal", "s")
+			w.Header().Set("Content-Length", "400000")
+			_, _ = io.WriteString(w, strings.Repeat("x", 300<<10))
+		})
+		result, _ := h.remote(ctx, attempt("", idempotent))
+		Expect(result.Rest).NotTo(BeNil())
+		_, err := io.ReadAll(result.Rest)
+		Expect(err).To(HaveOccurred())
+		result.Close()
+	})
+
+	It("refuses a header of another version of the daemon", func() {
+		h := newHarness(done)
+		r, err := http.NewRequest("GET", "http://"+string(h.host)+"/", nil)
+		Expect(err).NotTo(HaveOccurred())
+		r.Header.Set(link.HeaderAttempt, "what is this")
+		response, err := http.DefaultClient.Do(r)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.Body.Close()).To(Succeed())
+		Expect(response.StatusCode).To(Equal(http.StatusBadRequest))
+		Expect(h.requests()).To(BeEmpty())
+	})
+})
--- /dev/null
+++ b/internal/mesh/gate/harness_test.go
@@ -0,0 +1,142 @@
+package gate_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"buckthornlatch.example/buckthornlatch/internal/clock"
+	"buckthornlatch.example/buckthornlatch/internal/id"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/dialect"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/gate"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/link"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/policy"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/roster"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/slots"
+)
+
+// headers are the header names of the tests.
+var headers = dialect.Headers{
+	RequestID: "Request-Id", Deadline: "Deadline", Seal: "Seal", Customer: "Customer", Target: "Target",
+	Instance: "Instance", NotRun: "Not-Run", Caller: "Caller",
+}
+
+// harness is a gate behind a listener, with a target and a client of another host.
+type harness struct {
+	gate   *gate.Gate
+	host   id.HostID
+	client *link.Client
+
+	mu        sync.Mutex
+	published []roster.Record
+	// seen are the requests that the target got.
+	seen []*http.Request
+	// serve is the behaviour of the target.
+	serve http.HandlerFunc
+}
+
+// newHarness returns a gate whose target serves on two slots.
+func newHarness(serve http.HandlerFunc) *harness {
+	h := &harness{client: link.NewClient(), serve: serve}
+	target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		h.mu.Lock()
+		h.seen = append(h.seen, r)
+		serve := h.serve
+		h.mu.Unlock()
+		w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+		serve(w, r)
+	}))
+	DeferCleanup(target.Close)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	h.host = id.HostID(listener.Addr().String())
+	h.gate = gate.New(gate.Config{
+		Host: h.host, Domain: "north", Service: "walks", TargetAddress: strings.TrimPrefix(target.URL, "http://"),
+		Headers: headers, Clock: clock.NewSystem(), Version: func() policy.Version { return 7 },
+		Changed: func(r roster.Record) {
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			h.published = append(h.published, r)
+		},
+		Repeats: func() slots.RepeatBudget { return slots.RepeatBudget{Allowance: 10, Window: 10 * time.Second} },
+		Log:     zerolog.Nop(), Events: zerolog.Nop(), Metrics: noMetrics{},
+	})
+	server := &http.Server{Handler: h.gate}
+	go func() { _ = server.Serve(listener) }()
+	DeferCleanup(server.Close)
+	Expect(h.announce(roster.Serving, 1, 1)).To(Succeed())
+	return h
+}
+
+// announce announces the target "t" born at a time.
+func (h *harness) announce(state roster.State, born int64, sequence uint64) error {
+	return h.gate.Announce(gate.Announcement{
+		Target: roster.TargetIncarnation{ID: "t", Born: born}, Service: "walks", State: state, Slots: 2, Sequence: sequence,
+	})
+}
+
+// requests returns the requests that the target got.
+func (h *harness) requests() []*http.Request {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.seen
+}
+
+// attempt returns an attempt with a body.
+func attempt(body string, edit ...func(*link.Attempt)) *link.Attempt {
+	a := &link.Attempt{
+		Service: "walks", Caller: "desk", Route: "book", Customer: "school", Rank: 1, Remaining: 2 * time.Second, Objective: time.Second,
+		Method: "POST", URI: "/book/1?seats=2", Host: "trails.example",
+		Header: http.Header{"Request-Id": {"r1"}, "Customer": {"forged"}, "X-Note": {"kept"}},
+		Body:   &link.Body{Data: []byte(body), Length: int64(len(body))},
+	}
+	for _, e := range edit {
+		e(a)
+	}
+	return a
+}
+
+func idempotent(a *link.Attempt) { a.Idempotent, a.Method = true, "GET" }
+
+// remote sends an attempt from another host.
+func (h *harness) remote(ctx context.Context, a *link.Attempt) (*link.Result, *signals) {
+	s := &signals{}
+	return h.client.Send(ctx, h.host, a, s), s
+}
+
+// signals records what a gate tells.
+type signals struct {
+	mu   sync.Mutex
+	seen []string
+}
+
+func (s *signals) add(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.seen = append(s.seen, name)
+}
+
+func (s *signals) Queued()   { s.add("queued") }
+func (s *signals) Started()  { s.add("started") }
+func (s *signals) Overdue()  { s.add("overdue") }
+func (s *signals) Hopeless() { s.add("hopeless") }
+
+// names returns the signals so far.
+func (s *signals) names() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.seen
+}
+
+// noMetrics counts nothing.
+type noMetrics struct{}
+
+func (noMetrics) Attempt(string, string, time.Duration, time.Duration) {}
--- a/internal/mesh/gate/target.go
+++ b/internal/mesh/gate/target.go
@@ -18,8 +18,8 @@
 
 // older reports whether an announcement is overtaken by what the gate knows. A target that has ended stays ended.
 func (t *target) older(a Announcement) bool {
-	if a.Target.ID == t.incarnation.ID && a.Target.Born == 0 {
-		// A farewell may come without the time of the start.
+	if a.State == roster.Gone && a.Target.ID == t.incarnation.ID && a.Target.Born == 0 {
+		// A farewell may come without the time of the start; anything else without it is another writer's.
 		a.Target.Born = t.incarnation.Born
 	}
 	if a.Target.Born != t.incarnation.Born {
