--- a/internal/mesh/slots/gate.go
+++ b/internal/mesh/slots/gate.go
@@ -14,6 +14,8 @@
 	// workMargin is the part of the usual work time that must be left for an attempt to be handed over: an answer
 	// that comes a little late is lost, but work that is usually shorter than its mean is not given up too early.
 	workMargin = 0.7
+	// leastLeft is the part of its usual time that a run is expected to go on for at least.
+	leastLeft = 0.2
 	// minRetryAfter bounds the advice to come back, so that refused callers do not return in one wave at once.
 	minRetryAfter = 100 * time.Millisecond
 )
@@ -93,7 +95,7 @@
 		return Decision{Kind: Refuse, Reason: TooLate}
 	}
 	full := !g.fits(now, d) || g.overtaken(d)
-	wait := g.expectedWait(d)
+	wait := g.expectedWait(now, d)
 	if full && (wait > d.Patience || len(g.queue) >= maxQueue) {
 		return Decision{Kind: Refuse, Reason: Full, RetryAfter: max(wait, minRetryAfter)}
 	}
@@ -266,22 +268,23 @@
 	return time.Duration(workMargin * float64(g.Expected(route)))
 }
 
-// expectedWait returns the time until an attempt would have its turn.
-func (g *Gate) expectedWait(d Demand) time.Duration {
-	ahead := len(g.running) - g.slots + 1
+// expectedWait returns the time until an attempt would have its turn: the work that is left of what runs and that of
+// what is served before it, over all slots.
+func (g *Gate) expectedWait(now clock.Time, d Demand) time.Duration {
+	if g.fits(now, d) && !g.overtaken(d) {
+		return 0
+	}
+	var ahead time.Duration
+	for _, r := range g.running {
+		usual := g.Expected(r.Route)
+		ahead += max(usual-now.Sub(r.started), time.Duration(leastLeft*float64(usual)))
+	}
 	for _, w := range g.queue {
 		if w.class() <= d.class() {
-			ahead++
+			ahead += g.Expected(w.Route)
 		}
 	}
-	if ahead <= 0 {
-		return 0
-	}
-	work := float64(defaultExpected)
-	if g.all.known() {
-		work = g.all.mean
-	}
-	return time.Duration(float64(ahead) * work / float64(g.slots))
+	return ahead / time.Duration(g.slots)
 }
 
 // pump gives turns to waiting attempts while there are free slots.
