Expect a free slot after the n-th part of an average run's rest

The sum of all rests overestimated the wait of the first in the queue n times, so that requests with short deadlines were refused.

--- a/internal/mesh/slots/gate.go
+++ b/internal/mesh/slots/gate.go
@@ -273,8 +273,8 @@
 	return time.Duration(workMargin * e.mean)
 }
 
-// expectedWait returns the time until an attempt would have its turn: the work that is left of what runs and that of
-// what is served before it, over all slots.
+// expectedWait returns the time until an attempt would have its turn. With n slots in use, one becomes free after about
+// the n-th part of the work that an average run has left, and then after the n-th part of each work that is served first.
 func (g *Gate) expectedWait(now clock.Time, d Demand) time.Duration {
 	if g.fits(now, d) && !g.overtaken(d) {
 		return 0
@@ -284,6 +284,7 @@
 		usual := g.Expected(r.Route)
 		ahead += max(usual-now.Sub(r.started), time.Duration(leastLeft*float64(usual)))
 	}
+	ahead /= time.Duration(max(len(g.running), 1))
 	for _, w := range g.queue {
 		if w.class() <= d.class() {
 			ahead += g.Expected(w.Route)
