Tell gates from when on a route's work is overdue

Change: entries measure attempts at all gates and send the limit along. Nested load counts refused attempts too.

--- a/internal/mesh/entry/handler.go
+++ b/internal/mesh/entry/handler.go
@@ -8,6 +8,7 @@
 
 	"buckthornlatch.example/buckthornlatch/internal/hop"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/link"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/worktime"
 	"buckthornlatch.example/buckthornlatch/internal/problem"
 	"buckthornlatch.example/buckthornlatch/internal/ratelimit"
 )
@@ -18,6 +19,8 @@
 // Entry is the callers' http.Handler.
 type Entry struct {
 	config Config
+	// worktimes are the durations of attempts at all gates.
+	worktimes worktime.Table
 }
 
 // New returns an entry.
--- a/internal/mesh/entry/session.go
+++ b/internal/mesh/entry/session.go
@@ -86,6 +86,8 @@
 	// running says that the attempt has a slot, hopeless that its gate would give it up.
 	running  bool
 	hopeless bool
+	// runningSince is when the attempt got its slot.
+	runningSince time.Time
 }
 
 // eventKind says what happened to an attempt.
@@ -275,7 +277,8 @@
 		RequestID: q.requestID, Service: q.service, Caller: s.entry.config.Service, Route: q.route.ID,
 		Customer: q.customerID(), Rank: q.rank(), Nested: q.nested(), Idempotent: q.route.Idempotent,
 		Repeat: s.arrivals > 0 || len(s.active) > 1, Forced: forced,
-		Remaining: time.Until(q.deadline), Objective: s.objective(), Patience: patience, Policy: q.policy.Version(),
+		Remaining: time.Until(q.deadline), Objective: s.objective(), Patience: patience,
+		OverdueAfter: s.entry.worktimes.OverdueAfter(q.route.ID), Policy: q.policy.Version(),
 		Method: q.request.Method, URI: q.request.RequestURI, Host: q.request.Host, Header: q.header,
 		Body: q.body,
 	}
@@ -348,7 +351,7 @@
 			s.hedge(ctx)
 		}
 	case started:
-		e.attempt.running = true
+		e.attempt.running, e.attempt.runningSince = true, time.Now()
 		s.dropHopeless()
 	case hopeless:
 		if s.active[e.attempt.host] == e.attempt {
@@ -389,6 +392,9 @@
 	case hop.Ran:
 		s.arrivals++
 		s.runs++
+		if result.Status < 300 && !a.runningSince.IsZero() {
+			s.entry.worktimes.Observe(s.query.route.ID, time.Since(a.runningSince))
+		}
 		if result.Status < 500 || !s.mayRepeat() {
 			return result, true
 		}
--- a/internal/mesh/gate/attempt.go
+++ b/internal/mesh/gate/attempt.go
@@ -91,6 +91,7 @@
 	w.demand = slots.Demand{
 		ID: g.nextID, Route: a.Route, Customer: a.Customer, Rank: a.Rank, Nested: a.Nested, Idempotent: a.Idempotent, Repeat: a.Repeat,
 		Forced: a.Forced, Remaining: a.Remaining, Objective: a.Objective, Patience: a.Patience,
+		OverdueAfter: a.OverdueAfter,
 	}
 	decision := slots.Decision{Kind: slots.Refuse, Reason: slots.NoTarget}
 	if a.Service == g.config.Service {
--- a/internal/mesh/link/attempt.go
+++ b/internal/mesh/link/attempt.go
@@ -29,6 +29,8 @@
 	// Remaining is the time until the answer is of no use, Objective the time until it loses worth.
 	Remaining time.Duration
 	Objective time.Duration
+	// OverdueAfter is the duration from which the entry takes such an attempt for overdue; zero when it knows too little.
+	OverdueAfter time.Duration
 	// Patience bounds the wait for a slot.
 	Patience time.Duration
 	// Policy is the version in force at the entry.
--- a/internal/mesh/link/encode.go
+++ b/internal/mesh/link/encode.go
@@ -22,7 +22,7 @@
 )
 
 const (
-	attemptFields = 10
+	attemptFields = 11
 	resultFields  = 7
 	// none stands for an empty field.
 	none = "-"
@@ -53,7 +53,7 @@
 	header[HeaderAttempt] = []string{strings.Join([]string{
 		text(string(a.Service)), text(string(a.Caller)), text(string(a.Route)), text(string(a.Customer)),
 		strconv.Itoa(a.Rank), string(flags), millis(a.Remaining), millis(a.Objective), millis(a.Patience),
-		strconv.FormatUint(uint64(a.Policy), 16),
+		strconv.FormatUint(uint64(a.Policy), 16), millis(a.OverdueAfter),
 	}, " ")}
 }
 
@@ -73,7 +73,7 @@
 		Repeat:     strings.IndexByte(fields[5], flagRepeat) >= 0,
 		Forced:     strings.IndexByte(fields[5], flagForced) >= 0,
 		Remaining:  p.millis(fields[6]), Objective: p.millis(fields[7]), Patience: p.millis(fields[8]),
-		Policy: policy.Version(p.number(fields[9], 16)),
+		Policy: policy.Version(p.number(fields[9], 16)), OverdueAfter: p.millis(fields[10]),
 		Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: r.Header,
 		Body: &Body{Length: r.ContentLength},
 	}
--- a/internal/mesh/slots/demand.go
+++ b/internal/mesh/slots/demand.go
@@ -28,6 +28,8 @@
 	Remaining time.Duration
 	// Objective is the time until the answer loses a part of its worth.
 	Objective time.Duration
+	// OverdueAfter is the duration from which the entry takes such an attempt for overdue; zero when it knows too little.
+	OverdueAfter time.Duration
 	// Patience bounds the wait for a slot; zero means that the attempt does not wait.
 	Patience time.Duration
 }
--- a/internal/mesh/slots/gate.go
+++ b/internal/mesh/slots/gate.go
@@ -6,6 +6,7 @@
 	"buckthornlatch.example/buckthornlatch/internal/clock"
 	"buckthornlatch.example/buckthornlatch/internal/id"
 	"buckthornlatch.example/buckthornlatch/internal/invariant"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/worktime"
 )
 
 const (
@@ -18,6 +19,12 @@
 	leastLeft = 0.2
 	// minRetryAfter bounds the advice to come back, so that refused callers do not return in one wave at once.
 	minRetryAfter = 100 * time.Millisecond
+	// unknownRouteFactor is applied to the limit of all work for a route without samples, whose work may be longer.
+	unknownRouteFactor = 2
+	// defaultOverdue is used until there are samples and if no objective is known.
+	defaultOverdue = 3 * time.Second
+	// defaultExpected is used for the duration of work of which no sample is known.
+	defaultExpected = 300 * time.Millisecond
 )
 
 // Gate decides for one target.
@@ -26,8 +33,8 @@
 	open      bool
 	running   map[ID]*running
 	queue     []*waiter
-	estimates map[id.RouteID]*estimate
-	all       estimate
+	estimates map[id.RouteID]*worktime.Estimate
+	all       worktime.Estimate
 	suspicion suspicion
 	repeats   repeats
 	usage     usage
@@ -36,7 +43,7 @@
 
 // New returns a gate without a target.
 func New() *Gate {
-	return &Gate{running: map[ID]*running{}, estimates: map[id.RouteID]*estimate{}}
+	return &Gate{running: map[ID]*running{}, estimates: map[id.RouteID]*worktime.Estimate{}}
 }
 
 // Open says that the target takes new work on so many slots.
@@ -80,6 +87,9 @@
 // Arrive decides on a new attempt.
 func (g *Gate) Arrive(now clock.Time, d Demand) Decision {
 	decision := g.decide(now, d)
+	if d.Nested {
+		g.nested.add(now, g.Expected(d.Route), decision.Kind == Refuse)
+	}
 	if decision.Kind == Wait || decision.Reason == Full {
 		decision.Reclaim, decision.Reclaims = g.reclaim(now)
 	}
@@ -169,9 +179,6 @@
 	delete(g.running, attempt)
 	took := now.Sub(r.started)
 	g.usage.add(now, r.Customer, took)
-	if r.Nested {
-		g.nested.add(now, took)
-	}
 	g.judge(now, r, outcome, took)
 	return g.pump(now)
 }
@@ -189,26 +196,22 @@
 		g.suspicion.blame(now, failureWeight)
 	case TimedOut:
 		// A caller that waits only a short time says nothing about the target.
-		if limit, known := g.overdueLimit(r.Route); known && took >= limit {
+		if limit, known := g.overdueLimit(r.Demand); known && took >= limit {
 			g.Overdue(now, r)
 		}
 	case Cancelled:
 	}
 }
 
-// observe adds a sample to the estimates. A sample far above the estimate counts only up to the overdue limit, so
-// that a slow target does not become the norm at once.
+// observe adds a sample to the estimates.
 func (g *Gate) observe(route id.RouteID, took time.Duration) {
 	e := g.estimates[route]
 	if e == nil {
-		e = &estimate{}
+		e = &worktime.Estimate{}
 		g.estimates[route] = e
 	}
-	if e.known() {
-		took = min(took, e.overdueAfter())
-	}
-	e.observe(took)
-	g.all.observe(took)
+	e.Observe(took)
+	g.all.Observe(took)
 }
 
 // Overdue takes a running attempt that exceeded its limit as evidence, once.
@@ -231,7 +234,7 @@
 
 // OverdueAfter returns the time from the start of an attempt after which it is overdue.
 func (g *Gate) OverdueAfter(d Demand) time.Duration {
-	if limit, known := g.overdueLimit(d.Route); known {
+	if limit, known := g.overdueLimit(d); known {
 		return limit
 	}
 	if d.Objective > 0 {
@@ -240,25 +243,28 @@
 	return defaultOverdue
 }
 
-// overdueLimit returns the duration from which an attempt on the route counts as overdue, if enough is known. A route
-// without samples of its own is measured by all work, with a margin since its work may be longer.
-func (g *Gate) overdueLimit(route id.RouteID) (time.Duration, bool) {
-	if e := g.estimates[route]; e.known() {
-		return e.overdueAfter(), true
+// overdueLimit returns the duration from which an attempt counts as overdue, if enough is known: by the gate's own
+// samples, by those of the entry, or by all work with a margin.
+func (g *Gate) overdueLimit(d Demand) (time.Duration, bool) {
+	if e := g.estimates[d.Route]; e.Known() {
+		return e.OverdueAfter(), true
+	}
+	if d.OverdueAfter > 0 {
+		return d.OverdueAfter, true
 	}
-	if g.all.known() {
-		return unknownRouteFactor * g.all.overdueAfter(), true
+	if g.all.Known() {
+		return unknownRouteFactor * g.all.OverdueAfter(), true
 	}
 	return 0, false
 }
 
 // Expected returns the usual duration of a route's work.
 func (g *Gate) Expected(route id.RouteID) time.Duration {
-	if e := g.estimates[route]; e.known() {
-		return time.Duration(e.mean)
+	if e := g.estimates[route]; e.Known() {
+		return e.Mean()
 	}
-	if g.all.known() {
-		return time.Duration(g.all.mean)
+	if g.all.Known() {
+		return g.all.Mean()
 	}
 	return defaultExpected
 }
@@ -267,10 +273,10 @@
 // nothing is known of its work.
 func (g *Gate) needed(route id.RouteID) time.Duration {
 	e := g.estimates[route]
-	if !e.known() {
+	if !e.Known() {
 		return 0
 	}
-	return time.Duration(workMargin * e.mean)
+	return time.Duration(workMargin * float64(e.Mean()))
 }
 
 // expectedWait returns the time until an attempt would have its turn. With n slots in use, one becomes free after about
--- a/internal/mesh/slots/reclaim.go
+++ b/internal/mesh/slots/reclaim.go
@@ -38,7 +38,7 @@
 
 // hopeless reports whether a running attempt will most likely not be answered in time.
 func (g *Gate) hopeless(now clock.Time, r *running) bool {
-	limit, known := g.overdueLimit(r.Route)
+	limit, known := g.overdueLimit(r.Demand)
 	if !known {
 		return false
 	}
--- a/internal/mesh/slots/reserve.go
+++ b/internal/mesh/slots/reserve.go
@@ -10,6 +10,8 @@
 const (
 	// nestedHalfLife is the time in which earlier nested work loses half of its weight in the estimate of their load.
 	nestedHalfLife = 4 * time.Second
+	// refusedWeight is the weight of the work of a refused attempt, which is usually made at about three gates.
+	refusedWeight = 0.34
 	// reserveFactor is applied to the slots that nested attempts use on average, since they come in clusters.
 	reserveFactor = 1.5
 	// maxReserveShare bounds the slots that are kept for nested attempts.
@@ -18,7 +20,7 @@
 
 // nestedLoad estimates how many slots nested attempts use.
 type nestedLoad struct {
-	// work is the recent slot time of nested attempts in seconds, decayed.
+	// work is the slot time that nested attempts asked for lately, in seconds, decayed.
 	work float64
 	at   clock.Time
 }
@@ -29,10 +31,15 @@
 	n.at = now
 }
 
-// add records a nested attempt that took a time.
-func (n *nestedLoad) add(now clock.Time, took time.Duration) {
+// add records a nested attempt that is expected to take a time, or a part of one that was refused: attempts that find
+// no slot are the reason to keep more.
+func (n *nestedLoad) add(now clock.Time, expected time.Duration, refused bool) {
 	n.settle(now)
-	n.work += took.Seconds()
+	if refused {
+		n.work += refusedWeight * expected.Seconds()
+		return
+	}
+	n.work += expected.Seconds()
 }
 
 // reserve returns the number of slots that are kept free of other attempts, so that work that takes seconds does not
--- a/internal/mesh/slots/estimate.go
+++ b/internal/mesh/worktime/estimate.go
@@ -1,4 +1,4 @@
-package slots
+package worktime
 
 import "time"
 
@@ -12,23 +12,21 @@
 	deviations = 4
 	// minOverdue keeps attempts of very short work from counting as overdue after a short delay.
 	minOverdue = 300 * time.Millisecond
-	// unknownRouteFactor is applied to the limit of all work for a route without samples.
-	unknownRouteFactor = 2
-	// defaultOverdue is used until there are enough samples and no objective is known.
-	defaultOverdue = 3 * time.Second
-	// defaultExpected is used for the duration of work of which no sample is known.
-	defaultExpected = 300 * time.Millisecond
 )
 
-// estimate tracks the usual duration of one route's work.
-type estimate struct {
+// Estimate tracks the usual duration of one kind of work. The zero value knows nothing.
+type Estimate struct {
 	samples   int
 	mean      float64
 	deviation float64
 }
 
-// observe adds a sample.
-func (e *estimate) observe(took time.Duration) {
+// Observe adds a sample. A sample far above the estimate counts only up to the overdue limit, so that a slow target does
+// not become the norm at once.
+func (e *Estimate) Observe(took time.Duration) {
+	if e.Known() {
+		took = min(took, e.OverdueAfter())
+	}
 	sample := float64(took)
 	e.samples++
 	if e.samples == 1 {
@@ -44,12 +42,17 @@
 	e.deviation += gain * (difference - e.deviation)
 }
 
-// known reports whether there are enough samples.
-func (e *estimate) known() bool {
+// Known reports whether there are enough samples. A nil estimate knows nothing.
+func (e *Estimate) Known() bool {
 	return e != nil && e.samples >= minSamples
 }
 
-// overdueAfter returns the duration from which an attempt counts as overdue.
-func (e *estimate) overdueAfter() time.Duration {
+// Mean returns the usual duration.
+func (e *Estimate) Mean() time.Duration {
+	return time.Duration(e.mean)
+}
+
+// OverdueAfter returns the duration from which an attempt counts as overdue.
+func (e *Estimate) OverdueAfter() time.Duration {
 	return max(minOverdue, time.Duration(e.mean+deviations*e.deviation))
 }
