--- a/internal/mesh/slots/gate.go
+++ b/internal/mesh/slots/gate.go
@@ -237,14 +237,12 @@
 	if limit, known := g.overdueLimit(d); known {
 		return limit
 	}
-	if d.Objective > 0 {
-		return d.Objective
-	}
 	return defaultOverdue
 }
 
 // overdueLimit returns the duration from which an attempt counts as overdue, if enough is known: by the gate's own
-// samples, by those of the entry, or by all work with a margin.
+// samples, by those of the entry, by all work with a margin, or by the objective, which operators set above the usual
+// duration.
 func (g *Gate) overdueLimit(d Demand) (time.Duration, bool) {
 	if e := g.estimates[d.Route]; e.Known() {
 		return e.OverdueAfter(), true
@@ -255,7 +253,7 @@
 	if g.all.Known() {
 		return unknownRouteFactor * g.all.OverdueAfter(), true
 	}
-	return 0, false
+	return d.Objective, d.Objective > 0
 }
 
 // Expected returns the usual duration of a route's work.
