Tell remote gates that an attempt is nested

Cause: the flag was written but not read, so that only the own host's gate served calls of running requests first.

--- /dev/null
+++ b/internal/mesh/choose/chooser_test.go
@@ -0,0 +1,141 @@
+package choose_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"buckthornlatch.example/buckthornlatch/internal/clock"
+	"buckthornlatch.example/buckthornlatch/internal/id"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/choose"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/roster"
+)
+
+// host returns a record of a serving target with five slots.
+func host(name id.HostID, domain id.FailureDomain) roster.Record {
+	return roster.Record{Host: name, Domain: domain, Service: "walks", State: roster.Serving, Slots: 5, Target: roster.TargetIncarnation{ID: "t", Born: 1}}
+}
+
+var _ = Describe("Chooser", func() {
+	var now clock.Time
+	// newChooser returns the chooser of host "self" in the domain north.
+	newChooser := func(records ...roster.Record) *choose.Chooser {
+		c := choose.New("self", "north", 1)
+		c.SetView(roster.NewView(records))
+		return c
+	}
+	// picks counts the choices of n requests without any feedback.
+	picks := func(c *choose.Chooser, n int) map[id.HostID]int {
+		counts := map[id.HostID]int{}
+		for range n {
+			name, ok := c.Pick(now, "walks", nil)
+			Expect(ok).To(BeTrue())
+			counts[name]++
+		}
+		return counts
+	}
+	told := func(inUse, waiting int) choose.Report {
+		return choose.Report{Kind: choose.Answered, LoadKnown: true, Load: choose.Load{InUse: inUse, Waiting: waiting, Slots: 5}}
+	}
+
+	BeforeEach(func() { now = clock.Time(time.Minute) })
+
+	It("picks only serving targets of the service", func() {
+		leaving, other := host("b", "north"), host("c", "north")
+		leaving.State, other.Service = roster.Draining, "guides"
+		c := newChooser(host("a", "north"), leaving, other)
+		Expect(picks(c, 20)).To(Equal(map[id.HostID]int{"a": 20}))
+		Expect(c.Targets("walks")).To(Equal(1))
+		_, ok := c.Pick(now, "walks", []id.HostID{"a"})
+		Expect(ok).To(BeFalse())
+	})
+
+	// Guards against bytes between failure domains that save nobody any time.
+	It("stays in its failure domain until that is clearly busier", func() {
+		c := newChooser(host("near", "north"), host("far", "south"))
+		Expect(picks(c, 50)).To(HaveKeyWithValue(id.HostID("near"), 50))
+		c.Report(now, "near", told(5, 2))
+		Expect(picks(c, 50)).To(HaveKeyWithValue(id.HostID("far"), 50))
+	})
+
+	// Guards against a load that was told once and is believed for ever.
+	It("forgets a told load", func() {
+		c := newChooser(host("a", "north"), host("b", "north"))
+		c.Report(now, "a", told(5, 5))
+		c.Report(now, "b", told(3, 0))
+		Expect(picks(c, 50)).To(HaveKeyWithValue(id.HostID("b"), 50))
+		now = now.Add(time.Minute)
+		Expect(picks(c, 200)["a"]).To(BeNumerically(">", 40))
+	})
+
+	It("counts what it has in flight itself", func() {
+		c := newChooser(host("a", "north"), host("b", "north"))
+		for range 5 {
+			c.Started("a")
+		}
+		Expect(picks(c, 50)).To(HaveKeyWithValue(id.HostID("b"), 50))
+		for range 5 {
+			c.Finished("a")
+		}
+		Expect(picks(c, 200)["a"]).To(BeNumerically(">", 40))
+	})
+
+	// Guards against a host that is cut off and gets every request first.
+	It("lets a host rest that cannot be reached, longer each time", func() {
+		c := newChooser(host("a", "north"), host("b", "south"))
+		c.Report(now, "a", choose.Report{Kind: choose.Unreachable})
+		Expect(picks(c, 10)).To(HaveKeyWithValue(id.HostID("b"), 10))
+		now = now.Add(400 * time.Millisecond)
+		Expect(picks(c, 10)).To(HaveKeyWithValue(id.HostID("a"), 10))
+		c.Report(now, "a", choose.Report{Kind: choose.Unreachable})
+		now = now.Add(400 * time.Millisecond)
+		Expect(picks(c, 10)).To(HaveKeyWithValue(id.HostID("b"), 10))
+	})
+
+	// Guards against a service without any host while all of its hosts rest.
+	It("uses a resting host when there is no other", func() {
+		c := newChooser(host("a", "north"))
+		c.Report(now, "a", choose.Report{Kind: choose.Unreachable})
+		Expect(picks(c, 1)).To(HaveKeyWithValue(id.HostID("a"), 1))
+	})
+
+	// Guards against a replaced target that inherits what was learned about the one before.
+	It("forgets what it learned about an earlier target of a host", func() {
+		c := newChooser(host("a", "north"), host("b", "south"))
+		c.Report(now, "a", choose.Report{Kind: choose.Declined, Rest: time.Minute})
+		fresh := host("a", "north")
+		fresh.Target.Born = 2
+		c.SetView(roster.NewView([]roster.Record{fresh, host("b", "south")}))
+		Expect(picks(c, 10)).To(HaveKeyWithValue(id.HostID("a"), 10))
+	})
+
+	// Plays a service of eight targets in four domains at 70 in 100 of its slots, whose loads are told with each answer,
+	// and checks that no caller finds a full gate while half of the slots elsewhere are free.
+	It("spreads the load of one busy domain", func() {
+		var records []roster.Record
+		for _, domain := range []id.FailureDomain{"north", "south", "east", "west"} {
+			records = append(records, host(id.HostID(domain+"1"), domain), host(id.HostID(domain+"2"), domain))
+		}
+		c := newChooser(records...)
+		inUse := map[id.HostID]int{}
+		refused := 0
+		for range 28 {
+			var asked []id.HostID
+			for {
+				name, ok := c.Pick(now, "walks", asked)
+				Expect(ok).To(BeTrue())
+				if inUse[name] < 5 {
+					inUse[name]++
+					c.Started(name)
+					c.Report(now, name, told(inUse[name], 0))
+					break
+				}
+				refused++
+				asked = append(asked, name)
+				c.Report(now, name, choose.Report{Kind: choose.Busy, LoadKnown: true, Load: choose.Load{InUse: 5, Slots: 5}})
+			}
+		}
+		Expect(refused).To(BeNumerically("<=", 2))
+	})
+})
--- a/internal/mesh/link/client.go
+++ b/internal/mesh/link/client.go
@@ -99,7 +99,7 @@
 func (c *call) request(ctx context.Context, address string) *http.Request {
 	a := c.attempt
 	header := a.Header.Clone()
-	a.encode(header)
+	a.Encode(header)
 	if _, named := header["User-Agent"]; !named {
 		// An empty value keeps net/http from adding its own.
 		header["User-Agent"] = []string{""}
--- a/internal/mesh/link/encode.go
+++ b/internal/mesh/link/encode.go
@@ -39,8 +39,8 @@
 	flagNested     = 'n'
 )
 
-// encode writes the attempt's fields into its header.
-func (a *Attempt) encode(header http.Header) {
+// Encode writes the attempt's fields into its header.
+func (a *Attempt) Encode(header http.Header) {
 	flags := []byte{'.'}
 	for _, f := range []struct {
 		set  bool
@@ -72,6 +72,7 @@
 		Idempotent: strings.IndexByte(fields[5], flagIdempotent) >= 0,
 		Repeat:     strings.IndexByte(fields[5], flagRepeat) >= 0,
 		Forced:     strings.IndexByte(fields[5], flagForced) >= 0,
+		Nested:     strings.IndexByte(fields[5], flagNested) >= 0,
 		Remaining:  p.millis(fields[6]), Objective: p.millis(fields[7]), Patience: p.millis(fields[8]),
 		Policy: policy.Version(p.number(fields[9], 16)), OverdueAfter: p.millis(fields[10]),
 		Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: r.Header,
--- /dev/null
+++ b/internal/mesh/logging/lines_test.go
@@ -0,0 +1,66 @@
+package logging_test
+
+import (
+	"bytes"
+	"io"
+	"strings"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"buckthornlatch.example/buckthornlatch/internal/mesh/logging"
+)
+
+// lockedBuffer is a buffer for one writer and one reader.
+type lockedBuffer struct {
+	mu     sync.Mutex
+	buffer bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buffer.Write(p)
+}
+
+// count returns the lines that contain a text.
+func (b *lockedBuffer) count(text string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return strings.Count(b.buffer.String(), text)
+}
+
+var _ = Describe("Lines", func() {
+	// Guards against a flood of successes that pushes out the lines about failures, and an output without bound.
+	It("bounds the lines about decisions and keeps failures apart", func() {
+		var out lockedBuffer
+		lines := logging.New(&out, "h", nil)
+		for range 1000 {
+			lines.Decisions.Info().Msg("success")
+		}
+		lines.Decisions.Warn().Msg("failure")
+		lines.Events.Info().Msg("event")
+		Expect(lines.Close()).To(Succeed())
+		Expect(out.count("success")).To(BeNumerically("<=", 200))
+		Expect(out.count("failure")).To(Equal(1))
+		Expect(out.count("event")).To(Equal(1))
+	})
+
+	// Guards against requests that wait for the reader of the output.
+	It("does not wait for a reader that has stopped", func() {
+		reader, writer := io.Pipe()
+		lost := make(chan int, 100000)
+		lines := logging.New(writer, "h", func(n int) { lost <- n })
+		started := time.Now()
+		for range 5000 {
+			lines.Events.Info().Msg("event")
+		}
+		Expect(time.Since(started)).To(BeNumerically("<", time.Second))
+		go func() { _, _ = io.Copy(io.Discard, reader) }()
+		Expect(lines.Close()).To(Succeed())
+		Expect(lost).NotTo(BeEmpty())
+	})
+})
