--- a/internal/mesh/entry/session.go
+++ b/internal/mesh/entry/session.go
@@ -28,7 +28,7 @@
 	// maxRepeatRefusals bounds the gates that are asked for a part of the budget for repeats.
 	maxRepeatRefusals = 3
 	// patienceShare is the largest part of the time left that a request waits for a slot at one host.
-	patienceShare = 0.5
+	patienceShare = 0.3
 	// nestedPatienceShare is that of a nested request, whose refusal wastes the work of the target that made it.
 	nestedPatienceShare = 0.75
 	// defaultRetryAfter is the advice when no gate told when it may have room.
