--- /dev/null
+++ b/internal/mesh/daemon/daemon_test.go
@@ -0,0 +1,156 @@
+package daemon_test
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"buckthornlatch.example/buckthornlatch/internal/mesh/roster"
+)
+
+var _ = Describe("Daemon", func() {
+	It("serves requests at any host and runs bookings once", func() {
+		f := newFleet(3)
+		var group sync.WaitGroup
+		for i := range 30 {
+			group.Go(func() {
+				defer GinkgoRecover()
+				request := fmt.Sprintf("b%d", i)
+				Expect(f.hosts[i%3].post("school-key", request).status).To(Equal(http.StatusOK))
+				Expect(f.runsOf(request)).To(Equal(1))
+			})
+		}
+		group.Wait()
+	})
+
+	// Guards against a key that goes on working after it was taken away, and a change that needs a restart.
+	It("puts a new policy in force while it serves", func() {
+		f := newFleet(2)
+		f.store.setPolicy(2, "new-key")
+		for _, h := range f.hosts {
+			Eventually(func() int { return h.get("/browse/1", "school-key").status }, "2s").Should(Equal(http.StatusUnauthorized))
+			Expect(h.get("/browse/1", "new-key").status).To(Equal(http.StatusOK))
+		}
+	})
+
+	// Guards against a fleet that stops with its store.
+	It("serves while the store is down", func() {
+		f := newFleet(2)
+		f.store.setDown(true)
+		for i := range 10 {
+			Expect(f.hosts[i%2].post("school-key", fmt.Sprintf("b%d", i)).status).To(Equal(http.StatusOK))
+		}
+		f.store.setDown(false)
+		f.store.setPolicy(2, "new-key")
+		Eventually(func() int { return f.hosts[0].get("/browse/1", "new-key").status }, "5s").Should(Equal(http.StatusOK))
+	})
+
+	// Guards against a target that gets work after its leaving was acknowledged.
+	It("gives a leaving target no more work at once", func() {
+		f := newFleet(2)
+		f.hosts[0].announce(roster.Draining, 2)
+		f.hosts[0].mu.Lock()
+		before := len(f.hosts[0].runs)
+		f.hosts[0].mu.Unlock()
+		for i := range 10 {
+			Expect(f.hosts[i%2].post("school-key", fmt.Sprintf("b%d", i)).status).To(Equal(http.StatusOK))
+		}
+		f.hosts[0].mu.Lock()
+		defer f.hosts[0].mu.Unlock()
+		Expect(f.hosts[0].runs).To(HaveLen(before))
+	})
+
+	// Guards against a planned stop that costs callers their answers.
+	It("answers everything around a stop", func() {
+		f := newFleet(3)
+		for _, h := range f.hosts {
+			h.behave(func(w http.ResponseWriter, _ *http.Request) {
+				time.Sleep(150 * time.Millisecond)
+				w.Header().Set("Seal", "s")
+			})
+		}
+		var failed atomic.Int32
+		var group sync.WaitGroup
+		stopped := make(chan struct{})
+		for n := range 3 {
+			group.Go(func() {
+				for i := 0; ; i++ {
+					select {
+					case <-stopped:
+						return
+					default:
+					}
+					// Callers of the stopping host use it as long as it says that it is ready.
+					if f.hosts[0].ready() || n > 0 {
+						got := f.hosts[n].post("school-key", fmt.Sprintf("s%d-%d", n, i))
+						if got.err != nil || got.status != http.StatusOK {
+							failed.Add(1)
+						}
+					}
+				}
+			})
+		}
+		time.Sleep(200 * time.Millisecond)
+		f.hosts[0].stop()
+		Eventually(f.hosts[0].ended, "5s").Should(BeClosed())
+		close(stopped)
+		group.Wait()
+		Expect(failed.Load()).To(BeZero())
+	})
+
+	// Guards against a restarted daemon that waits for the next announcement of its target.
+	It("uses its target again after a restart", func() {
+		f := newFleet(2)
+		f.hosts[0].stop()
+		Eventually(f.hosts[0].ended, "5s").Should(BeClosed())
+		f.start(f.hosts[0])
+		Eventually(func() int { return f.hosts[0].get("/browse/1", "school-key").status }, "5s").Should(Equal(http.StatusOK))
+	})
+
+	// Guards against callers that wait for a hanging target, and against bookings that are run twice because of one.
+	It("keeps callers away from a target that hangs", func() {
+		f := newFleet(3)
+		for i := range 30 {
+			Expect(f.hosts[i%3].get(fmt.Sprintf("/browse/%d", i), "school-key").status).To(Equal(http.StatusOK))
+		}
+		f.hosts[0].behave(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+		var group sync.WaitGroup
+		var served atomic.Int32
+		for i := range 60 {
+			time.Sleep(20 * time.Millisecond)
+			group.Go(func() {
+				if f.hosts[i%3].get(fmt.Sprintf("/browse/h%d", i), "school-key").status == http.StatusOK {
+					served.Add(1)
+				}
+			})
+		}
+		group.Wait()
+		Expect(served.Load()).To(BeNumerically(">=", 57))
+	})
+
+	It("is ready only with a policy", func() {
+		f := &fleet{store: newStore()}
+		h := f.add()
+		Consistently(h.ready, "200ms").Should(BeFalse())
+		got := h.get("/browse/1", "school-key")
+		Expect(got.status).To(Equal(http.StatusServiceUnavailable))
+		Expect(got.retryAfter).NotTo(BeEmpty())
+		f.store.setPolicy(1, "school-key")
+		Eventually(h.ready).Should(BeTrue())
+	})
+})
+
+// ready asks whether callers should come to the host.
+func (h *host) ready() bool {
+	response, err := http.Get("http://" + h.probes)
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
--- /dev/null
+++ b/internal/mesh/daemon/harness_test.go
@@ -0,0 +1,314 @@
+package daemon_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"buckthornlatch.example/buckthornlatch/internal/id"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/daemon"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/dialect"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/gate"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/logging"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/policy"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/roster"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/statesync"
+	"buckthornlatch.example/buckthornlatch/internal/platform"
+)
+
+// headers are the header names of the tests.
+var headers = dialect.Headers{
+	RequestID: "Request-Id", Deadline: "Deadline", Seal: "Seal", Customer: "Customer", Target: "Target",
+	Instance: "Instance", NotRun: "Not-Run", Caller: "Caller",
+}
+
+// fleet is a number of daemons with one target each, before one store.
+type fleet struct {
+	store *store
+	hosts []*host
+}
+
+// host is a daemon with its target.
+type host struct {
+	daemon  *daemon.Daemon
+	address id.HostID
+	callers string
+	probes  string
+	service id.ServiceName
+	target  *httptest.Server
+	stop    context.CancelFunc
+	ended   chan struct{}
+
+	mu sync.Mutex
+	// runs counts the runs of each request id at the target.
+	runs map[string]int
+	// serve is the behaviour of the target beside the count.
+	serve http.HandlerFunc
+}
+
+// rosterDelay is more than the pause between two watches of the roster.
+const rosterDelay = 700 * time.Millisecond
+
+// freeAddress returns a loopback address that was free a moment ago.
+func freeAddress() string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+// newFleet starts so many hosts of the service "walks" and waits until they know each other.
+func newFleet(n int) *fleet {
+	f := &fleet{store: newStore()}
+	f.store.setPolicy(1, "school-key")
+	for range n {
+		f.add()
+	}
+	for _, h := range f.hosts {
+		Eventually(func() int { return h.get("/book/ready", "school-key").status }, "10s").Should(Equal(http.StatusOK))
+	}
+	// The last host's record reaches the others after the pause between two watches.
+	time.Sleep(rosterDelay)
+	return f
+}
+
+// add starts one more host.
+func (f *fleet) add() *host {
+	h := &host{service: "walks", runs: map[string]int{}}
+	h.target = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.ReadAll(r.Body)
+		h.mu.Lock()
+		h.runs[r.Header.Get("Request-Id")]++
+		serve := h.serve
+		h.mu.Unlock()
+		w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+		if serve != nil {
+			serve(w, r)
+			return
+		}
+		w.Header().Set("Seal", "s")
+		fmt.Fprint(w, "done")
+	}))
+	DeferCleanup(h.target.Close)
+	h.address, h.callers, h.probes = id.HostID(freeAddress()), freeAddress(), freeAddress()
+	f.start(h)
+	f.hosts = append(f.hosts, h)
+	return h
+}
+
+// start runs a host's daemon and announces its target.
+func (f *fleet) start(h *host) {
+	lines := logging.New(GinkgoWriter, string(h.address), func(int) {})
+	h.daemon = daemon.New(daemon.Config{
+		Host: h.address, Domain: "north", Service: h.service, TargetAddress: strings.TrimPrefix(h.target.URL, "http://"),
+		Callers: h.callers, Peers: string(h.address), Probes: h.probes, Headers: headers,
+		Bounds: func() daemon.Bounds {
+			return daemon.Bounds{Grace: time.Second, RepeatRatio: 0.2, RepeatSlack: 50, RepeatWindow: 10 * time.Second}
+		},
+		Store: f.store, Keys: statesync.Keys{PolicyPrefix: "op/", PolicyKey: "op/policy", HostPrefix: "hosts/"},
+		DecodePolicy: decodePolicy, Seeds: func() []id.HostID { return nil },
+		TargetHandler: func(daemon.Announcer) http.Handler { return http.NotFoundHandler() },
+		ProbeHandler: func(ready func() bool) http.Handler {
+			return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				if !ready() {
+					w.WriteHeader(http.StatusServiceUnavailable)
+				}
+			})
+		},
+		Lines: lines,
+	})
+	Expect(h.daemon.Provision()).To(Succeed())
+	ctx, cancel := context.WithCancel(context.Background())
+	h.stop, h.ended = cancel, make(chan struct{})
+	ended := h.ended
+	go func() {
+		defer GinkgoRecover()
+		defer close(ended)
+		Expect(h.daemon.Run(ctx)).To(Succeed())
+		h.daemon.Cleanup()
+		_ = lines.Close()
+	}()
+	DeferCleanup(func() {
+		cancel()
+		Eventually(ended, "10s").Should(BeClosed())
+	})
+	h.announce(roster.Serving, 1)
+}
+
+// announce announces the host's target.
+func (h *host) announce(state roster.State, sequence uint64) {
+	Expect(h.daemon.Announce(gate.Announcement{
+		Target: roster.TargetIncarnation{ID: "t", Born: 1}, Service: h.service, State: state, Slots: 4, Sequence: sequence,
+	})).To(Succeed())
+}
+
+// behave changes the behaviour of the host's target.
+func (h *host) behave(serve http.HandlerFunc) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.serve = serve
+}
+
+// runsOf returns how often all targets have run a request.
+func (f *fleet) runsOf(request string) int {
+	runs := 0
+	for _, h := range f.hosts {
+		h.mu.Lock()
+		runs += h.runs[request]
+		h.mu.Unlock()
+	}
+	return runs
+}
+
+// answer is what a caller got.
+type answer struct {
+	status     int
+	body       string
+	retryAfter string
+	err        error
+}
+
+// get sends an idempotent request, post a booking.
+func (h *host) get(path, key string) answer { return h.send(http.MethodGet, path, key, "get"+path) }
+
+// post sends a booking with a request id.
+func (h *host) post(key, request string) answer {
+	return h.send(http.MethodPost, "/book/"+request, key, request)
+}
+
+// send sends a request to the host's daemon.
+func (h *host) send(method, path, key, request string) answer {
+	r, err := http.NewRequest(method, "http://"+h.callers+path, strings.NewReader("seats"))
+	Expect(err).NotTo(HaveOccurred())
+	r.Host = "trails.example"
+	r.Header.Set("Request-Id", request)
+	r.Header.Set("Authorization", "Bearer "+key)
+	response, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(r)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	return answer{status: response.StatusCode, body: string(body), retryAfter: response.Header.Get("Retry-After"), err: err}
+}
+
+// document is the form of the tests' policies.
+type document struct {
+	Version uint64
+	Key     string
+}
+
+// decodePolicy reads a test's policy: browsing and booking at one service for one customer.
+func decodePolicy(raw []byte) (policy.Document, error) {
+	var d document
+	if err := json.Unmarshal(raw, &d); err != nil {
+		return policy.Document{}, err
+	}
+	part := []policy.Part{{Service: "walks", Weight: 1}}
+	return policy.Document{
+		Version: policy.Version(d.Version), Raw: raw, Services: []string{"walks"},
+		Routes: []policy.Route{
+			{ID: "browse", Host: "trails.example", Prefix: "/browse/", Idempotent: true, Rank: 2, MaxAttempts: 3, Timeout: 3 * time.Second, Objective: time.Second, Parts: part},
+			{ID: "book", Host: "trails.example", Prefix: "/book/", Rank: 1, MaxAttempts: 3, Timeout: 3 * time.Second, Objective: time.Second, Parts: part},
+		},
+		Customers: []policy.Customer{{ID: "school", Keys: []string{d.Key}}},
+	}, nil
+}
+
+// store is a row store in memory that can turn hosts away.
+type store struct {
+	memory *platform.Memory
+
+	mu      sync.Mutex
+	changed chan struct{}
+	down    bool
+}
+
+// newStore returns an empty store.
+func newStore() *store {
+	return &store{memory: platform.NewMemory(), changed: make(chan struct{})}
+}
+
+// setPolicy writes a policy in which one key is valid.
+func (s *store) setPolicy(version uint64, key string) {
+	raw, err := json.Marshal(document{Version: version, Key: key})
+	Expect(err).NotTo(HaveOccurred())
+	_, err = s.memory.Table().Commit(context.Background(), platform.Txn{Puts: []platform.Put{{Key: "op/policy", Value: raw}}})
+	Expect(err).NotTo(HaveOccurred())
+	s.wake()
+}
+
+// setDown takes the store down or brings it back.
+func (s *store) setDown(down bool) {
+	s.mu.Lock()
+	s.down = down
+	s.mu.Unlock()
+	s.wake()
+}
+
+// wake ends the waits of all watches.
+func (s *store) wake() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// state returns the wake channel, and an error while the store is down.
+func (s *store) state() (chan struct{}, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return nil, &platform.NotDoneError{Step: "call", Err: io.ErrUnexpectedEOF}
+	}
+	return s.changed, nil
+}
+
+// Commit implements platform.Feed.
+func (s *store) Commit(ctx context.Context, txn platform.Txn) (platform.Revision, error) {
+	if _, err := s.state(); err != nil {
+		return 0, err
+	}
+	defer s.wake()
+	return s.memory.Table().Commit(ctx, txn)
+}
+
+// Scan implements platform.Feed.
+func (s *store) Scan(ctx context.Context, prefix, after string, limit int) (platform.Rows, error) {
+	if _, err := s.state(); err != nil {
+		return platform.Rows{}, err
+	}
+	return s.memory.Table().Scan(ctx, prefix, after, limit)
+}
+
+// Watch implements platform.Feed.
+func (s *store) Watch(ctx context.Context, prefix string, since platform.Revision, wait time.Duration) (platform.Rows, error) {
+	timeout := time.After(wait)
+	for {
+		changed, err := s.state()
+		if err != nil {
+			return platform.Rows{}, err
+		}
+		rows, err := s.memory.Table().Changes(ctx, prefix, since, 100)
+		if err != nil || len(rows.Rows) > 0 {
+			return rows, err
+		}
+		select {
+		case <-changed:
+		case <-timeout:
+			return rows, nil
+		case <-ctx.Done():
+			return platform.Rows{}, &platform.NotDoneError{Step: "watch", Err: ctx.Err()}
+		}
+	}
+}
--- a/internal/mesh/logging/lines.go
+++ b/internal/mesh/logging/lines.go
@@ -28,9 +28,8 @@
 
 // New returns loggers that write to w. lost is told how many lines a slow reader cost.
 func New(w io.Writer, host string, lost func(lines int)) *Lines {
-	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
 	l := &Lines{writer: diode.NewWriter(w, ringLines, 0, lost)}
-	l.Events = zerolog.New(l.writer).With().Timestamp().Str("host", host).Logger()
+	l.Events = zerolog.New(l.writer).With().Str("host", host).Logger().Hook(clockHook{})
 	l.Decisions = l.Events.Sample(&zerolog.LevelSampler{
 		InfoSampler: &zerolog.BurstSampler{Burst: successesPerSecond, Period: time.Second},
 		WarnSampler: &zerolog.BurstSampler{Burst: failuresPerSecond, Period: time.Second},
@@ -42,3 +41,11 @@
 func (l *Lines) Close() error {
 	return l.writer.Close()
 }
+
+// clockHook adds the time of day in Unix milliseconds to each line.
+type clockHook struct{}
+
+// Run implements zerolog.Hook.
+func (clockHook) Run(e *zerolog.Event, _ zerolog.Level, _ string) {
+	e.Int64(zerolog.TimestampFieldName, time.Now().UnixMilli())
+}
