Watch the roster at most once a second

Each change of a record wakes every host's watch; changes gather in the pause. A gate knows its own state, so that an older roster costs a refused attempt at most. The specs of the roster wait longer than the new pause; they state no bound.

--- a/internal/mesh/statesync/config.go
+++ b/internal/mesh/statesync/config.go
@@ -25,7 +25,7 @@
 	longestPause = time.Second
 	// gatherTime is the pause between two watches of the roster, in which changes gather: with n hosts, n changes
 	// would otherwise cost n*n calls. A gate knows its own state, so that an older roster is harmless.
-	gatherTime = 300 * time.Millisecond
+	gatherTime = time.Second
 	// scanLimit is the largest number of rows that the store returns at once.
 	scanLimit = 500
 )
