--- a/internal/mesh/choose/chooser.go
+++ b/internal/mesh/choose/chooser.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"slices"
+	"time"
 
 	"buckthornlatch.example/buckthornlatch/internal/clock"
 	"buckthornlatch.example/buckthornlatch/internal/id"
@@ -158,3 +159,18 @@
 	}
 	return n
 }
+
+// lostFailures is the number of failures in a row without which no host counts as lost: a long time without requests
+// proves nothing.
+const lostFailures = 8
+
+// Lost returns the hosts that could not be reached in any attempt for a time.
+func (c *Chooser) Lost(now clock.Time, after time.Duration) []id.HostID {
+	var lost []id.HostID
+	for name, h := range c.hosts {
+		if h.failures >= lostFailures && now.Sub(h.lostAt) >= after {
+			lost = append(lost, name)
+		}
+	}
+	return lost
+}
--- a/internal/mesh/choose/chooser_test.go
+++ b/internal/mesh/choose/chooser_test.go
@@ -93,6 +93,20 @@
 		Expect(picks(c, 10)).To(HaveKeyWithValue(id.HostID("b"), 10))
 	})
 
+	// Guards against records of lost hosts that add up, and against a living host that is forgotten after a pause.
+	It("knows the hosts that no attempt has reached for a time", func() {
+		c := newChooser(host("a", "north"), host("b", "north"))
+		for range 10 {
+			c.Report(now, "a", choose.Report{Kind: choose.Unreachable})
+			now = now.Add(time.Minute)
+		}
+		c.Report(now, "b", choose.Report{Kind: choose.Unreachable})
+		now = now.Add(time.Hour)
+		Expect(c.Lost(now, 5*time.Minute)).To(Equal([]id.HostID{"a"}))
+		c.Report(now, "a", choose.Report{Kind: choose.Busy})
+		Expect(c.Lost(now, 5*time.Minute)).To(BeEmpty())
+	})
+
 	// Guards against a service without any host while all of its hosts rest.
 	It("uses a resting host when there is no other", func() {
 		c := newChooser(host("a", "north"))
--- a/internal/mesh/choose/host.go
+++ b/internal/mesh/choose/host.go
@@ -30,8 +30,9 @@
 	load     Load
 	loadAt   clock.Time
 	loadSeen bool
-	// failures counts the unreachable attempts in a row.
+	// failures counts the unreachable attempts in a row, the first of which was made at lostAt.
 	failures   int
+	lostAt     clock.Time
 	restsUntil clock.Time
 }
 
@@ -55,6 +56,9 @@
 
 // unreachable lets the host rest, longer each time.
 func (h *host) unreachable(now clock.Time) {
+	if h.failures == 0 {
+		h.lostAt = now
+	}
 	rest := min(firstRest<<min(h.failures, 8), longestRest)
 	h.failures++
 	h.restsUntil = max(h.restsUntil, now.Add(rest))
--- a/internal/mesh/choose/shared.go
+++ b/internal/mesh/choose/shared.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"buckthornlatch.example/buckthornlatch/internal/clock"
 	"buckthornlatch.example/buckthornlatch/internal/id"
@@ -70,3 +71,10 @@
 	defer s.mu.Unlock()
 	return s.chooser.Targets(service)
 }
+
+// Lost is Chooser.Lost.
+func (s *Shared) Lost(after time.Duration) []id.HostID {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.chooser.Lost(s.clock.Now(), after)
+}
--- a/internal/mesh/daemon/daemon.go
+++ b/internal/mesh/daemon/daemon.go
@@ -170,12 +170,26 @@
 		select {
 		case <-ticker.C:
 			d.limits.Tick(d.clock.Now())
+			d.forgetLost(ctx)
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
+// lostAfter is how long no attempt at a host may have reached it before its record is removed. It is above the few
+// minutes for which regions lose each other, and far below the time in which records of lost hosts would add up.
+const lostAfter = 15 * time.Minute
+
+// forgetLost removes the records of lost hosts from the store.
+func (d *Daemon) forgetLost(ctx context.Context) {
+	for _, host := range d.chooser.Lost(lostAfter) {
+		if err := d.syncer.Forget(ctx, host); err != nil {
+			d.config.Lines.Events.Warn().Err(err).Msg("daemon: record of a lost host remains")
+		}
+	}
+}
+
 // Cleanup releases what Provision made.
 func (d *Daemon) Cleanup() {
 	for _, s := range d.servers {
--- a/internal/mesh/statesync/syncer_test.go
+++ b/internal/mesh/statesync/syncer_test.go
@@ -173,6 +173,21 @@
 		})
 	})
 
+	// Guards against a record that is removed although its host has written it anew.
+	It("forgets a lost host, and not one that has changed its record", func() {
+		store := newFakeStore()
+		a, b := start(store, "a"), start(store, "b")
+		Eventually(b.Publish(record("b", roster.Serving, 1))).Should(BeClosed())
+		Eventually(func() bool { _, known := a.View().Find("b"); return known }, rosterWait).Should(BeTrue())
+		b.stop()
+		store.put("hosts/b", `{"host":"b","domain":"north","service":"walks","state":"draining","slots":5,"target":{"id":"t","born":1}}`)
+		Expect(a.Forget(context.Background(), "b")).To(Succeed())
+		Consistently(func() bool { _, known := a.View().Find("b"); return known }, "200ms").Should(BeTrue())
+		Eventually(func() roster.State { r, _ := a.View().Find("b"); return r.State }, rosterWait).Should(Equal(roster.Draining))
+		Expect(a.Forget(context.Background(), "b")).To(Succeed())
+		Eventually(func() bool { _, known := a.View().Find("b"); return known }, rosterWait).Should(BeFalse())
+	})
+
 	Context("store out of reach", func() {
 		// Guards against a host that the store turns away and that works with revoked keys until it is let in again.
 		It("takes a newer policy and new hosts from another host", func() {
