--- a/internal/mesh/entry/entry_test.go
+++ b/internal/mesh/entry/entry_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -160,6 +161,23 @@
 			Expect(time.Since(started)).To(BeNumerically("<", time.Second))
 		})
 
+		// Guards against callers that come back at once although their request has just waited in vain.
+		It("tells a longer time to a caller whose request waited in vain", func() {
+			h := newHarness(2)
+			h.each(func(ctx context.Context, a *link.Attempt, s link.Signals) *link.Result {
+				if a.Patience > 0 {
+					s.Queued()
+					time.Sleep(400 * time.Millisecond)
+				}
+				return refuse(link.Reason(slots.Full), 100*time.Millisecond)(ctx, a, s)
+			})
+			response := h.do("POST", "/book/1", "seats")
+			seconds, err := strconv.ParseFloat(response.Header().Get("Retry-After"), 64)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(seconds).To(BeNumerically(">=", 0.2))
+			Expect(seconds).To(BeNumerically("<", 1))
+		})
+
 		// Guards against a service without any target when all of its targets are suspected.
 		It("uses a suspected target when no other is left", func() {
 			h := newHarness(3)
--- a/internal/mesh/entry/log.go
+++ b/internal/mesh/entry/log.go
@@ -18,7 +18,7 @@
 	if q.policy != nil {
 		event.Uint64("policy", uint64(q.policy.Version()))
 	}
-	if q.route != nil {
+	if !q.deadline.IsZero() {
 		event.Str("route", string(q.route.ID)).Str("service", string(q.service)).Str("customer", string(q.customerID())).
 			Int("rank", q.rank()).Dur("time_left", time.Until(q.deadline)).Interface("attempts", tries)
 	}
--- a/internal/mesh/entry/session.go
+++ b/internal/mesh/entry/session.go
@@ -72,6 +72,8 @@
 	// fallback is a target's failure, delivered when no repeat does better.
 	fallback   *link.Result
 	retryAfter time.Duration
+	// inVain is the longest time that an attempt took until it was refused.
+	inVain time.Duration
 	// stop ends the events of attempts that nobody waits for any more.
 	stop chan struct{}
 }
@@ -403,7 +405,7 @@
 		s.arrivals++
 		s.runs++
 	case hop.NotRun:
-		s.refused(a.host, result)
+		s.refused(a, result)
 	}
 	return nil, false
 }
@@ -416,11 +418,14 @@
 	s.fallback = result
 }
 
-// refused takes a proved not-run into account.
-func (s *session) refused(host id.HostID, result *link.Result) {
+// refused takes a proved not-run into account. The caller is told the shortest wait that a gate expects, but no less
+// than half of the time that its request has waited in vain.
+func (s *session) refused(a *attempt, result *link.Result) {
+	host := a.host
 	if result.RetryAfter > 0 && (s.retryAfter == 0 || result.RetryAfter < s.retryAfter) {
 		s.retryAfter = result.RetryAfter
 	}
+	s.inVain = max(s.inVain, time.Since(a.sentAt))
 	switch result.Reason {
 	case link.Reason(slots.Full):
 		s.fullAsked++
@@ -475,9 +480,9 @@
 	if s.runs > 0 {
 		return &refusal{code: problem.OutcomeUnknown, maybeRan: true}
 	}
-	retryAfter := s.retryAfter
-	if retryAfter == 0 {
-		retryAfter = defaultRetryAfter
+	retryAfter := max(s.retryAfter, s.inVain/2)
+	if s.retryAfter == 0 {
+		retryAfter = max(retryAfter, defaultRetryAfter)
 	}
 	if len(s.tries) == 0 {
 		return &refusal{code: problem.NoTarget, retryAfter: retryAfter}
