--- a/internal/mesh/statesync/config.go
+++ b/internal/mesh/statesync/config.go
@@ -16,6 +16,8 @@
 	// WatchWait is the longest time that one watch lasts without a change. A silent connection is noticed sooner, by
 	// the probes of the store's client.
 	WatchWait = 20 * time.Second
+	// returnWait is the wait of the first watch after a failure, which is short to learn soon that the store is back.
+	returnWait = 50 * time.Millisecond
 	// callTimeout bounds other calls. A slow store answers within a fraction of it.
 	callTimeout = 2 * time.Second
 	// watchSlack is how much longer than its wait a watch may take.
--- a/internal/mesh/statesync/follow.go
+++ b/internal/mesh/statesync/follow.go
@@ -39,11 +39,12 @@
 	var since platform.Revision
 	read := false
 	wait := firstPause
+	watchWait := WatchWait
 	for ctx.Err() == nil {
-		through, err := s.step(ctx, f, read, since)
+		through, err := s.step(ctx, f, read, since, watchWait)
 		switch {
 		case err == nil:
-			read, since, wait = true, through, firstPause
+			read, since, wait, watchWait = true, through, firstPause, WatchWait
 			s.reached(f.part)
 			if f.gather > 0 && !pause(ctx, f.gather) {
 				return
@@ -57,6 +58,7 @@
 			continue
 		}
 		s.failed(f.part, err)
+		watchWait = returnWait
 		// Half of the pause is random, so that the daemons do not return to a store in one wave.
 		if !pause(ctx, wait/2+rand.N(wait/2)) {
 			return
@@ -66,13 +68,13 @@
 }
 
 // step reads a part once, or waits for its next changes.
-func (s *Syncer) step(ctx context.Context, f follower, read bool, since platform.Revision) (platform.Revision, error) {
+func (s *Syncer) step(ctx context.Context, f follower, read bool, since platform.Revision, wait time.Duration) (platform.Revision, error) {
 	if !read {
 		return s.readAll(ctx, f)
 	}
-	ctx, cancel := context.WithTimeout(ctx, WatchWait+watchSlack)
+	ctx, cancel := context.WithTimeout(ctx, wait+watchSlack)
 	defer cancel()
-	rows, err := s.config.Store.Watch(ctx, f.prefix, since, WatchWait)
+	rows, err := s.config.Store.Watch(ctx, f.prefix, since, wait)
 	if err != nil {
 		return 0, err
 	}
--- a/internal/mesh/statesync/syncer_test.go
+++ b/internal/mesh/statesync/syncer_test.go
@@ -220,6 +220,19 @@
 			Eventually(b.Version, "3s").Should(Equal(policy.Version(6)))
 		})
 
+		// Guards against a host that takes itself for out of touch until the next change, up to 20 s after the store is
+		// back, and answers 503 instead of 401 and 404 meanwhile: seen in the incident of zfb-mesh.
+		It("notices that the store is back although nothing changes", func() {
+			store := newFakeStore()
+			store.put("operator/policy", "3")
+			n := start(store, "a")
+			Eventually(n.Version).Should(Equal(policy.Version(3)))
+			store.set(func(f *fakeStore) { f.down = true })
+			Eventually(func() time.Duration { _, age := n.Policy(); return age }).Should(BeNumerically(">", 0))
+			store.set(func(f *fakeStore) { f.down = false })
+			Eventually(func() time.Duration { _, age := n.Policy(); return age }, "3s").Should(BeZero())
+		})
+
 		It("finds back to the store", func() {
 			store := newFakeStore()
 			store.set(func(f *fakeStore) { f.down = true })
