--- /dev/null
+++ b/internal/mesh/entry/handle.go
@@ -0,0 +1,71 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"buckthornlatch.example/buckthornlatch/internal/mesh/choose"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/link"
+)
+
+// dropHopeless cancels the attempts that their gates would give up, once another attempt runs or if there cannot be
+// one. A planned stop must not cost callers their answers, so that a stopping entry lets everything run.
+func (s *session) dropHopeless() {
+	if s.entry.config.Draining() {
+		return
+	}
+	replaced := false
+	for _, a := range s.active {
+		replaced = replaced || (a.running && !a.hopeless)
+	}
+	for _, a := range s.active {
+		if a.hopeless && (replaced || (len(s.active) == 1 && !s.mayRepeat())) {
+			a.cancel(errHopeless)
+		}
+	}
+}
+
+// errHopeless ends an attempt that others need the slot of.
+var errHopeless = errors.New("the attempt was given up for others")
+
+// handle takes an event into account. It returns the answer when there is one.
+func (s *session) handle(ctx context.Context, e event) (*link.Result, bool) {
+	switch e.kind {
+	case silent:
+		if s.active[e.attempt.host] == e.attempt {
+			e.attempt.cancel(link.ErrSilent)
+		}
+	case overdue:
+		if s.active[e.attempt.host] == e.attempt {
+			s.entry.config.Chooser.Report(e.attempt.host, choose.Report{Kind: choose.Overdue})
+			s.hedge(ctx)
+		}
+	case started:
+		e.attempt.running, e.attempt.runningSince = true, time.Now()
+		s.dropHopeless()
+	case hopeless:
+		if s.active[e.attempt.host] == e.attempt {
+			e.attempt.hopeless = true
+			s.hedge(ctx)
+			s.dropHopeless()
+		}
+	case ended:
+		return s.ended(e.attempt, e.result)
+	}
+	return nil, false
+}
+
+// hedge starts to look for another host beside an attempt that is overdue. All hosts but those in use are asked anew,
+// since what they told when the request came is out of date.
+func (s *session) hedge(ctx context.Context) {
+	if s.hedging || !s.mayRepeat() {
+		return
+	}
+	s.hedging = true
+	s.asked, s.full, s.suspected, s.waits, s.fullAsked = nil, nil, nil, 0, 0
+	for host := range s.active {
+		s.asked = append(s.asked, host)
+	}
+	s.next(ctx)
+}
--- a/internal/mesh/gate/gate.go
+++ b/internal/mesh/gate/gate.go
@@ -14,7 +14,7 @@
 	config Config
 
 	mu       sync.Mutex
-	slots    *slots.Gate
+	slots    *slots.Admission
 	target   *target
 	draining bool
 	nextID   slots.ID
--- /dev/null
+++ b/internal/mesh/gate/work.go
@@ -0,0 +1,86 @@
+package gate
+
+import (
+	"context"
+	"time"
+
+	"buckthornlatch.example/buckthornlatch/internal/hop"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/link"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/slots"
+)
+
+const (
+	// keptBody is the part of a body that is read before the target gets the attempt, in bytes. A body that breaks
+	// off within it leaves the attempt not run.
+	keptBody = 256 << 10
+	// bodyWait bounds the time in which an entry must send that part while a slot is held for it.
+	bodyWait = time.Second
+	// answerMargin is taken off the time that the target is given, so that its last answer reaches the caller.
+	answerMargin = 15 * time.Millisecond
+)
+
+// work is one attempt at the gate.
+type work struct {
+	gate    *Gate
+	attempt *link.Attempt
+	demand  slots.Demand
+	arrived time.Time
+	// started is when the attempt got its slot; zero before.
+	started time.Time
+	target  *target
+	signals link.Signals
+	// cancel ends the exchange with the target.
+	cancel context.CancelFunc
+	// hopeless receives a value when the entry should give the attempt up.
+	hopeless chan struct{}
+}
+
+// Do runs an attempt and returns what became of it. Cancelling ctx ends it.
+func (g *Gate) Do(ctx context.Context, a *link.Attempt, signals link.Signals) *link.Result {
+	w := &work{gate: g, attempt: a, signals: signals, arrived: time.Now(), hopeless: make(chan struct{}, 1)}
+	ctx, w.cancel = context.WithTimeout(ctx, a.Remaining)
+	result := w.run(ctx)
+	if result.Rest == nil {
+		w.cancel()
+	}
+	g.mu.Lock()
+	result.Load, result.LoadKnown = g.load(), true
+	g.mu.Unlock()
+	result.Policy = g.config.Version()
+	w.log(result)
+	return result
+}
+
+// run admits the attempt and hands it to the target.
+func (w *work) run(ctx context.Context) *link.Result {
+	if refusal := w.admit(ctx); refusal != nil {
+		return refusal
+	}
+	w.started = time.Now()
+	// A gate that asks for the body shows by it that it has the attempt.
+	if w.attempt.Body.Repeatable() {
+		w.signals.Started()
+	} else if refusal := w.fetchBody(ctx); refusal != nil {
+		w.done(slots.Cancelled)
+		return refusal
+	}
+	if refusal := w.permit(ctx); refusal != nil {
+		w.done(slots.Cancelled)
+		return refusal
+	}
+	return w.exchange(ctx)
+}
+
+// done frees the slot.
+func (w *work) done(outcome slots.Outcome) {
+	g := w.gate
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.working, w.demand.ID)
+	g.answer(g.slots.Done(g.config.Clock.Now(), w.demand.ID, outcome))
+}
+
+// refused is an attempt that did not reach the target.
+func refused(reason link.Reason, retryAfter time.Duration) *link.Result {
+	return &link.Result{Verdict: hop.NotRun, Reason: reason, RetryAfter: retryAfter}
+}
--- a/internal/mesh/slots/gate_test.go
+++ b/internal/mesh/slots/admission_test.go
@@ -13,14 +13,14 @@
 
 // bench is a gate with a clock and attempt numbers.
 type bench struct {
-	*slots.Gate
+	*slots.Admission
 	now  clock.Time
 	last slots.ID
 }
 
 // newBench returns an open gate that has seen work of 500 ms on the route "book" and of 100 ms on "lookup".
 func newBench(n int) *bench {
-	b := &bench{Gate: slots.New()}
+	b := &bench{Admission: slots.New()}
 	b.Open(b.now, n)
 	b.SetRepeatBudget(b.now, slots.RepeatBudget{Ratio: 0.2, Allowance: 100, Window: 10 * time.Second})
 	for range 8 {
@@ -82,7 +82,7 @@
 	return func(d *slots.Demand) { d.Customer = c }
 }
 
-var _ = Describe("Gate", func() {
+var _ = Describe("Admission", func() {
 	Context("slots", func() {
 		// Guards against a target that gets more than it works on, and then sheds work that counts as an arrival.
 		It("refuses what exceeds the slots and tells when there may be room", func() {
--- /dev/null
+++ b/internal/mesh/slots/arrive.go
@@ -0,0 +1,92 @@
+package slots
+
+import (
+	"buckthornlatch.example/buckthornlatch/internal/clock"
+	"buckthornlatch.example/buckthornlatch/internal/invariant"
+)
+
+// Arrive decides on a new attempt.
+func (a *Admission) Arrive(now clock.Time, d Demand) Decision {
+	decision := a.decide(now, d)
+	if d.Nested {
+		a.nested.add(now, a.Expected(d.Route), decision.Kind == Refuse)
+	}
+	if decision.Kind == Wait || decision.Reason == Full {
+		decision.Reclaim, decision.Reclaims = a.reclaim(now)
+	}
+	return decision
+}
+
+// decide is Arrive without giving up attempts.
+func (a *Admission) decide(now clock.Time, d Demand) Decision {
+	if !a.open {
+		return Decision{Kind: Refuse, Reason: NoTarget}
+	}
+	if d.Remaining < a.needed(d.Route) {
+		return Decision{Kind: Refuse, Reason: TooLate}
+	}
+	full := !a.fits(now, d) || a.overtaken(d)
+	wait := a.expectedWait(now, d)
+	if full && (wait > d.Patience || len(a.queue) >= maxQueue) {
+		return Decision{Kind: Refuse, Reason: Full, RetryAfter: max(wait, minRetryAfter)}
+	}
+	if !a.suspicion.permits(now, d) {
+		return Decision{Kind: Refuse, Reason: Suspected, RetryAfter: trialPeriod}
+	}
+	if d.Repeat && !a.repeats.take(now) {
+		return Decision{Kind: Refuse, Reason: RepeatsUsedUp}
+	}
+	if !d.Repeat && d.Customer != "" {
+		a.repeats.earn()
+	}
+	if full {
+		a.queue = append(a.queue, &waiter{Demand: d, arrived: now})
+		return Decision{Kind: Wait}
+	}
+	a.start(now, d)
+	return Decision{Kind: Run}
+}
+
+// fits reports whether a slot is free for the attempt. Some slots are kept for nested attempts.
+func (a *Admission) fits(now clock.Time, d Demand) bool {
+	if len(a.running) >= a.slots {
+		return false
+	}
+	if d.Nested {
+		return true
+	}
+	others := 0
+	for _, r := range a.running {
+		if !r.Nested {
+			others++
+		}
+	}
+	return others < a.slots-a.nested.reserve(now, a.slots)
+}
+
+// overtaken reports whether an attempt of the same or a more urgent class waits.
+func (a *Admission) overtaken(d Demand) bool {
+	for _, w := range a.queue {
+		if w.class() <= d.class() {
+			return true
+		}
+	}
+	return false
+}
+
+// start occupies a slot.
+func (a *Admission) start(now clock.Time, d Demand) {
+	invariant.Check(len(a.running) < a.slots, "slots-not-exceeded", "%d of %d slots in use", len(a.running), a.slots)
+	a.running[d.ID] = &running{Demand: d, started: now}
+}
+
+// Abandon removes a waiting attempt. It reports false if the attempt has had its turn.
+func (a *Admission) Abandon(attempt ID) bool {
+	for i, w := range a.queue {
+		if w.ID == attempt {
+			a.queue = append(a.queue[:i], a.queue[i+1:]...)
+			return true
+		}
+	}
+	return false
+}
--- a/internal/mesh/slots/model_test.go
+++ b/internal/mesh/slots/model_test.go
@@ -11,9 +11,9 @@
 	"buckthornlatch.example/buckthornlatch/internal/mesh/slots"
 )
 
-// TestGateModel drives a gate at random and checks that it never exceeds its slots (asserted in the gate), that each
+// TestAdmissionModel drives the admission at random and checks that it never exceeds its slots (asserted by it), that each
 // waiting attempt gets exactly one turn, and that none is served by a target that has left.
-func TestGateModel(t *testing.T) {
+func TestAdmissionModel(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		gate := slots.New()
 		var now clock.Time
--- /dev/null
+++ b/internal/mesh/slots/order.go
@@ -0,0 +1,52 @@
+package slots
+
+import "buckthornlatch.example/buckthornlatch/internal/clock"
+
+// pump gives turns to waiting attempts while there are free slots.
+func (a *Admission) pump(now clock.Time) []Turn {
+	var turns []Turn
+	for a.open && len(a.queue) > 0 {
+		next := a.next(now)
+		w := a.queue[next]
+		if !a.fits(now, w.Demand) {
+			// The order puts nested attempts first, so that no other waiting attempt fits either.
+			break
+		}
+		a.queue = append(a.queue[:next], a.queue[next+1:]...)
+		if w.Remaining-now.Sub(w.arrived) < a.needed(w.Route) {
+			turns = append(turns, Turn{ID: w.ID, Reason: TooLate})
+			continue
+		}
+		a.start(now, w.Demand)
+		turns = append(turns, Turn{ID: w.ID, Run: true})
+	}
+	return turns
+}
+
+// next returns the index of the waiting attempt that is served next.
+func (a *Admission) next(now clock.Time) int {
+	best := 0
+	for i := 1; i < len(a.queue); i++ {
+		if a.before(now, a.queue[i], a.queue[best]) {
+			best = i
+		}
+	}
+	return best
+}
+
+// before reports whether x is served before y. The queue is in the order of arrival, which decides between equals.
+func (a *Admission) before(now clock.Time, x, y *waiter) bool {
+	if x.class() != y.class() {
+		return x.class() < y.class()
+	}
+	xLate, yLate := a.late(now, x), a.late(now, y)
+	if xLate != yLate {
+		return yLate
+	}
+	return a.usage.of(now, x.Customer) < a.usage.of(now, y.Customer)
+}
+
+// late reports whether a waiting attempt can no longer meet its objective.
+func (a *Admission) late(now clock.Time, w *waiter) bool {
+	return w.Objective > 0 && w.Objective-now.Sub(w.arrived) < a.needed(w.Route)
+}
--- a/internal/mesh/slots/reclaim.go
+++ b/internal/mesh/slots/reclaim.go
@@ -22,10 +22,10 @@
 
 // reclaim names a running attempt that should be given up for the sake of an arriving one that finds no slot. A target that
 // hangs keeps its slots until the deadlines of what it runs, and everybody else waits behind that.
-func (g *Gate) reclaim(now clock.Time) (ID, bool) {
+func (a *Admission) reclaim(now clock.Time) (ID, bool) {
 	var worst *running
-	for _, r := range g.running {
-		if !r.offered && g.hopeless(now, r) && (worst == nil || r.started < worst.started) {
+	for _, r := range a.running {
+		if !r.offered && a.hopeless(now, r) && (worst == nil || r.started < worst.started) {
 			worst = r
 		}
 	}
@@ -37,8 +37,8 @@
 }
 
 // hopeless reports whether a running attempt will most likely not be answered in time.
-func (g *Gate) hopeless(now clock.Time, r *running) bool {
-	limit, known := g.overdueLimit(r.Demand)
+func (a *Admission) hopeless(now clock.Time, r *running) bool {
+	limit, known := a.overdueLimit(r.Demand)
 	if !known {
 		return false
 	}
@@ -54,8 +54,8 @@
 }
 
 // overtake notes that an attempt that started at a time has succeeded.
-func (g *Gate) overtake(started clock.Time) {
-	for _, r := range g.running {
+func (a *Admission) overtake(started clock.Time) {
+	for _, r := range a.running {
 		if r.started < started {
 			r.overtaken++
 		}
--- a/internal/mesh/statesync/syncer.go
+++ b/internal/mesh/statesync/syncer.go
@@ -8,6 +8,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"buckthornlatch.example/buckthornlatch/internal/id"
+	"buckthornlatch.example/buckthornlatch/internal/invariant"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/policy"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/roster"
 	"buckthornlatch.example/buckthornlatch/internal/platform"
@@ -153,6 +154,8 @@
 		s.mu.Unlock()
 		return
 	}
+	invariant.Check(s.policy == nil || snapshot.Version() > s.policy.Version(), "policy-version-monotonic",
+		"policy %d takes the place of a newer one", snapshot.Version())
 	s.policy = snapshot
 	s.mu.Unlock()
 	s.changed()
