--- a/internal/mesh/entry/handle.go
+++ b/internal/mesh/entry/handle.go
@@ -9,26 +9,6 @@
 	"buckthornlatch.example/buckthornlatch/internal/mesh/link"
 )
 
-// dropHopeless cancels the attempts that their gates would give up, once another attempt runs or if there cannot be
-// one. A planned stop must not cost callers their answers, so that a stopping entry lets everything run.
-func (s *session) dropHopeless() {
-	if s.entry.config.Draining() {
-		return
-	}
-	replaced := false
-	for _, a := range s.active {
-		replaced = replaced || (a.running && !a.hopeless)
-	}
-	for _, a := range s.active {
-		if a.hopeless && (replaced || (len(s.active) == 1 && !s.mayRepeat())) {
-			a.cancel(errHopeless)
-		}
-	}
-}
-
-// errHopeless ends an attempt that others need the slot of.
-var errHopeless = errors.New("the attempt was given up for others")
-
 // handle takes an event into account. It returns the answer when there is one.
 func (s *session) handle(ctx context.Context, e event) (*link.Result, bool) {
 	switch e.kind {
@@ -69,3 +49,23 @@
 	}
 	s.next(ctx)
 }
+
+// dropHopeless cancels the attempts that their gates would give up, once another attempt runs or if there cannot be
+// one. A planned stop must not cost callers their answers, so that a stopping entry lets everything run.
+func (s *session) dropHopeless() {
+	if s.entry.config.Draining() {
+		return
+	}
+	replaced := false
+	for _, a := range s.active {
+		replaced = replaced || (a.running && !a.hopeless)
+	}
+	for _, a := range s.active {
+		if a.hopeless && (replaced || (len(s.active) == 1 && !s.mayRepeat())) {
+			a.cancel(errHopeless)
+		}
+	}
+}
+
+// errHopeless ends an attempt that others need the slot of.
+var errHopeless = errors.New("the attempt was given up for others")
--- a/internal/mesh/entry/outcome.go
+++ b/internal/mesh/entry/outcome.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"errors"
 	"net/http"
 	"time"
 
@@ -76,14 +75,12 @@
 	switch {
 	case r.Verdict == hop.Ran:
 		report.Kind = choose.Answered
-	case r.Reason == link.NotConnected, errors.Is(r.Err, link.ErrSilent):
+	case r.Reason == link.NotConnected, r.Reason == link.LinkBroken:
 		report.Kind = choose.Unreachable
 	case r.Reason == link.Reason(slots.Full), r.Reason == link.Reason(slots.TooLate), r.Reason == link.Reason(slots.RepeatsUsedUp):
 		report.Kind = choose.Busy
 	case r.Reason == link.Ended, r.Reason == link.OutOfTime, r.Reason == link.BodyBroken:
 		report.Kind = choose.Ended
-	case r.Reason == link.LinkBroken:
-		report.Kind = choose.Unreachable
 	default:
 		report.Kind = choose.Declined
 	}
--- a/internal/mesh/gate/gate_test.go
+++ b/internal/mesh/gate/gate_test.go
@@ -276,6 +276,8 @@
 			}()
 			result, _ := h.remote(cancelled, attempt("seats"))
 			Expect(result.Verdict).To(Equal(hop.Unknown))
+			// A broken link would be taken as evidence against the way to the host.
+			Expect(result.Reason).To(Equal(link.Ended))
 			Eventually(ended).Should(BeClosed())
 		})
 	})
--- a/internal/mesh/gate/work.go
+++ b/internal/mesh/gate/work.go
@@ -31,7 +31,7 @@
 	signals link.Signals
 	// cancel ends the exchange with the target.
 	cancel context.CancelFunc
-	// hopeless receives a value when the entry should give the attempt up.
+	// hopeless receives one value when the admission would give the attempt up; it never blocks the sender.
 	hopeless chan struct{}
 }
 
--- a/internal/mesh/link/client.go
+++ b/internal/mesh/link/client.go
@@ -81,10 +81,15 @@
 	if err == nil {
 		return call.accept(response)
 	}
-	if errors.Is(context.Cause(ctx), ErrSilent) {
+	result := call.failed(err)
+	switch cause := context.Cause(ctx); {
+	case errors.Is(cause, ErrSilent):
 		p.renew(transport)
+	case cause != nil:
+		// The entry ended the attempt, which tells nothing about the way to the host.
+		result.Reason, result.Err = Ended, cause
 	}
-	return call.failed(err)
+	return result
 }
 
 // call is one attempt on its way.
--- a/internal/mesh/slots/admission.go
+++ b/internal/mesh/slots/admission.go
@@ -40,7 +40,7 @@
 	nested    nestedLoad
 }
 
-// New returns a gate without a target.
+// New returns the admission of a gate without a target.
 func New() *Admission {
 	return &Admission{running: map[ID]*running{}, estimates: map[id.RouteID]*worktime.Estimate{}}
 }
