Set the budget for repeats when its inputs change

Each attempt counted the targets of the service under a lock and copied the settings for it. The daemon now sets the gate's part when the roster or the policy changes and once a second.

--- a/internal/mesh/daemon/daemon.go
+++ b/internal/mesh/daemon/daemon.go
@@ -60,7 +60,7 @@
 	})
 	d.gate = gate.New(gate.Config{
 		Host: d.config.Host, Domain: d.config.Domain, Service: d.config.Service, TargetAddress: d.config.TargetAddress,
-		Headers: d.config.Headers, Clock: d.clock, Version: d.syncer.Version, Changed: d.publish, Repeats: d.repeats,
+		Headers: d.config.Headers, Clock: d.clock, Version: d.syncer.Version, Changed: d.publish,
 		Log: d.config.Lines.Decisions, Events: d.config.Lines.Events, Metrics: d.meters,
 	})
 	d.limits = limits.New(limits.Config{
@@ -87,6 +87,7 @@
 		return known
 	})
 	d.limits.Update(d.clock.Now(), p, view)
+	d.gate.SetRepeatBudget(d.repeats())
 }
 
 // leavingWait is how long the acknowledgement of a leaving target waits for the store. The record keeps a restarted
@@ -171,6 +172,7 @@
 		select {
 		case <-ticker.C:
 			d.limits.Tick(d.clock.Now())
+			d.gate.SetRepeatBudget(d.repeats())
 			d.forgetLost(ctx)
 			d.meters.setLost(d.config.Lines.Lost())
 		case <-ctx.Done():
--- a/internal/mesh/gate/admit.go
+++ b/internal/mesh/gate/admit.go
@@ -19,7 +19,6 @@
 		return refused(link.GateDraining, 0)
 	}
 	now := g.config.Clock.Now()
-	g.slots.SetRepeatBudget(now, g.config.Repeats())
 	g.nextID++
 	w.demand = slots.Demand{
 		ID: g.nextID, Route: a.Route, Customer: a.Customer, Rank: a.Rank, Nested: a.Nested, Idempotent: a.Idempotent, Repeat: a.Repeat,
--- a/internal/mesh/gate/config.go
+++ b/internal/mesh/gate/config.go
@@ -10,7 +10,6 @@
 	"buckthornlatch.example/buckthornlatch/internal/mesh/dialect"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/policy"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/roster"
-	"buckthornlatch.example/buckthornlatch/internal/mesh/slots"
 )
 
 // Config is what a gate needs.
@@ -26,8 +25,6 @@
 	Version func() policy.Version
 	// Changed publishes the host's record. It is called without locks.
 	Changed func(roster.Record)
-	// Repeats returns this gate's part of the budget for repeated attempts.
-	Repeats func() slots.RepeatBudget
 	// Log takes one line for each attempt; Events one for each change of the target's state.
 	Log    zerolog.Logger
 	Events zerolog.Logger
--- a/internal/mesh/gate/gate.go
+++ b/internal/mesh/gate/gate.go
@@ -36,6 +36,13 @@
 	g.answer(g.slots.Close())
 }
 
+// SetRepeatBudget sets this gate's part of the budget for repeated attempts. Without one, no repeat is admitted.
+func (g *Gate) SetRepeatBudget(b slots.RepeatBudget) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.slots.SetRepeatBudget(g.config.Clock.Now(), b)
+}
+
 // Record returns what the gate publishes of its host, and whether it knows a target.
 func (g *Gate) Record() (roster.Record, bool) {
 	g.mu.Lock()
--- a/internal/mesh/gate/harness_test.go
+++ b/internal/mesh/gate/harness_test.go
@@ -66,9 +66,9 @@
 			defer h.mu.Unlock()
 			h.published = append(h.published, r)
 		},
-		Repeats: func() slots.RepeatBudget { return slots.RepeatBudget{Allowance: 10, Window: 10 * time.Second} },
-		Log:     zerolog.Nop(), Events: zerolog.Nop(), Metrics: noMetrics{},
+		Log: zerolog.Nop(), Events: zerolog.Nop(), Metrics: noMetrics{},
 	})
+	h.gate.SetRepeatBudget(slots.RepeatBudget{Allowance: 10, Window: 10 * time.Second})
 	server := &http.Server{Handler: h.gate}
 	go func() { _ = server.Serve(listener) }()
 	DeferCleanup(server.Close)
