Remove what stands twice or is not used in the mesh

One loop finds the best host, and computes its cost once: the second one compared costs that were drawn anew. Clocks that two parts did not read, a wrapper and an overwritten handler in a spec are gone.

--- a/internal/mesh/choose/chooser.go
+++ b/internal/mesh/choose/chooser.go
@@ -60,14 +60,31 @@
 
 // Pick returns the best host for a service that is not excluded. Resting hosts come last.
 func (c *Chooser) Pick(now clock.Time, service id.ServiceName, exclude []id.HostID) (id.HostID, bool) {
+	return c.best(now, c.byService[service], func(h *host) bool {
+		return h.takesWork(service) && !slices.Contains(exclude, h.record.Host)
+	})
+}
+
+// Least returns the best of the given hosts.
+func (c *Chooser) Least(now clock.Time, among []id.HostID) (id.HostID, bool) {
+	hosts := make([]*host, 0, len(among))
+	for _, name := range among {
+		if h := c.hosts[name]; h != nil {
+			hosts = append(hosts, h)
+		}
+	}
+	return c.best(now, hosts, func(h *host) bool { return h.takesWork(h.record.Service) })
+}
+
+// best returns the host of the lowest cost among those that are eligible.
+func (c *Chooser) best(now clock.Time, hosts []*host, eligible func(*host) bool) (id.HostID, bool) {
 	var best *host
 	var bestCost float64
-	for _, h := range c.byService[service] {
-		if !h.takesWork(service) || slices.Contains(exclude, h.record.Host) {
+	for _, h := range hosts {
+		if !eligible(h) {
 			continue
 		}
-		cost := c.cost(now, h)
-		if best == nil || cost < bestCost {
+		if cost := c.cost(now, h); best == nil || cost < bestCost {
 			best, bestCost = h, cost
 		}
 	}
@@ -131,24 +148,6 @@
 	}
 }
 
-// Least returns the host that had the shortest queue for its slots when it last told, among the given ones.
-func (c *Chooser) Least(now clock.Time, among []id.HostID) (id.HostID, bool) {
-	var best *host
-	for _, name := range among {
-		h := c.hosts[name]
-		if h == nil || h.record.State != roster.Serving {
-			continue
-		}
-		if best == nil || c.cost(now, h) < c.cost(now, best) {
-			best = h
-		}
-	}
-	if best == nil {
-		return "", false
-	}
-	return best.record.Host, true
-}
-
 // Targets returns the number of serving targets of a service.
 func (c *Chooser) Targets(service id.ServiceName) int {
 	n := 0
--- a/internal/mesh/daemon/daemon.go
+++ b/internal/mesh/daemon/daemon.go
@@ -55,8 +55,8 @@
 	d.client = link.NewClient()
 	d.chooser = choose.NewShared(choose.New(d.config.Host, d.config.Domain, rand.Uint64()), d.clock)
 	d.syncer = statesync.New(statesync.Config{
-		Self: d.config.Host, Clock: d.clock, Store: d.config.Store, Keys: d.config.Keys, Decode: d.config.DecodePolicy,
-		Seeds: d.config.Seeds, Changed: d.stateChanged, Restored: d.restore, Log: d.config.Lines.Events,
+		Self: d.config.Host, Store: d.config.Store, Keys: d.config.Keys, Decode: d.config.DecodePolicy,
+		Seeds: d.config.Seeds, Changed: d.stateChanged, Restored: func(r roster.Record) { d.gate.Restore(r) }, Log: d.config.Lines.Events,
 	})
 	d.gate = gate.New(gate.Config{
 		Host: d.config.Host, Domain: d.config.Domain, Service: d.config.Service, TargetAddress: d.config.TargetAddress,
@@ -67,18 +67,13 @@
 		Self: d.config.Host, Clock: d.clock, HTTP: newControlClient(), Distance: d.distance, Incarnation: id.Epoch(rand.Uint64()),
 	})
 	d.entry = entry.New(entry.Config{
-		Service: d.config.Service, Headers: d.config.Headers, Clock: d.clock, Policy: d.syncer, Limits: d.limits,
+		Service: d.config.Service, Headers: d.config.Headers, Policy: d.syncer, Limits: d.limits,
 		Chooser: d.chooser, Sender: &sender{self: d.config.Host, gate: d.gate, client: d.client, syncer: d.syncer},
 		Draw: rand.Float64, Draining: d.draining.Load, Stopping: d.stopping, Log: d.config.Lines.Decisions, Metrics: d.meters,
 	})
 	return d.listen()
 }
 
-// restore takes over what an earlier process of this host published of its target.
-func (d *Daemon) restore(r roster.Record) {
-	d.gate.Restore(r)
-}
-
 // stateChanged passes a new policy or view on.
 func (d *Daemon) stateChanged(p *policy.Snapshot, view *roster.View) {
 	d.chooser.SetView(view)
--- a/internal/mesh/entry/config.go
+++ b/internal/mesh/entry/config.go
@@ -6,7 +6,6 @@
 
 	"github.com/rs/zerolog"
 
-	"buckthornlatch.example/buckthornlatch/internal/clock"
 	"buckthornlatch.example/buckthornlatch/internal/id"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/choose"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/dialect"
@@ -19,7 +18,6 @@
 	// Service runs on the entry's host; targets learn it as the caller of requests that begin there.
 	Service id.ServiceName
 	Headers dialect.Headers
-	Clock   clock.Clock
 	Policy  PolicySource
 	Limits  Admitter
 	Chooser *choose.Shared
--- a/internal/mesh/entry/harness_test.go
+++ b/internal/mesh/entry/harness_test.go
@@ -89,7 +89,7 @@
 	chooser := choose.New("self", "north", 1)
 	chooser.SetView(roster.NewView(records))
 	h.entry = entry.New(entry.Config{
-		Service: "desk", Headers: headers, Clock: clk, Policy: h, Limits: h, Chooser: choose.NewShared(chooser, clk), Sender: h,
+		Service: "desk", Headers: headers, Policy: h, Limits: h, Chooser: choose.NewShared(chooser, clk), Sender: h,
 		Draw: func() float64 { return 0 }, Draining: func() bool { return false }, Stopping: h.stopping,
 		Log: zerolog.Nop(), Metrics: noMetrics{},
 	})
--- a/internal/mesh/gate/gate_test.go
+++ b/internal/mesh/gate/gate_test.go
@@ -43,18 +43,12 @@
 	It("runs attempts of other hosts and sets what the target must know", func() {
 		var body string
 		h := newHarness(func(w http.ResponseWriter, r *http.Request) {
-			read, _ := io.ReadAll(r.Body)
-			body = string(read)
-			w.WriteHeader(http.StatusCreated)
-			done(w, r)
-		})
-		h.serve = func(w http.ResponseWriter, r *http.Request) {
 			read, _ := io.ReadAll(r.Body)
 			body = string(read)
 			w.Header().Set("Seal", "s")
 			w.WriteHeader(http.StatusCreated)
 			_, _ = io.WriteString(w, "done")
-		}
+		})
 		result, told := h.remote(ctx, attempt("seats"))
 		Expect(result.Verdict).To(Equal(hop.Ran))
 		Expect(result.Status).To(Equal(http.StatusCreated))
--- a/internal/mesh/statesync/config.go
+++ b/internal/mesh/statesync/config.go
@@ -5,7 +5,6 @@
 
 	"github.com/rs/zerolog"
 
-	"buckthornlatch.example/buckthornlatch/internal/clock"
 	"buckthornlatch.example/buckthornlatch/internal/id"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/policy"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/roster"
@@ -35,7 +34,6 @@
 // Config is what a Syncer needs.
 type Config struct {
 	Self  id.HostID
-	Clock clock.Clock
 	Store platform.Feed
 	Keys  Keys
 	// Decode reads a policy as the operator wrote it.
--- a/internal/mesh/statesync/syncer_test.go
+++ b/internal/mesh/statesync/syncer_test.go
@@ -13,7 +13,6 @@
 	. "github.com/onsi/gomega"
 	"github.com/rs/zerolog"
 
-	"buckthornlatch.example/buckthornlatch/internal/clock"
 	"buckthornlatch.example/buckthornlatch/internal/id"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/policy"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/roster"
@@ -36,7 +35,7 @@
 func start(store *fakeStore, host id.HostID, seeds ...id.HostID) *node {
 	n := &node{}
 	n.Syncer = statesync.New(statesync.Config{
-		Self: host, Clock: clock.NewSystem(), Store: store,
+		Self: host, Store: store,
 		Keys:    statesync.Keys{PolicyPrefix: "operator/", PolicyKey: "operator/policy", HostPrefix: "hosts/"},
 		Decode:  decode,
 		Seeds:   func() []id.HostID { return seeds },
