--- a/internal/catalogsync/run.go
+++ b/internal/catalogsync/run.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"time"
+
+	"buckthornlatch.example/buckthornlatch/internal/clock"
 )
 
 // Run polls until ctx ends, and returns nil then.
 func (s *Syncer) Run(ctx context.Context) error {
 	delay := s.jitter(s.config.StartSpread)
-	for sleep(ctx, delay) {
+	for clock.Sleep(ctx, delay) {
 		err := s.Poll(ctx)
 		if err != nil && ctx.Err() == nil {
 			s.config.Logger.Warn().Err(err).Msg("catalogsync: poll failed")
@@ -48,15 +50,3 @@
 	defer s.mu.Unlock()
 	return time.Duration(s.random.Int64N(int64(max(limit, 1))))
 }
-
-// sleep waits and reports false when ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- /dev/null
+++ b/internal/clock/sleep.go
@@ -0,0 +1,21 @@
+package clock
+
+import (
+	"context"
+	"time"
+)
+
+// Sleep waits for d and reports false when ctx ended first. A duration of zero or less does not wait.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/internal/command/changeoptions.go
+++ b/internal/command/changeoptions.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/twitchtv/twirp"
+
+	"buckthornlatch.example/buckthornlatch/internal/clock"
 )
 
 const (
@@ -41,7 +43,7 @@
 		if err == nil || !isOpen(err) {
 			return err
 		}
-		if attempt == sendAttempts || !sleep(ctx, sendPause) {
+		if attempt == sendAttempts || !clock.Sleep(ctx, sendPause) {
 			return fmt.Errorf("outcome unknown, repeat with --change-id %s: %w", o.ChangeID, err)
 		}
 	}
@@ -61,15 +63,3 @@
 	return answer.Code() == twirp.Unknown || answer.Code() == twirp.Internal ||
 		answer.Meta("http_error_from_intermediary") != ""
 }
-
-// sleep waits and reports false when ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/emulator/platform/server.go
+++ b/internal/emulator/platform/server.go
@@ -9,6 +9,7 @@
 
 	"github.com/twitchtv/twirp"
 
+	"buckthornlatch.example/buckthornlatch/internal/clock"
 	"buckthornlatch.example/buckthornlatch/internal/fault"
 	engine "buckthornlatch.example/buckthornlatch/internal/platform"
 	rpc "buckthornlatch.example/buckthornlatch/rpc/platform"
@@ -73,7 +74,7 @@
 // serveCall answers one platform call subject to the faults.
 func (s *Server) serveCall(w http.ResponseWriter, r *http.Request) {
 	faults, _ := s.switches.get()
-	if !sleep(r.Context(), faults.delay()) {
+	if !clock.Sleep(r.Context(), faults.delay()) {
 		panic(http.ErrAbortHandler)
 	}
 	switch s.switches.admit(isWrite(r)) {
@@ -94,18 +95,3 @@
 	method := path.Base(r.URL.Path)
 	return method == "Commit" || method == "PutObject"
 }
-
-// sleep waits for d and reports false when ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return true
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/emulator/target/target.go
+++ b/internal/emulator/target/target.go
@@ -1,7 +1,6 @@
 package target
 
 import (
-	"context"
 	"errors"
 	"io"
 	"math/rand/v2"
@@ -12,6 +11,7 @@
 	"sync"
 	"time"
 
+	"buckthornlatch.example/buckthornlatch/internal/clock"
 	"buckthornlatch.example/buckthornlatch/internal/fault"
 )
 
@@ -172,7 +172,7 @@
 	// The effect happens at the start of the service time, so that a caller
 	// that goes away later leaves a run behind, as a real booking would.
 	t.runs.Add(r.Header.Get(RequestIDHeader))
-	if !wait(r.Context(), t.serviceTime(mode)) {
+	if !clock.Sleep(r.Context(), t.serviceTime(mode)) {
 		return
 	}
 	w.Header().Set("X-Target", t.config.Name)
@@ -230,18 +230,6 @@
 	return t.server != nil
 }
 
-// wait sleeps for d; it returns false when the request is cancelled first.
-func wait(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // answer writes the answer body: the request id, or as many bytes as asked for.
 func answer(w http.ResponseWriter, r *http.Request) {
 	size, err := strconv.Atoi(r.Header.Get(AnswerBytesHeader))
--- a/internal/mesh/statesync/follow.go
+++ b/internal/mesh/statesync/follow.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"buckthornlatch.example/buckthornlatch/internal/clock"
 	"buckthornlatch.example/buckthornlatch/internal/id"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/roster"
 	"buckthornlatch.example/buckthornlatch/internal/platform"
@@ -46,7 +47,7 @@
 		case err == nil:
 			read, since, wait, watchWait = true, through, firstPause, WatchWait
 			s.reached(f.part)
-			if f.gather > 0 && !pause(ctx, f.gather) {
+			if f.gather > 0 && !clock.Sleep(ctx, f.gather) {
 				return
 			}
 			continue
@@ -60,7 +61,7 @@
 		s.failed(f.part, err)
 		watchWait = returnWait
 		// Half of the pause is random, so that the daemons do not return to a store in one wave.
-		if !pause(ctx, wait/2+rand.N(wait/2)) {
+		if !clock.Sleep(ctx, wait/2+rand.N(wait/2)) {
 			return
 		}
 		wait = min(2*wait, longestPause)
--- a/internal/mesh/statesync/publish.go
+++ b/internal/mesh/statesync/publish.go
@@ -6,6 +6,7 @@
 	"errors"
 	"math/rand/v2"
 
+	"buckthornlatch.example/buckthornlatch/internal/clock"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/roster"
 	"buckthornlatch.example/buckthornlatch/internal/platform"
 )
@@ -69,7 +70,7 @@
 			return
 		}
 		for !s.writeOwn(ctx) {
-			if !pause(ctx, wait/2+rand.N(wait/2)) {
+			if !clock.Sleep(ctx, wait/2+rand.N(wait/2)) {
 				return
 			}
 			wait = min(2*wait, longestPause)
--- a/internal/mesh/statesync/syncer.go
+++ b/internal/mesh/statesync/syncer.go
@@ -171,15 +171,3 @@
 	s.mu.Unlock()
 	s.config.Changed(p, v)
 }
-
-// pause waits after a failure. It reports false when ctx has ended.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
