--- a/internal/mesh/daemon/metrics.go
+++ b/internal/mesh/daemon/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"sync"
 	"time"
 
 	"buckthornlatch.example/buckthornlatch/internal/metrics"
@@ -18,6 +19,7 @@
 // reasons, never from callers.
 type meters struct {
 	scope    metrics.Scope
+	counters sync.Map
 	latency  metrics.Histogram
 	waited   metrics.Histogram
 	worked   metrics.Histogram
@@ -39,13 +41,29 @@
 	}
 }
 
+// counterKey names a counter with two labels.
+type counterKey struct {
+	name          string
+	first, second metrics.Label
+}
+
+// counter returns a counter with two labels. The scope would build its name from maps for each request.
+func (m *meters) counter(name string, first, second metrics.Label) metrics.Counter {
+	key := counterKey{name: name, first: first, second: second}
+	if known, ok := m.counters.Load(key); ok {
+		return known.(metrics.Counter)
+	}
+	created, _ := m.counters.LoadOrStore(key, m.scope.Counter(name, first, second))
+	return created.(metrics.Counter)
+}
+
 // Request implements entry.Metrics.
 func (m *meters) Request(status int, code string, took time.Duration) {
 	class := "gone"
 	if status > 0 {
 		class = strconv.Itoa(status/100) + "xx"
 	}
-	m.scope.Counter("requests_total", metrics.Label{Name: "status", Value: class}, metrics.Label{Name: "code", Value: code}).Inc(1)
+	m.counter("requests_total", metrics.Label{Name: "status", Value: class}, metrics.Label{Name: "code", Value: code}).Inc(1)
 	m.latency.RecordDuration(took)
 }
 
@@ -63,7 +81,7 @@
 
 // Attempt implements gate.Metrics.
 func (m *meters) Attempt(verdict, reason string, waited, worked time.Duration) {
-	m.scope.Counter("attempts_total", metrics.Label{Name: "verdict", Value: verdict}, metrics.Label{Name: "reason", Value: reason}).Inc(1)
+	m.counter("attempts_total", metrics.Label{Name: "verdict", Value: verdict}, metrics.Label{Name: "reason", Value: reason}).Inc(1)
 	m.waited.RecordDuration(waited)
 	m.worked.RecordDuration(worked)
 }
--- a/internal/mesh/slots/admission.go
+++ b/internal/mesh/slots/admission.go
@@ -76,9 +76,3 @@
 func (a *Admission) Load() (inUse, waiting, slots int) {
 	return len(a.running), len(a.queue), a.slots
 }
-
-// Suspected reports whether the target is suspected of failing its work.
-func (a *Admission) Suspected(now clock.Time) bool {
-	a.suspicion.settle(now)
-	return a.suspicion.suspected
-}
--- a/internal/mesh/targetconn/do_test.go
+++ b/internal/mesh/targetconn/do_test.go
@@ -53,7 +53,7 @@
 			Expect(string(response.Body)).To(Equal("done"))
 		}
 		Expect(seen).To(Equal([]string{"POST/a/b?c=%2Ftrails.exampleseats", "POST/a/b?c=%2Ftrails.exampleseats"}))
-		Expect(pool.Opened()).To(Equal(1))
+		Expect(int(target.accepted.Load())).To(Equal(1))
 	})
 
 	// Guards against a second answer that is taken for the answer to the next request.
@@ -69,7 +69,7 @@
 			Expect(err).NotTo(HaveOccurred())
 			Expect(string(response.Body)).To(Equal("ok"))
 		}
-		Expect(pool.Opened()).To(Equal(2))
+		Expect(int(target.accepted.Load())).To(Equal(2))
 	})
 
 	// Guards against an extra answer that comes late, where the next answer is expected: the right one must be read.
@@ -87,7 +87,7 @@
 			Expect(err).NotTo(HaveOccurred())
 			Expect(string(response.Body)).To(Equal("done"))
 		}
-		Expect(pool.Opened()).To(Equal(1))
+		Expect(int(target.accepted.Load())).To(Equal(1))
 	})
 
 	// Guards against answers that are cut or spoiled and look complete.
@@ -155,7 +155,7 @@
 			Expect(err).NotTo(HaveOccurred())
 			time.Sleep(20 * time.Millisecond)
 		}
-		Expect(pool.Opened()).To(Equal(3))
+		Expect(int(target.accepted.Load())).To(Equal(3))
 	})
 
 	// Guards against bytes of one request where the rest of another request's body is due.
--- a/internal/mesh/targetconn/pool.go
+++ b/internal/mesh/targetconn/pool.go
@@ -29,7 +29,6 @@
 	mu     sync.Mutex
 	idle   []*conn
 	closed bool
-	opened int
 }
 
 // New returns a pool without connections.
@@ -48,13 +47,6 @@
 	p.idle = nil
 }
 
-// Opened returns the number of connections made so far.
-func (p *Pool) Opened() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.opened
-}
-
 // get returns a connection that is alive.
 func (p *Pool) get(ctx context.Context, fresh bool) (*conn, error) {
 	for c := p.take(); c != nil; c = p.take() {
@@ -68,9 +60,6 @@
 	if err != nil {
 		return nil, err
 	}
-	p.mu.Lock()
-	p.opened++
-	p.mu.Unlock()
 	return newConn(netConn), nil
 }
 
