--- a/internal/mesh/daemon/harness_test.go
+++ b/internal/mesh/daemon/harness_test.go
@@ -17,7 +17,7 @@
 
 	"buckthornlatch.example/buckthornlatch/internal/id"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/daemon"
-	"buckthornlatch.example/buckthornlatch/internal/mesh/dialect"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/dialect/dialecttest"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/gate"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/logging"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/policy"
@@ -27,10 +27,7 @@
 )
 
 // headers are the header names of the tests.
-var headers = dialect.Headers{
-	RequestID: "Request-Id", Deadline: "Deadline", Seal: "Seal", Customer: "Customer", Target: "Target",
-	Instance: "Instance", NotRun: "Not-Run", Caller: "Caller",
-}
+var headers = dialecttest.Headers()
 
 // fleet is a number of daemons with one target each, before one store.
 type fleet struct {
--- a/internal/mesh/entry/harness_test.go
+++ b/internal/mesh/entry/harness_test.go
@@ -16,7 +16,7 @@
 	"buckthornlatch.example/buckthornlatch/internal/hop"
 	"buckthornlatch.example/buckthornlatch/internal/id"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/choose"
-	"buckthornlatch.example/buckthornlatch/internal/mesh/dialect"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/dialect/dialecttest"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/entry"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/link"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/policy"
@@ -24,10 +24,7 @@
 )
 
 // headers are the header names of the tests.
-var headers = dialect.Headers{
-	RequestID: "Request-Id", Deadline: "Deadline", Seal: "Seal", Customer: "Customer", Target: "Target",
-	Instance: "Instance", NotRun: "Not-Run", Caller: "Caller",
-}
+var headers = dialecttest.Headers()
 
 // gateFunc is the behaviour of one host's gate.
 type gateFunc func(ctx context.Context, a *link.Attempt, signals link.Signals) *link.Result
--- a/internal/mesh/gate/harness_test.go
+++ b/internal/mesh/gate/harness_test.go
@@ -15,7 +15,7 @@
 
 	"buckthornlatch.example/buckthornlatch/internal/clock"
 	"buckthornlatch.example/buckthornlatch/internal/id"
-	"buckthornlatch.example/buckthornlatch/internal/mesh/dialect"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/dialect/dialecttest"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/gate"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/link"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/policy"
@@ -24,10 +24,7 @@
 )
 
 // headers are the header names of the tests.
-var headers = dialect.Headers{
-	RequestID: "Request-Id", Deadline: "Deadline", Seal: "Seal", Customer: "Customer", Target: "Target",
-	Instance: "Instance", NotRun: "Not-Run", Caller: "Caller",
-}
+var headers = dialecttest.Headers()
 
 // harness is a gate behind a listener, with a target and a client of another host.
 type harness struct {
