Keep an outcome unknown when a resend finds no daemon

Cause: the load tool took the outcome of the last send. A booking whose answer was lost is sent again with its ticket; when that resend found no daemon, the whole request counted as refused, though no daemon had refused it. Ruled out: a refusal of the product, since the code connect-failed is the tool's own and means that nothing was sent. Change: such a request keeps its unknown outcome; a refusal by a daemon is judged as before.

--- a/internal/measuring/load/task.go
+++ b/internal/measuring/load/task.go
@@ -33,9 +33,17 @@
 
 // sends makes the first send and the resends of one request, each to the next
 // daemon: after a failed connection, and for a non-idempotent request after an
-// unknown outcome, with the same ticket.
+// unknown outcome, with the same ticket. A resend that finds no daemon leaves an
+// unknown outcome unknown: its "not run" is true of that send only.
 func (r *Runner) sends(ctx context.Context, c *caller, t task, record *Record) answer {
 	ticket, got := "", answer{outcome: RefusedNotRun}
+	var unknown *answer
+	final := func() answer {
+		if got.code == connectFailed && unknown != nil {
+			return *unknown
+		}
+		return got
+	}
 	for record.Sends < maxSends {
 		daemon := r.plan.Daemons[(t.daemon+record.Sends)%len(r.plan.Daemons)]
 		record.Sends++
@@ -51,11 +59,14 @@
 			ticket = issued
 		}
 		got = c.send(ctx, daemon, t.op, record.RequestID, ticket)
+		if got.outcome == Unknown {
+			unknown = new(got)
+		}
 		if !sendAgain(t.op, got) || !sleepUntil(ctx, time.Now().Add(resendDelay)) {
-			return got
+			return final()
 		}
 	}
-	return got
+	return final()
 }
 
 // sendAgain reports whether a caller sends a request again.
