--- a/internal/mesh/daemon/daemon.go
+++ b/internal/mesh/daemon/daemon.go
@@ -37,12 +37,13 @@
 	servers  []*server
 	draining atomic.Bool
 	stopping chan struct{}
+	ending   chan struct{}
 }
 
 // New returns a daemon without listeners.
 func New(config Config) *Daemon {
 	config.Headers = config.Headers.Canonical()
-	return &Daemon{config: config, clock: clock.NewSystem(), stopping: make(chan struct{})}
+	return &Daemon{config: config, clock: clock.NewSystem(), stopping: make(chan struct{}), ending: make(chan struct{})}
 }
 
 // Provision builds the parts and opens the listeners.
@@ -69,7 +70,7 @@
 	d.entry = entry.New(entry.Config{
 		Service: d.config.Service, Headers: d.config.Headers, Policy: d.syncer, Limits: d.limits,
 		Chooser: d.chooser, Sender: &sender{self: d.config.Host, gate: d.gate, client: d.client, syncer: d.syncer},
-		Draw: rand.Float64, Draining: d.draining.Load, Stopping: d.stopping, Log: d.config.Lines.Decisions, Metrics: d.meters,
+		Draw: rand.Float64, Draining: d.draining.Load, Stopping: d.stopping, Ending: d.ending, Log: d.config.Lines.Decisions, Metrics: d.meters,
 	})
 	return d.listen()
 }
--- a/internal/mesh/daemon/drain.go
+++ b/internal/mesh/daemon/drain.go
@@ -11,10 +11,13 @@
 	// leaveTime is how long callers are still served after the signal: they are told by a probe each second and leave
 	// after two that fail.
 	leaveTime = 2600 * time.Millisecond
+	// endMargin is left of the grace period when the last requests are answered. It is the time for their answers, on a
+	// host with a third of a core.
+	endMargin = 250 * time.Millisecond
 	// exitMargin is left of the grace period for the end of the process.
-	exitMargin = 350 * time.Millisecond
-	// giveUpShare is the part of the grace period after which requests still in flight are answered with what is known
-	// of them. Targets that work until then have had most of the period.
+	exitMargin = 100 * time.Millisecond
+	// giveUpShare is the part of the grace period after which requests that no target works on are answered. Those that
+	// a target works on have until endMargin before the end of the period.
 	giveUpShare = 0.9
 	// drainPoll is the period of the check whether requests are still being served.
 	drainPoll = 20 * time.Millisecond
@@ -36,6 +39,8 @@
 	defer cancel()
 	giveUp := time.AfterFunc(time.Until(started.Add(time.Duration(giveUpShare*float64(grace)))), func() { close(d.stopping) })
 	defer giveUp.Stop()
+	end := time.AfterFunc(time.Until(started.Add(max(grace-endMargin, 0))), func() { close(d.ending) })
+	defer end.Stop()
 	for _, s := range d.servers {
 		if s.name == callersServer {
 			s.shutdown(ctx, d.config.Lines.Events)
--- a/internal/mesh/entry/config.go
+++ b/internal/mesh/entry/config.go
@@ -26,11 +26,11 @@
 	Draw func() float64
 	// Draining reports whether callers should move to another connection.
 	Draining func() bool
-	// Stopping is closed shortly before the process ends; requests still in flight are then answered with what is
-	// known of them.
-	Stopping <-chan struct{}
-	Log      zerolog.Logger
-	Metrics  Metrics
+	// Stopping is closed some time before the process ends: attempts that do not run by then are ended. Ending is closed
+	// right before the end: all others are ended too, and each request is answered with what is known of it.
+	Stopping, Ending <-chan struct{}
+	Log              zerolog.Logger
+	Metrics          Metrics
 }
 
 // PolicySource knows the operator's configuration.
--- a/internal/mesh/entry/session.go
+++ b/internal/mesh/entry/session.go
@@ -76,7 +76,7 @@
 	if !s.next(ctx) {
 		return nil, s.exhausted()
 	}
-	stopping := s.entry.config.Stopping
+	stopping, ending := s.entry.config.Stopping, s.entry.config.Ending
 	for {
 		select {
 		case e := <-s.events:
@@ -88,7 +88,10 @@
 			return s.timedOut()
 		case <-stopping:
 			stopping = nil
-			s.giveUp()
+			s.giveUp(func(a *attempt) bool { return !a.running })
+		case <-ending:
+			ending = nil
+			s.giveUp(func(*attempt) bool { return true })
 		}
 		if len(s.active) > 0 {
 			if s.hedging && s.refusedLast && s.mayRepeat() {
@@ -137,11 +140,13 @@
 	return !s.stopped && (s.runs == 0 || s.mayRepeat())
 }
 
-// giveUp ends all attempts before the process does, so that the caller learns what became of its request.
-func (s *session) giveUp() {
+// giveUp ends attempts before the process does, so that the caller learns what became of its request.
+func (s *session) giveUp(which func(*attempt) bool) {
 	s.stopped = true
 	for _, a := range s.active {
-		a.cancel(errStopping)
+		if which(a) {
+			a.cancel(errStopping)
+		}
 	}
 }
 
