End the runs of a stopping gate before its process ends

Cause: a run that outlived the grace period of its gate ended with a broken link at the end of the process, 0.1 s before the grace period was over. The gate now ends its runs together with the requests of its own entry and tells their entries so.

--- a/internal/mesh/daemon/drain.go
+++ b/internal/mesh/daemon/drain.go
@@ -39,7 +39,10 @@
 	defer cancel()
 	giveUp := time.AfterFunc(time.Until(started.Add(time.Duration(giveUpShare*float64(grace)))), func() { close(d.stopping) })
 	defer giveUp.Stop()
-	end := time.AfterFunc(time.Until(started.Add(max(grace-endMargin, 0))), func() { close(d.ending) })
+	end := time.AfterFunc(time.Until(started.Add(max(grace-endMargin, 0))), func() {
+		close(d.ending)
+		d.gate.End()
+	})
 	defer end.Stop()
 	for _, s := range d.servers {
 		if s.name == callersServer {
--- a/internal/mesh/entry/outcome.go
+++ b/internal/mesh/entry/outcome.go
@@ -79,7 +79,7 @@
 		report.Kind = choose.Unreachable
 	case r.Reason == link.Reason(slots.Full), r.Reason == link.Reason(slots.TooLate), r.Reason == link.Reason(slots.RepeatsUsedUp):
 		report.Kind = choose.Busy
-	case r.Reason == link.Ended, r.Reason == link.OutOfTime, r.Reason == link.BodyBroken:
+	case r.Reason == link.Ended, r.Reason == link.GateStopped, r.Reason == link.OutOfTime, r.Reason == link.BodyBroken:
 		report.Kind = choose.Ended
 	default:
 		report.Kind = choose.Declined
--- a/internal/mesh/gate/gate.go
+++ b/internal/mesh/gate/gate.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"errors"
 	"sync"
 
 	"buckthornlatch.example/buckthornlatch/internal/mesh/choose"
@@ -36,6 +37,19 @@
 	g.answer(g.slots.Close())
 }
 
+// End ends the attempts that still run, before the process does, so that their entries learn it from the gate and not
+// from a broken link.
+func (g *Gate) End() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, w := range g.working {
+		w.cancel(errStopped)
+	}
+}
+
+// errStopped ends an attempt because the gate's process ends.
+var errStopped = errors.New("the daemon is stopping")
+
 // SetRepeatBudget sets this gate's part of the budget for repeated attempts. Without one, no repeat is admitted.
 func (g *Gate) SetRepeatBudget(b slots.RepeatBudget) {
 	g.mu.Lock()
--- a/internal/mesh/gate/gate_test.go
+++ b/internal/mesh/gate/gate_test.go
@@ -222,6 +222,25 @@
 		Expect(h.gate.Idle()).To(BeTrue())
 	})
 
+	// Guards against runs that end only with the process: the entry then sees a broken link at the very end of the grace
+	// period, when its own stop may have begun (trouble-2 of zfb-mesh, seed 467369992015).
+	It("ends what still runs when it is told to", func() {
+		h := newHarness(after(make(chan struct{})))
+		running := make(chan *link.Result, 1)
+		go func() {
+			result, _ := h.remote(ctx, attempt("seats"))
+			running <- result
+		}()
+		Eventually(h.requests).Should(HaveLen(1))
+		h.gate.Drain()
+		h.gate.End()
+		var result *link.Result
+		Eventually(running).Should(Receive(&result))
+		Expect(result.Verdict).To(Equal(hop.Unknown))
+		Expect(result.Reason).To(Equal(link.GateStopped))
+		Eventually(h.gate.Idle).Should(BeTrue())
+	})
+
 	Context("broken links", func() {
 		// Guards against a booking that counts as unknown although its body never left the entry.
 		It("do not run an attempt whose body was not asked for", func() {
--- a/internal/mesh/gate/judge.go
+++ b/internal/mesh/gate/judge.go
@@ -39,7 +39,7 @@
 		w.done(outcome)
 		return result
 	}
-	result.Rest = &slotHolder{ReadCloser: r.Rest, done: func() { w.done(outcome); w.cancel() }}
+	result.Rest = &slotHolder{ReadCloser: r.Rest, done: func() { w.done(outcome); w.release() }}
 	return result
 }
 
@@ -69,6 +69,9 @@
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		w.done(slots.TimedOut)
 		result.Reason = link.OutOfTime
+	case errors.Is(context.Cause(ctx), errStopped):
+		w.done(slots.Cancelled)
+		result.Reason = link.GateStopped
 	case ctx.Err() != nil:
 		w.done(slots.Cancelled)
 		result.Reason = link.Ended
--- a/internal/mesh/gate/work.go
+++ b/internal/mesh/gate/work.go
@@ -30,7 +30,9 @@
 	target  *target
 	signals link.Signals
 	// cancel ends the exchange with the target.
-	cancel context.CancelFunc
+	cancel context.CancelCauseFunc
+	// release frees the resources of the attempt's context, and ends the exchange too.
+	release func()
 	// hopeless receives one value when the admission would give the attempt up; it never blocks the sender.
 	hopeless chan struct{}
 }
@@ -38,10 +40,15 @@
 // Do runs an attempt and returns what became of it. Cancelling ctx ends it.
 func (g *Gate) Do(ctx context.Context, a *link.Attempt, signals link.Signals) *link.Result {
 	w := &work{gate: g, attempt: a, signals: signals, arrived: time.Now(), hopeless: make(chan struct{}, 1)}
-	ctx, w.cancel = context.WithTimeout(ctx, a.Remaining)
+	ctx, w.cancel = context.WithCancelCause(ctx)
+	ctx, stopTimer := context.WithTimeout(ctx, a.Remaining)
+	w.release = func() {
+		stopTimer()
+		w.cancel(nil)
+	}
 	result := w.run(ctx)
 	if result.Rest == nil {
-		w.cancel()
+		w.release()
 	}
 	g.mu.Lock()
 	result.Load, result.LoadKnown = g.load(), true
--- a/internal/mesh/link/result.go
+++ b/internal/mesh/link/result.go
@@ -24,6 +24,7 @@
 	BodyBroken     Reason = "body-broken"
 	OutOfTime      Reason = "out-of-time"
 	GateDraining   Reason = "gate-draining"
+	GateStopped    Reason = "gate-stopped"
 	Ended          Reason = "ended"
 )
 
