--- a/internal/mesh/entry/entry_test.go
+++ b/internal/mesh/entry/entry_test.go
@@ -214,6 +214,21 @@
 			Expect(h.do("POST", "/book/1", "").Code).To(Equal(http.StatusServiceUnavailable))
 		})
 
+		// Guards against a request that waits for a repeat although its run was ended by a stop long after its objective,
+		// until its own host is stopped too: seed 467369992015 of trouble-2 on zfb-mesh.
+		It("answers a late request at once when the gate of its run has stopped", func() {
+			h := newHarness(3)
+			h.first(func(_ context.Context, _ *link.Attempt, signals link.Signals) *link.Result {
+				signals.Started()
+				signals.Overdue()
+				time.Sleep(1100 * time.Millisecond)
+				return &link.Result{Verdict: hop.Unknown, Reason: link.GateStopped}
+			}, queue)
+			started := time.Now()
+			Expect(h.do("GET", "/browse/1", "").Code).To(Equal(http.StatusBadGateway))
+			Expect(time.Since(started)).To(BeNumerically("<", 2*time.Second))
+		})
+
 		// Guards against runs that are ended sooner than they must be: seed 1048449329165 of zfb-mesh.
 		It("leaves what a target works on until the end", func() {
 			h := newHarness(1)
--- a/internal/mesh/entry/outcome.go
+++ b/internal/mesh/entry/outcome.go
@@ -34,6 +34,11 @@
 	case hop.Unknown:
 		s.arrivals++
 		s.runs++
+		if result.Reason == link.GateStopped && s.objective() <= 0 {
+			// The run was overdue for the whole grace period. A repeat would most likely wait into the next planned stop
+			// and fail there.
+			s.giveUp(func(a *attempt) bool { return !a.running })
+		}
 	case hop.NotRun:
 		s.refused(a, result)
 	}
