Keep requests that crash targets away from them

The quarantine of the product now works in the mesh: a gate reports the attempts in flight when its target refuses connections after breaking one off, the evidence travels in the host's record, and entries and gates refuse a request that two or three crashes single out, with 503 and the time at which the quarantine ends. The fingerprint moves from the entry to package quarantine, which both interfaces use.

--- a/internal/membership/suspect.go
+++ b/internal/membership/suspect.go
@@ -9,18 +9,18 @@
 // Suspect is one host's evidence that a request may crash targets.
 type Suspect struct {
 	// Fingerprint identifies the request.
-	Fingerprint string
+	Fingerprint string `json:"fingerprint"`
 	// Crashed lists the host's targets that crashed while the request was in flight.
-	Crashed []CrashRef
+	Crashed []CrashRef `json:"crashed,omitempty"`
 	// Cleared lists crashes, of any host, after which the host saw a completed run of the request.
-	Cleared []CrashRef
+	Cleared []CrashRef `json:"cleared,omitempty"`
 }
 
 // CrashRef names one crash of a target.
 type CrashRef struct {
-	Target id.TargetID
+	Target id.TargetID `json:"target"`
 	// Number identifies the crash among those of the target.
-	Number uint64
+	Number uint64 `json:"number"`
 	// Age is the time from the crash to the publication of the evidence, rounded down.
-	Age time.Duration
+	Age time.Duration `json:"age"`
 }
--- /dev/null
+++ b/internal/mesh/crashes/crashes_suite_test.go
@@ -0,0 +1,13 @@
+package crashes_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestCrashes(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "slots")
+}
--- /dev/null
+++ b/internal/mesh/daemon/crash_test.go
@@ -0,0 +1,56 @@
+package daemon_test
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// crashOn makes the host's target crash when it gets a request whose path ends so. It is back after a moment, as the same
+// incarnation to the gate, which learns a new one only with the next announcement.
+func (h *host) crashOn(suffix string) {
+	address := strings.TrimPrefix(h.target.URL, "http://")
+	h.behave(func(w http.ResponseWriter, r *http.Request) {
+		if !strings.HasSuffix(r.URL.Path, suffix) {
+			w.Header().Set("Seal", "s")
+			fmt.Fprint(w, "done")
+			return
+		}
+		_ = h.target.Listener.Close()
+		conn, _, err := http.NewResponseController(w).Hijack()
+		Expect(err).NotTo(HaveOccurred())
+		_ = conn.Close()
+		time.AfterFunc(300*time.Millisecond, func() {
+			defer GinkgoRecover()
+			listener, err := net.Listen("tcp", address)
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(listener.Close)
+			go func() { _ = http.Serve(listener, h.target.Config.Handler) }()
+		})
+	})
+}
+
+var _ = Describe("A request that crashes targets", func() {
+	// Guards against a request that takes target after target while its caller sends it again: the evidence of one host
+	// must reach the others.
+	It("is kept away from the others after a few crashes", func() {
+		f := newFleet(5)
+		for _, h := range f.hosts {
+			h.crashOn("poison")
+		}
+		for i := range 8 {
+			f.hosts[i%5].post("school-key", "poison")
+			time.Sleep(rosterDelay)
+		}
+		Expect(f.runsOf("poison")).To(BeNumerically("<=", 3))
+		got := f.hosts[0].post("school-key", "poison")
+		Expect(got.status).To(Equal(http.StatusServiceUnavailable))
+		Expect(got.retryAfter).To(Equal("600.000"))
+		Expect(f.hosts[1].post("school-key", "harmless").status).To(Equal(http.StatusOK))
+	})
+})
--- a/internal/mesh/daemon/daemon.go
+++ b/internal/mesh/daemon/daemon.go
@@ -11,6 +11,7 @@
 	"buckthornlatch.example/buckthornlatch/internal/fault"
 	"buckthornlatch.example/buckthornlatch/internal/id"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/choose"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/crashes"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/entry"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/gate"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/limits"
@@ -33,6 +34,7 @@
 	client   *link.Client
 	chooser  *choose.Shared
 	limits   *limits.Limits
+	evidence *crashes.Evidence
 	entry    *entry.Entry
 	servers  []*server
 	draining atomic.Bool
@@ -59,8 +61,10 @@
 		Self: d.config.Host, Store: d.config.Store, Keys: d.config.Keys, Decode: d.config.DecodePolicy,
 		Seeds: d.config.Seeds, Changed: d.stateChanged, Restored: func(r roster.Record) { d.gate.Restore(r) }, Log: d.config.Lines.Events,
 	})
+	d.evidence = crashes.New(d.config.Host, id.Incarnation(rand.Uint64()), d.clock)
 	d.gate = gate.New(gate.Config{
-		Host: d.config.Host, Domain: d.config.Domain, Service: d.config.Service, TargetAddress: d.config.TargetAddress,
+		Evidence: d.evidence,
+		Host:     d.config.Host, Domain: d.config.Domain, Service: d.config.Service, TargetAddress: d.config.TargetAddress,
 		Headers: d.config.Headers, Clock: d.clock, Version: d.syncer.Version, Changed: d.publish,
 		Log: d.config.Lines.Decisions, Events: d.config.Lines.Events, Metrics: d.meters,
 	})
@@ -68,7 +72,7 @@
 		Self: d.config.Host, Clock: d.clock, HTTP: newControlClient(), Distance: d.distance, Incarnation: id.Epoch(rand.Uint64()),
 	})
 	d.entry = entry.New(entry.Config{
-		Service: d.config.Service, Headers: d.config.Headers, Policy: d.syncer, Limits: d.limits,
+		Service: d.config.Service, Headers: d.config.Headers, Policy: d.syncer, Limits: d.limits, Evidence: d.evidence,
 		Chooser: d.chooser, Sender: &sender{self: d.config.Host, gate: d.gate, client: d.client, syncer: d.syncer},
 		Draw: rand.Float64, Draining: d.draining.Load, Stopping: d.stopping, Ending: d.ending, Log: d.config.Lines.Decisions, Metrics: d.meters,
 	})
@@ -84,6 +88,9 @@
 	})
 	d.limits.Update(d.clock.Now(), p, view)
 	d.gate.SetRepeatBudget(d.repeats())
+	if err := d.evidence.Merge(view); err != nil {
+		d.config.Lines.Events.Warn().Err(err).Msg("daemon: evidence about crashes ignored")
+	}
 }
 
 // leavingWait is how long the acknowledgement of a leaving target waits for the store. The record keeps a restarted
@@ -170,6 +177,7 @@
 			d.limits.Tick(d.clock.Now())
 			d.gate.SetRepeatBudget(d.repeats())
 			d.forgetLost(ctx)
+			d.publishEvidence()
 			d.meters.setLost(d.config.Lines.Lost())
 		case <-ctx.Done():
 			return
@@ -177,6 +185,16 @@
 	}
 }
 
+// publishEvidence writes the host's record when its evidence about crashes has changed.
+func (d *Daemon) publishEvidence() {
+	if !d.evidence.Refresh() {
+		return
+	}
+	if r, known := d.gate.Record(); known {
+		d.syncer.Publish(r)
+	}
+}
+
 // lostAfter is how long no attempt at a host may have reached it before its record is removed. It is above the few
 // minutes for which regions lose each other, and far below the time in which records of lost hosts would add up.
 const lostAfter = 15 * time.Minute
--- a/internal/mesh/entry/config.go
+++ b/internal/mesh/entry/config.go
@@ -22,6 +22,8 @@
 	Limits  Admitter
 	Chooser *choose.Shared
 	Sender  Sender
+	// Evidence keeps requests that crash targets away from them.
+	Evidence Evidence
 	// Draw returns a random number in [0, 1).
 	Draw func() float64
 	// Draining reports whether callers should move to another connection.
@@ -50,6 +52,13 @@
 	Send(ctx context.Context, host id.HostID, a *link.Attempt, signals link.Signals) *link.Result
 }
 
+// Evidence is what is known of requests that crash targets.
+type Evidence interface {
+	// Any reports whether there is any evidence, Quarantined whether it keeps a request away from targets.
+	Any() bool
+	Quarantined(fingerprint string) bool
+}
+
 // Metrics counts what an entry does.
 type Metrics interface {
 	// Request counts a request that was answered with a status, or 0 when its caller went away.
--- a/internal/mesh/entry/entry_test.go
+++ b/internal/mesh/entry/entry_test.go
@@ -14,6 +14,7 @@
 	"buckthornlatch.example/buckthornlatch/internal/hop"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/link"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/slots"
+	"buckthornlatch.example/buckthornlatch/internal/quarantine"
 	"buckthornlatch.example/buckthornlatch/internal/ratelimit"
 )
 
@@ -191,6 +192,30 @@
 		})
 	})
 
+	Context("requests that crash targets", func() {
+		poison := quarantine.Fingerprint("school", "book", "POST", "/book/1", []byte("seats"))
+
+		// Guards against a request that takes one target after the other, and against an answer that leaves open whether
+		// it has run.
+		It("are refused without an attempt", func() {
+			h := newHarness(2)
+			h.poison = poison
+			response := h.do("POST", "/book/1?again=1", "seats")
+			Expect(response.Code).To(Equal(http.StatusServiceUnavailable))
+			Expect(response.Header().Get("Retry-After")).To(Equal("600.000"))
+			Expect(h.attempts()).To(BeEmpty())
+			Expect(h.do("POST", "/book/2", "seats").Code).To(Equal(http.StatusOK))
+		})
+
+		// Guards against an entry without evidence that asks every gate in turn.
+		It("are refused when one gate knows them", func() {
+			h := newHarness(4)
+			h.each(refuse(link.Quarantined, 0))
+			Expect(h.do("POST", "/book/1", "seats").Code).To(Equal(http.StatusServiceUnavailable))
+			Expect(h.attempts()).To(HaveLen(1))
+		})
+	})
+
 	Context("silent hosts", func() {
 		// Guards against a booking that is lost because its host fell silent before it got the body.
 		It("moves on when a host does not show that it has the attempt", func() {
--- a/internal/mesh/entry/handler.go
+++ b/internal/mesh/entry/handler.go
@@ -4,12 +4,14 @@
 	"context"
 	"errors"
 	"net/http"
+	"strings"
 	"time"
 
 	"buckthornlatch.example/buckthornlatch/internal/hop"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/link"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/worktime"
 	"buckthornlatch.example/buckthornlatch/internal/problem"
+	"buckthornlatch.example/buckthornlatch/internal/quarantine"
 	"buckthornlatch.example/buckthornlatch/internal/ratelimit"
 )
 
@@ -63,6 +65,9 @@
 	if refused := q.readBody(r); refused != nil {
 		return refused, nil
 	}
+	if e.quarantined(q) {
+		return quarantinedRefusal(), nil
+	}
 	s := newSession(e, q)
 	result, refused := s.run(ctx)
 	if refused != nil {
@@ -76,6 +81,21 @@
 	return nil, nil
 }
 
+// quarantined reports whether a request is kept away from targets because it crashes them.
+func (e *Entry) quarantined(q *query) bool {
+	if !e.config.Evidence.Any() {
+		return false
+	}
+	path, _, _ := strings.Cut(q.request.RequestURI, "?")
+	return e.config.Evidence.Quarantined(quarantine.Fingerprint(q.customerID(), q.route.ID, q.request.Method, path, q.body.Data))
+}
+
+// quarantinedRefusal refuses such a request. It is a promise that the request has not run, and says when the quarantine
+// ends at the earliest.
+func quarantinedRefusal() *refusal {
+	return &refusal{code: problem.RequestQuarantined, status: http.StatusServiceUnavailable, retryAfter: quarantine.Expiry}
+}
+
 // errOutOfTime ends a request at its deadline.
 var errOutOfTime = errors.New("the request's time is up")
 
--- a/internal/mesh/entry/harness_test.go
+++ b/internal/mesh/entry/harness_test.go
@@ -43,6 +43,8 @@
 	age      time.Duration
 	snapshot *policy.Snapshot
 	denied   error
+	// poison is the fingerprint of a quarantined request.
+	poison string
 }
 
 // sentAttempt is one attempt that the entry made.
@@ -89,7 +91,7 @@
 	h.entry = entry.New(entry.Config{
 		Service: "desk", Headers: headers, Policy: h, Limits: h, Chooser: choose.NewShared(chooser, clk), Sender: h,
 		Draw: func() float64 { return 0 }, Draining: func() bool { return false }, Stopping: h.stopping, Ending: h.ending,
-		Log: zerolog.Nop(), Metrics: noMetrics{},
+		Log: zerolog.Nop(), Metrics: noMetrics{}, Evidence: h,
 	})
 	return h
 }
@@ -109,6 +111,12 @@
 	return gate(ctx, a, signals)
 }
 
+// Any implements entry.Evidence.
+func (h *harness) Any() bool { return h.poison != "" }
+
+// Quarantined implements entry.Evidence.
+func (h *harness) Quarantined(fingerprint string) bool { return fingerprint == h.poison }
+
 // attempts returns what was sent so far.
 func (h *harness) attempts() []sentAttempt {
 	h.mu.Lock()
--- a/internal/mesh/entry/outcome.go
+++ b/internal/mesh/entry/outcome.go
@@ -62,6 +62,8 @@
 	}
 	s.inVain = max(s.inVain, time.Since(a.sentAt))
 	switch result.Reason {
+	case link.Quarantined:
+		s.quarantined = true
 	case link.Reason(slots.Full):
 		s.fullAsked++
 		s.full = append(s.full, host)
@@ -113,6 +115,9 @@
 	if s.runs > 0 {
 		return &refusal{code: problem.OutcomeUnknown, maybeRan: true}
 	}
+	if s.quarantined {
+		return quarantinedRefusal()
+	}
 	retryAfter := max(s.retryAfter, s.inVain/2)
 	if s.retryAfter == 0 {
 		retryAfter = max(retryAfter, defaultRetryAfter)
--- a/internal/mesh/entry/session.go
+++ b/internal/mesh/entry/session.go
@@ -54,6 +54,8 @@
 	hedging bool
 	// refusedLast says that the last attempt that ended was refused.
 	refusedLast bool
+	// quarantined says that a gate refused the request because it crashes targets.
+	quarantined bool
 	// stopped says that the process is about to end.
 	stopped bool
 	// fallback is a target's failure, delivered when no repeat does better.
@@ -137,7 +139,7 @@
 
 // mayContinue reports whether another attempt is permitted after all earlier ones have ended.
 func (s *session) mayContinue() bool {
-	return !s.stopped && (s.runs == 0 || s.mayRepeat())
+	return !s.stopped && !s.quarantined && (s.runs == 0 || s.mayRepeat())
 }
 
 // giveUp ends attempts before the process does, so that the caller learns what became of its request.
@@ -156,5 +158,5 @@
 // mayRepeat reports whether the request may be attempted beside or after an attempt that may have run.
 func (s *session) mayRepeat() bool {
 	q := s.query
-	return q.route.Idempotent && q.body.Repeatable() && s.repeatRefusals < maxRepeatRefusals && !s.stopped && s.runs+len(s.active) < q.route.MaxAttempts
+	return !s.quarantined && q.route.Idempotent && q.body.Repeatable() && s.repeatRefusals < maxRepeatRefusals && !s.stopped && s.runs+len(s.active) < q.route.MaxAttempts
 }
--- a/internal/mesh/gate/gate.go
+++ b/internal/mesh/gate/gate.go
@@ -71,7 +71,7 @@
 	}
 	return roster.Record{
 		Host: g.config.Host, Domain: g.config.Domain, Service: g.config.Service,
-		State: g.target.state, Slots: g.target.slots, Target: g.target.incarnation,
+		State: g.target.state, Slots: g.target.slots, Target: g.target.incarnation, Suspects: g.config.Evidence.Published(),
 	}, true
 }
 
--- a/internal/mesh/gate/gate_test.go
+++ b/internal/mesh/gate/gate_test.go
@@ -241,6 +241,31 @@
 		Eventually(h.gate.Idle).Should(BeTrue())
 	})
 
+	// Guards against crashes that leave no evidence, and against a target that resets a connection and counts as crashed.
+	It("knows a crash from a broken connection", func() {
+		h := newHarness(func(w http.ResponseWriter, _ *http.Request) {
+			conn, _, err := http.NewResponseController(w).Hijack()
+			Expect(err).NotTo(HaveOccurred())
+			_ = conn.Close()
+		})
+		result, _ := h.remote(ctx, attempt("seats"))
+		Expect(result.Reason).To(Equal(link.TargetBroken))
+		Expect(h.evidence.Any()).To(BeFalse())
+		h.mu.Lock()
+		h.serve = func(w http.ResponseWriter, _ *http.Request) {
+			_ = h.listener.Close()
+			conn, _, err := http.NewResponseController(w).Hijack()
+			Expect(err).NotTo(HaveOccurred())
+			_ = conn.Close()
+		}
+		h.mu.Unlock()
+		_, _ = h.remote(ctx, attempt("seats"))
+		Expect(h.evidence.Any()).To(BeTrue())
+		Expect(h.evidence.Refresh()).To(BeTrue())
+		record, _ := h.gate.Record()
+		Expect(record.Suspects).NotTo(BeEmpty())
+	})
+
 	Context("broken links", func() {
 		// Guards against a booking that counts as unknown although its body never left the entry.
 		It("do not run an attempt whose body was not asked for", func() {
--- a/internal/mesh/gate/harness_test.go
+++ b/internal/mesh/gate/harness_test.go
@@ -15,6 +15,7 @@
 
 	"buckthornlatch.example/buckthornlatch/internal/clock"
 	"buckthornlatch.example/buckthornlatch/internal/id"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/crashes"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/dialect/dialecttest"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/gate"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/link"
@@ -31,6 +32,9 @@
 	gate   *gate.Gate
 	host   id.HostID
 	client *link.Client
+	// evidence is what the gate knows of crashes, listener the target's.
+	evidence *crashes.Evidence
+	listener net.Listener
 
 	mu        sync.Mutex
 	published []roster.Record
@@ -52,9 +56,11 @@
 		serve(w, r)
 	}))
 	DeferCleanup(target.Close)
+	h.listener = target.Listener
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	h.host = id.HostID(listener.Addr().String())
+	h.evidence = crashes.New(h.host, 1, clock.NewSystem())
 	h.gate = gate.New(gate.Config{
 		Host: h.host, Domain: "north", Service: "walks", TargetAddress: strings.TrimPrefix(target.URL, "http://"),
 		Headers: headers, Clock: clock.NewSystem(), Version: func() policy.Version { return 7 },
@@ -63,7 +69,7 @@
 			defer h.mu.Unlock()
 			h.published = append(h.published, r)
 		},
-		Log: zerolog.Nop(), Events: zerolog.Nop(), Metrics: noMetrics{},
+		Log: zerolog.Nop(), Events: zerolog.Nop(), Metrics: noMetrics{}, Evidence: h.evidence,
 	})
 	h.gate.SetRepeatBudget(slots.RepeatBudget{Allowance: 10, Window: 10 * time.Second})
 	server := &http.Server{Handler: h.gate}
--- a/internal/mesh/gate/work.go
+++ b/internal/mesh/gate/work.go
@@ -5,7 +5,9 @@
 	"time"
 
 	"buckthornlatch.example/buckthornlatch/internal/hop"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/crashes"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/link"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/roster"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/slots"
 )
 
@@ -75,7 +77,32 @@
 		w.done(slots.Cancelled)
 		return refusal
 	}
-	return w.exchange(ctx)
+	evidence := w.gate.config.Evidence
+	fingerprint := crashes.Fingerprint(w.attempt)
+	if evidence.Any() && evidence.Quarantined(fingerprint) {
+		w.done(slots.Cancelled)
+		return refused(link.Quarantined, 0)
+	}
+	evidence.Started(fingerprint)
+	result := w.exchange(ctx)
+	if result.Verdict == hop.Unknown && result.Reason == link.TargetBroken && w.crashed(ctx) {
+		evidence.Crashed()
+	}
+	evidence.Ended(fingerprint, result.Verdict == hop.Ran)
+	return result
+}
+
+// crashed reports whether the target refuses connections after it broke an attempt off, without having said that it
+// leaves. A target that resets some of its connections still accepts new ones.
+func (w *work) crashed(ctx context.Context) bool {
+	w.gate.mu.Lock()
+	leaving := w.target.state != roster.Serving
+	w.gate.mu.Unlock()
+	if leaving || !w.target.pool.Refuses(ctx) {
+		return false
+	}
+	w.gate.config.Events.Warn().Str("target", w.target.incarnation.ID).Str("request", w.attempt.RequestID).Msg("gate: target crashed")
+	return true
 }
 
 // done frees the slot.
--- a/internal/mesh/link/result.go
+++ b/internal/mesh/link/result.go
@@ -25,6 +25,7 @@
 	OutOfTime      Reason = "out-of-time"
 	GateDraining   Reason = "gate-draining"
 	GateStopped    Reason = "gate-stopped"
+	Quarantined    Reason = "quarantined"
 	Ended          Reason = "ended"
 )
 
--- a/internal/mesh/roster/record.go
+++ b/internal/mesh/roster/record.go
@@ -11,6 +11,8 @@
 	State   State             `json:"state"`
 	Slots   int               `json:"slots"`
 	Target  TargetIncarnation `json:"target"`
+	// Suspects is the host's evidence about requests that crash targets, in the form of package crashes.
+	Suspects string `json:"suspects,omitempty"`
 }
 
 // TargetIncarnation identifies one start of a target.
--- a/internal/mesh/targetconn/pool.go
+++ b/internal/mesh/targetconn/pool.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -63,6 +65,17 @@
 	return newConn(netConn), nil
 }
 
+// Refuses reports whether the target's host refuses a new connection, as it does when nothing listens there. A
+// connection that is made is kept for the next request.
+func (p *Pool) Refuses(ctx context.Context) bool {
+	netConn, err := p.dialer.DialContext(ctx, "tcp", p.address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	p.put(newConn(netConn))
+	return false
+}
+
 // take removes the connection that was used last, or returns nil.
 func (p *Pool) take() *conn {
 	p.mu.Lock()
--- /dev/null
+++ b/internal/quarantine/fingerprint.go
@@ -0,0 +1,34 @@
+package quarantine
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"hash"
+	"strconv"
+
+	"buckthornlatch.example/buckthornlatch/internal/id"
+)
+
+// Fingerprint identifies a request for the evidence about crashes. It covers customer, route, method, path and the
+// beginning of the body. It leaves out the query, so that a changed query parameter does not evade a quarantine.
+func Fingerprint(customer id.CustomerID, route id.RouteID, method, path string, body []byte) string {
+	return Digest([]byte(customer), []byte(route), []byte(method), []byte(path), body)
+}
+
+// Digest hashes parts so that two of them cannot run into each other. It returns the first half of the hash in
+// hexadecimal digits.
+func Digest(parts ...[]byte) string {
+	h := sha256.New()
+	for _, part := range parts {
+		writePart(h, part)
+	}
+	var full [sha256.Size]byte
+	return hex.EncodeToString(h.Sum(full[:0])[:sha256.Size/2])
+}
+
+// writePart adds a part with its length.
+func writePart(h hash.Hash, part []byte) {
+	var length [20]byte
+	_, _ = h.Write(append(strconv.AppendInt(length[:0], int64(len(part)), 10), ':'))
+	_, _ = h.Write(part)
+}
