Hold attempts back and watch gates only at hosts that were not reached

Empty bodies of idempotent attempts are now held back at hosts whose latest attempt failed to reach them, and an overdue attempt is repeated without its gate's word when its host is not reached any more. Repeats need time for an answer, and a request that only waited until its time was up gets a promise that it has not run (503) instead of 504.

The three entry specs failed first.

--- a/internal/mesh/choose/chooser.go
+++ b/internal/mesh/choose/chooser.go
@@ -148,6 +148,12 @@
 	}
 }
 
+// Unreached reports whether the latest attempt to reach a host has failed.
+func (c *Chooser) Unreached(name id.HostID) bool {
+	h := c.hosts[name]
+	return h != nil && h.failures > 0
+}
+
 // Targets returns the number of serving targets of a service.
 func (c *Chooser) Targets(service id.ServiceName) int {
 	n := 0
--- a/internal/mesh/choose/shared.go
+++ b/internal/mesh/choose/shared.go
@@ -65,6 +65,13 @@
 	s.chooser.Report(s.clock.Now(), host, r)
 }
 
+// Unreached is Chooser.Unreached.
+func (s *Shared) Unreached(host id.HostID) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.chooser.Unreached(host)
+}
+
 // Targets is Chooser.Targets.
 func (s *Shared) Targets(service id.ServiceName) int {
 	s.mu.Lock()
--- a/internal/mesh/entry/entry_test.go
+++ b/internal/mesh/entry/entry_test.go
@@ -12,6 +12,7 @@
 	. "github.com/onsi/gomega"
 
 	"buckthornlatch.example/buckthornlatch/internal/hop"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/choose"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/link"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/slots"
 	"buckthornlatch.example/buckthornlatch/internal/quarantine"
@@ -138,6 +139,56 @@
 		})
 	})
 
+	Context("time", func() {
+		// Guards against a second attempt that cannot be answered in time and uses up the budget for repeats: on
+		// trouble-3 of zfb-mesh, reads that hung until 15 ms before their deadline were then attempted once more.
+		It("is not repeated when too little of it is left", func() {
+			h := newHarness(3)
+			h.each(func(_ context.Context, a *link.Attempt, signals link.Signals) *link.Result {
+				signals.Started()
+				time.Sleep(a.Remaining - 15*time.Millisecond)
+				return &link.Result{Verdict: hop.Ran, Reason: link.Answered, Status: http.StatusGatewayTimeout, Header: http.Header{"Seal": {"s"}}}
+			})
+			response := h.do("GET", "/browse/1", "", func(r *http.Request) { r.Header.Set("Deadline", "300") })
+			Expect(response.Code).To(Equal(http.StatusGatewayTimeout))
+			Expect(h.attempts()).To(HaveLen(1))
+		})
+
+		// Guards against an outcome that is left open although the request only waited: a booking could then not be made
+		// again.
+		It("ends with a promise for a request that waited all the while", func() {
+			h := newHarness(2)
+			h.each(queue)
+			response := h.do("POST", "/book/1", "seats", func(r *http.Request) { r.Header.Set("Deadline", "300") })
+			Expect(response.Code).To(Equal(http.StatusServiceUnavailable))
+			Expect(response.Header().Get("Retry-After")).NotTo(BeEmpty())
+		})
+
+		// Guards against a read that waits for a gate which has died with its host: in trouble-3 of zfb-mesh such a read
+		// had no second attempt for four seconds.
+		It("is not spent on a gate that tells nothing any more", func() {
+			h := newHarness(3)
+			h.each(func(ctx context.Context, a *link.Attempt, s link.Signals) *link.Result {
+				s.Started()
+				time.Sleep(20 * time.Millisecond)
+				return answer(http.StatusOK)(ctx, a, s)
+			})
+			for range 8 {
+				Expect(h.do("GET", "/browse/1", "").Code).To(Equal(http.StatusOK))
+			}
+			before := len(h.attempts())
+			h.first(func(ctx context.Context, a *link.Attempt, s link.Signals) *link.Result {
+				host := h.attempts()[before].host
+				time.AfterFunc(100*time.Millisecond, func() { h.chooser.Report(host, choose.Report{Kind: choose.Unreachable}) })
+				return hang(hop.Unknown, false)(ctx, a, s)
+			}, answer(http.StatusOK))
+			started := time.Now()
+			Expect(h.do("GET", "/browse/1", "").Code).To(Equal(http.StatusOK))
+			Expect(time.Since(started)).To(BeNumerically("<", 2*time.Second))
+			Expect(h.attempts()[before:]).To(HaveLen(2))
+		})
+	})
+
 	Context("load", func() {
 		// Guards against callers that are turned away while a gate would have room soon.
 		It("waits at a gate when all are full", func() {
--- a/internal/mesh/entry/event.go
+++ b/internal/mesh/entry/event.go
@@ -13,6 +13,8 @@
 	overdue
 	hopeless
 	silent
+	// quiet means that the attempt is overdue by what the entry knows, whatever its gate tells.
+	quiet
 )
 
 // event is something that happened to an attempt.
--- a/internal/mesh/entry/handle.go
+++ b/internal/mesh/entry/handle.go
@@ -21,8 +21,11 @@
 			s.entry.config.Chooser.Report(e.attempt.host, choose.Report{Kind: choose.Overdue})
 			s.hedge(ctx)
 		}
+	case quiet:
+		s.quietFor(ctx, e.attempt)
 	case started:
 		e.attempt.running, e.attempt.runningSince = true, time.Now()
+		s.watchGate(e.attempt)
 		s.dropHopeless()
 	case hopeless:
 		if s.active[e.attempt.host] == e.attempt {
@@ -36,6 +39,27 @@
 	return nil, false
 }
 
+// watchGate takes a running attempt for overdue when its gate cannot tell so, because its host is not reached any more.
+func (s *session) watchGate(a *attempt) {
+	limit := s.entry.worktimes.OverdueAfter(s.query.route.ID)
+	if limit == 0 || s.active[a.host] != a {
+		return
+	}
+	a.quiet = time.AfterFunc(limit, func() { s.tell(event{kind: quiet, attempt: a}) })
+}
+
+// quietFor decides on an attempt that is overdue by the entry's own knowledge and of which the gate has told nothing.
+func (s *session) quietFor(ctx context.Context, a *attempt) {
+	if s.active[a.host] != a || s.hedging {
+		return
+	}
+	if s.entry.config.Chooser.Unreached(a.host) {
+		s.hedge(ctx)
+		return
+	}
+	a.quiet.Reset(quietPeriod)
+}
+
 // hedge starts to look for another host beside an attempt that is overdue. All hosts but those in use are asked anew,
 // since what they told when the request came is out of date.
 func (s *session) hedge(ctx context.Context) {
--- a/internal/mesh/entry/next.go
+++ b/internal/mesh/entry/next.go
@@ -69,7 +69,7 @@
 		RequestID: q.requestID, Service: q.service, Caller: s.entry.config.Service, Route: q.route.ID,
 		Customer: q.customerID(), Rank: q.rank(), Nested: q.nested(), Idempotent: q.route.Idempotent,
 		Repeat: s.arrivals > 0 || len(s.active) > 1, Forced: forced,
-		Remaining: time.Until(q.deadline), Objective: s.objective(), Patience: patience,
+		HoldBack: s.entry.config.Chooser.Unreached(host), Remaining: time.Until(q.deadline), Objective: s.objective(), Patience: patience,
 		OverdueAfter: s.entry.worktimes.OverdueAfter(q.route.ID), Policy: q.policy.Version(),
 		Method: q.request.Method, URI: q.request.RequestURI, Host: q.request.Host, Header: q.header,
 		Body: q.body,
--- a/internal/mesh/entry/outcome.go
+++ b/internal/mesh/entry/outcome.go
@@ -13,7 +13,7 @@
 
 // ended takes the end of an attempt into account.
 func (s *session) ended(a *attempt, result *link.Result) (*link.Result, bool) {
-	a.silence.Stop()
+	a.stopTimers()
 	delete(s.active, a.host)
 	s.tries = append(s.tries, try{
 		Host: a.host, Verdict: result.Verdict, Reason: result.Reason, TookMS: time.Since(a.sentAt).Milliseconds(),
@@ -94,22 +94,36 @@
 	return report
 }
 
+// settleTime bounds the wait for the verdicts of attempts that ended with the request's time. They are known on this
+// host: an attempt whose body was not released has not run.
+const settleTime = 20 * time.Millisecond
+
 // timedOut ends a request whose time is up or whose caller is gone.
 func (s *session) timedOut() (*link.Result, *refusal) {
+	settled := time.NewTimer(settleTime)
+	defer settled.Stop()
+	for waiting := true; waiting && len(s.active) > 0; {
+		select {
+		case e := <-s.events:
+			if e.kind != ended {
+				continue
+			}
+			if result, done := s.ended(e.attempt, e.result); done {
+				return result, nil
+			}
+		case <-settled.C:
+			waiting = false
+		}
+	}
 	if s.fallback != nil {
 		return s.takeFallback(), nil
 	}
-	if s.runs == 0 && !s.mayBeRunning() {
+	if s.runs == 0 && len(s.active) == 0 {
 		return nil, s.exhausted()
 	}
 	return nil, &refusal{code: problem.OutcomeUnknown, status: http.StatusGatewayTimeout, maybeRan: true}
 }
 
-// mayBeRunning reports whether an attempt in flight may have reached a target.
-func (s *session) mayBeRunning() bool {
-	return len(s.active) > 0
-}
-
 // exhausted refuses a request for which no host is left.
 func (s *session) exhausted() *refusal {
 	if s.runs > 0 {
--- a/internal/mesh/entry/session.go
+++ b/internal/mesh/entry/session.go
@@ -22,6 +22,13 @@
 	maxWaits = 2
 	// maxRepeatRefusals bounds the gates that are asked for a part of the budget for repeats.
 	maxRepeatRefusals = 3
+	// leastRepeat is the least time that must be left for a repeat, repeatMargin the least part of the usual work time.
+	// A gate hands over no attempt with less than that part either.
+	leastRepeat  = 50 * time.Millisecond
+	repeatMargin = 0.7
+	// quietPeriod is the time between two looks at the host of an overdue attempt of which its gate tells nothing. Gates
+	// judge by their own target, which may be slower than others, so that their silence alone proves nothing.
+	quietPeriod = 500 * time.Millisecond
 	// patienceShare is the largest part of the time left that a request waits for a slot at one host.
 	patienceShare = 0.3
 	// nestedPatienceShare is that of a nested request, whose refusal wastes the work of the target that made it.
@@ -118,7 +125,7 @@
 func (s *session) end() {
 	close(s.stop)
 	for _, a := range s.active {
-		a.silence.Stop()
+		a.stopTimers()
 		a.cancel(errNotNeeded)
 		s.entry.config.Chooser.Finish(a.host, choose.Report{Kind: choose.Ended})
 	}
@@ -158,5 +165,14 @@
 // mayRepeat reports whether the request may be attempted beside or after an attempt that may have run.
 func (s *session) mayRepeat() bool {
 	q := s.query
-	return !s.quarantined && q.route.Idempotent && q.body.Repeatable() && s.repeatRefusals < maxRepeatRefusals && !s.stopped && s.runs+len(s.active) < q.route.MaxAttempts
+	if !q.route.Idempotent || !q.body.Repeatable() || s.quarantined || s.stopped {
+		return false
+	}
+	return s.repeatRefusals < maxRepeatRefusals && s.runs+len(s.active) < q.route.MaxAttempts && s.timeForRepeat()
+}
+
+// timeForRepeat reports whether a repeat can be answered in time. One that cannot would use up the budget for others.
+func (s *session) timeForRepeat() bool {
+	usual := s.entry.worktimes.Mean(s.query.route.ID)
+	return time.Until(s.query.deadline) >= max(leastRepeat, time.Duration(repeatMargin*float64(usual)))
 }
--- a/internal/mesh/link/attempt.go
+++ b/internal/mesh/link/attempt.go
@@ -33,6 +33,9 @@
 	OverdueAfter time.Duration
 	// Patience bounds the wait for a slot.
 	Patience time.Duration
+	// HoldBack says that even the empty body of an idempotent attempt is held back, because the host was not reached
+	// lately.
+	HoldBack bool
 	// Policy is the version in force at the entry.
 	Policy policy.Version
 
--- a/internal/mesh/link/client.go
+++ b/internal/mesh/link/client.go
@@ -113,12 +113,14 @@
 		Method: a.Method, URL: &url.URL{Scheme: "http", Host: address, Opaque: a.URI}, Host: a.Host,
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Header: header,
 	}
-	c.body = &heldBody{source: a.Body.reader()}
-	r.Body, r.ContentLength = c.body, a.Body.Length
-	header["Expect"] = []string{"100-continue"}
-	if a.Body.Empty() || a.Body.Length < 0 {
-		// The last chunk of an empty body is what the gate waits for.
-		r.ContentLength, r.TransferEncoding = -1, []string{"chunked"}
+	if !a.Idempotent || !a.Body.Empty() || a.HoldBack {
+		c.body = &heldBody{source: a.Body.reader()}
+		r.Body, r.ContentLength = c.body, a.Body.Length
+		header["Expect"] = []string{"100-continue"}
+		if a.Body.Empty() || a.Body.Length < 0 {
+			// The last chunk of an empty body is what the gate waits for.
+			r.ContentLength, r.TransferEncoding = -1, []string{"chunked"}
+		}
 	}
 	trace := hop.Trace(func(bool) {}, c.markSent)
 	trace.Got1xxResponse = func(code int, _ textproto.MIMEHeader) error {
@@ -152,7 +154,7 @@
 	if !c.sent.Load() {
 		r.Verdict, r.Reason = hop.NotRun, NotConnected
 	}
-	if !c.body.seal() {
+	if c.body != nil && !c.body.seal() {
 		r.Verdict = hop.NotRun
 	}
 	return r
--- a/internal/mesh/link/doc.go
+++ b/internal/mesh/link/doc.go
@@ -5,9 +5,10 @@
 //
 // The gate shows with an informational response that it has the attempt, and with another one that the attempt takes
 // far longer than usual. The body of an attempt is held back until the gate asks for it, and the gate asks only when
-// it has a slot. Even an empty body is held back: as long as the gate did not get it, the attempt provably was not run,
-// whatever happened to the connection. It then costs nothing of the budget for repeats either, so that hosts that fall
-// silent do not use up what is meant for targets that fail.
+// it has a slot. For an attempt on a route that is not idempotent even an empty body is held back: as long as the
+// gate did not get it, the attempt provably was not run, whatever happened to the connection. The same holds for
+// idempotent attempts at hosts that were not reached lately. They then cost nothing of the budget for repeats, so that
+// silent hosts do not use up what is meant for targets that fail. At other hosts it would hold a slot for a round trip.
 //
 // Failures: a call never returns an error. A connection that could not be made, or that broke before the body was
 // released, gives the verdict not-run; any later break gives unknown.
--- a/internal/mesh/worktime/table.go
+++ b/internal/mesh/worktime/table.go
@@ -40,3 +40,13 @@
 	}
 	return 0
 }
+
+// Mean returns the usual duration of an attempt on a route; zero when too little is known.
+func (t *Table) Mean(route id.RouteID) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e := t.estimates[route]; e.Known() {
+		return e.Mean()
+	}
+	return 0
+}
