Count hosts below a comfortable use as alike when placing

Each entry preferred the least busy of the few hosts that it knows, so that 114 attempts in 2 s went 13 to one target and 0 to nine of 38.

Some targets still get few requests: a host of which nothing is known comes after known free ones.

--- a/internal/mesh/choose/chooser.go
+++ b/internal/mesh/choose/chooser.go
@@ -13,6 +13,9 @@
 const (
 	// farPenalty is the use by which a host of another failure domain must be less busy to be preferred.
 	farPenalty = 0.3
+	// comfortable is the use below which hosts count as alike. To prefer the least busy one of those serves nobody, and
+	// entries that know the same free hosts would leave the others without work.
+	comfortable = 0.4
 	// ownBonus prefers the entry's own host, to which no bytes travel.
 	ownBonus = 0.1
 	// restPenalty puts resting hosts behind all others without ruling them out.
@@ -96,7 +99,7 @@
 
 // cost orders hosts; lower is better.
 func (c *Chooser) cost(now clock.Time, h *host) float64 {
-	cost := h.use(now) + jitter*c.random.Float64()
+	cost := max(h.use(now), comfortable) + jitter*c.random.Float64()
 	if h.record.Domain != c.domain {
 		cost += farPenalty
 	}
