--- a/internal/mesh/gate/work.go
+++ b/internal/mesh/gate/work.go
@@ -77,6 +77,11 @@
 		w.done(slots.Cancelled)
 		return refusal
 	}
+	return w.handOver(ctx)
+}
+
+// handOver gives the attempt to the target unless its request is known to crash targets, and takes a crash as evidence.
+func (w *work) handOver(ctx context.Context) *link.Result {
 	evidence := w.gate.config.Evidence
 	fingerprint := crashes.Fingerprint(w.attempt)
 	if evidence.Any() && evidence.Quarantined(fingerprint) {
