Serve a configuration that is newer than the daemon

Change: only a configuration that cannot be read at all is ignored, with an error line and a counter. A route or customer with an unknown or impossible value is served with the most careful choice or refused with 503 configuration-invalid, with a warning that names it.

--- a/internal/mesh/daemon/daemon.go
+++ b/internal/mesh/daemon/daemon.go
@@ -60,6 +60,7 @@
 	d.syncer = statesync.New(statesync.Config{
 		Self: d.config.Host, Store: d.config.Store, Keys: d.config.Keys, Decode: d.config.DecodePolicy,
 		Seeds: d.config.Seeds, OnChange: d.stateChanged, OnRestored: func(r roster.Record) { d.gate.Restore(r) }, Log: d.config.Loggers.Events,
+		Metrics: d.meters,
 	})
 	d.evidence = crashes.New(d.config.Host, id.Incarnation(rand.Uint64()), d.clock)
 	d.gate = gate.New(gate.Config{
--- a/internal/mesh/daemon/metrics.go
+++ b/internal/mesh/daemon/metrics.go
@@ -27,6 +27,10 @@
 	repeats      metrics.Counter
 	droppedLines metrics.Gauge
 	inFlight     inFlight
+
+	policiesRejected metrics.Counter
+	policyWarnings   metrics.Gauge
+	recordsIgnored   metrics.Counter
 }
 
 // newMeters creates the metrics.
@@ -39,6 +43,10 @@
 		repeats:      scope.Counter("repeats_total"),
 		droppedLines: scope.Gauge("log_lines_lost"),
 		inFlight:     inFlight{gauge: scope.Gauge("requests_in_flight")},
+
+		policiesRejected: scope.Counter("policies_rejected_total"),
+		policyWarnings:   scope.Gauge("policy_warnings"),
+		recordsIgnored:   scope.Counter("host_records_ignored_total"),
 	}
 }
 
@@ -75,6 +83,15 @@
 // Repeat implements entry.Metrics.
 func (m *meters) Repeat() { m.repeats.Inc(1) }
 
+// PolicyRejected implements statesync.Metrics.
+func (m *meters) PolicyRejected() { m.policiesRejected.Inc(1) }
+
+// PolicyWarnings implements statesync.Metrics.
+func (m *meters) PolicyWarnings(parts int) { m.policyWarnings.Update(float64(parts)) }
+
+// RecordIgnored implements statesync.Metrics.
+func (m *meters) RecordIgnored() { m.recordsIgnored.Inc(1) }
+
 // Begin implements entry.Metrics.
 func (m *meters) Begin() { m.inFlight.add(1) }
 
--- a/internal/mesh/entry/entry_test.go
+++ b/internal/mesh/entry/entry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -14,6 +15,7 @@
 	"buckthornlatch.example/buckthornlatch/internal/hop"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/choose"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/link"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/policy"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/slots"
 	"buckthornlatch.example/buckthornlatch/internal/quarantine"
 	"buckthornlatch.example/buckthornlatch/internal/ratelimit"
@@ -56,6 +58,35 @@
 			Entry("unknown route, store unreachable", "/other/", "school-key", time.Minute, http.StatusServiceUnavailable),
 		)
 
+		// Guards against a final denial where the operator's configuration has the route or the customer, but cannot be
+		// followed.
+		DescribeTable("answers 503 for what is configured and cannot be followed",
+			func(path, key string) {
+				h := newHarness(1)
+				part := []policy.WeightedService{{Service: "walks", Weight: 1}}
+				snapshot, err := policy.Build(policy.Document{
+					Version: 8, Services: []string{"walks"}, CustomersMissing: true,
+					Routes: []policy.Route{
+						{ID: "good", Host: "trails.example", Prefix: "/good/", MaxAttempts: 1, Services: part},
+						{ID: "odd", Host: "trails.example", Prefix: "/odd/", MaxAttempts: 1},
+					},
+					Customers: []policy.Customer{
+						{ID: "school", Keys: []string{"school-key"}}, {ID: "odd", Keys: []string{"odd-key"}, RatePerSecond: math.NaN()},
+					},
+				})
+				Expect(err).NotTo(HaveOccurred())
+				h.snapshot = snapshot
+				response := h.do("GET", path, "", func(r *http.Request) { r.Header.Set("Authorization", "Bearer "+key) })
+				Expect(response.Code).To(Equal(http.StatusServiceUnavailable))
+				Expect(response.Body.String()).To(ContainSubstring("configuration-invalid"))
+				Expect(h.attempts()).To(BeEmpty())
+				Expect(h.do("GET", "/good/1", "").Code).To(Equal(http.StatusOK))
+			},
+			Entry("route", "/odd/1", "school-key"),
+			Entry("customer", "/good/1", "odd-key"),
+			Entry("unknown key while a customer is missing", "/good/1", "other"),
+		)
+
 		// Guards against a final denial by a host that has no configuration yet.
 		It("answers 503 before the first configuration", func() {
 			h := newHarness(1)
--- a/internal/mesh/entry/request.go
+++ b/internal/mesh/entry/request.go
@@ -21,6 +21,8 @@
 	staleRetryAfter = 500 * time.Millisecond
 	// noPolicyRetryAfter is the Retry-After of refusals by a host that has no configuration yet.
 	noPolicyRetryAfter = 250 * time.Millisecond
+	// invalidRetryAfter is the Retry-After of refusals that last until the operator corrects the configuration.
+	invalidRetryAfter = 5 * time.Second
 	// defaultTimeout applies to routes without a timeout.
 	defaultTimeout = 30 * time.Second
 	// bearerScheme is the prefix of the Authorization header, compared without case.
@@ -56,6 +58,9 @@
 	if req.route == nil {
 		return req.denied(problem.RouteUnknown)
 	}
+	if req.route.Unservable != "" {
+		return invalidConfiguration()
+	}
 	key, given := bearerToken(req.httpRequest.Header)
 	if !req.route.Public && req.policy.HasCustomers() {
 		if !given {
@@ -64,14 +69,26 @@
 		if req.customer = req.policy.ByKey(key); req.customer == nil {
 			return req.denied(problem.KeyInvalid)
 		}
+		if req.customer.Unservable != "" {
+			return invalidConfiguration()
+		}
 	}
 	req.service = req.route.PickService(e.config.Random())
 	req.deadline, req.deadlineFromCaller = e.deadline(req)
 	return nil
 }
 
-// denied refuses a request for its route or key. If the configuration may be out of date, the refusal is retryable.
+// invalidConfiguration refuses a request whose route or customer has an invalid configuration.
+func invalidConfiguration() *refusal {
+	return &refusal{code: problem.ConfigurationInvalid, retryAfter: invalidRetryAfter}
+}
+
+// denied refuses a request for its route or key. If the configuration may be out of date, or lacks the customer that
+// the key may belong to, the refusal is retryable.
 func (req *request) denied(code problem.Code) *refusal {
+	if code == problem.KeyInvalid && req.policy.CustomersMissing() {
+		return invalidConfiguration()
+	}
 	if req.policyAge > staleAfter {
 		return &refusal{code: problem.KeysStale, retryAfter: staleRetryAfter}
 	}
--- a/internal/mesh/policy/document.go
+++ b/internal/mesh/policy/document.go
@@ -7,6 +7,10 @@
 	Services  []string
 	Customers []Customer
 	Bounds    Bounds
+	// CustomersMissing is set if a customer could not be decoded, so that an unknown key may belong to it.
+	CustomersMissing bool
+	// Warnings lists the parts that the decoder left out or replaced.
+	Warnings []Warning
 	// Raw is the configuration as the operator wrote it. Daemons send it to each other.
 	Raw []byte
 }
--- a/internal/mesh/policy/route.go
+++ b/internal/mesh/policy/route.go
@@ -25,9 +25,11 @@
 	Timeout time.Duration
 	// Objective is the latency objective: the time within which an answer is worth most to its caller. Zero means none.
 	Objective time.Duration
-	// Services share the requests of the route. Build requires that no weight is negative and that their
-	// sum is positive.
+	// Services share the requests of the route. Build leaves out those that are unknown or have no positive weight.
 	Services []WeightedService
+	// Unservable is why no request of the route can be served as configured; empty if they can. Such a route keeps its
+	// prefix, so that its requests are refused and do not match a shorter prefix.
+	Unservable string
 	// totalWeight is the sum of the parts' weights.
 	totalWeight float64
 }
--- a/internal/mesh/statesync/config.go
+++ b/internal/mesh/statesync/config.go
@@ -56,6 +56,17 @@
 	// Normally an earlier process of the host wrote it.
 	OnRestored func(roster.Record)
 	Log        zerolog.Logger
+	Metrics    Metrics
+}
+
+// Metrics records what the syncer could not take over.
+type Metrics interface {
+	// PolicyRejected counts a policy that cannot be read at all.
+	PolicyRejected()
+	// PolicyWarnings sets the number of parts of the policy in force that were left out or replaced.
+	PolicyWarnings(parts int)
+	// RecordIgnored counts an invalid host record.
+	RecordIgnored()
 }
 
 // Keys are the row keys of the shared state in the store.
--- a/internal/mesh/statesync/syncer.go
+++ b/internal/mesh/statesync/syncer.go
@@ -147,14 +147,10 @@
 
 // setPolicy puts a policy in force if it is valid and newer than the current one.
 func (s *Syncer) setPolicy(raw []byte, source string) {
-	document, err := s.config.Decode(raw)
-	if err != nil {
-		s.config.Log.Error().Err(err).Str("source", source).Msg("sync: ignored an invalid policy")
-		return
-	}
-	snapshot, err := policy.Build(document)
+	snapshot, err := s.decodePolicy(raw)
 	if err != nil {
-		s.config.Log.Error().Err(err).Str("source", source).Msg("sync: ignored an invalid policy")
+		s.config.Metrics.PolicyRejected()
+		s.config.Log.Error().Err(err).Str("source", source).Msg("sync: unreadable policy ignored; the last one stays in force")
 		return
 	}
 	s.mu.Lock()
@@ -166,10 +162,37 @@
 		"policy %d replaces a newer one", snapshot.Version())
 	s.policy = snapshot
 	s.mu.Unlock()
+	s.logWarnings(snapshot)
 	s.notify()
 	s.config.Log.Info().Uint64("policy", uint64(snapshot.Version())).Str("source", source).Msg("sync: policy in force")
 }
 
+// decodePolicy decodes and validates a policy.
+func (s *Syncer) decodePolicy(raw []byte) (*policy.Snapshot, error) {
+	document, err := s.config.Decode(raw)
+	if err != nil {
+		return nil, err
+	}
+	return policy.Build(document)
+}
+
+// maxLoggedWarnings bounds the log lines about the warnings of one policy.
+const maxLoggedWarnings = 20
+
+// logWarnings logs the parts of a new policy that are not in force as the operator wrote them.
+func (s *Syncer) logWarnings(snapshot *policy.Snapshot) {
+	warnings := snapshot.Warnings()
+	s.config.Metrics.PolicyWarnings(len(warnings))
+	for i, w := range warnings {
+		if i == maxLoggedWarnings {
+			s.config.Log.Warn().Uint64("policy", uint64(snapshot.Version())).Int("more", len(warnings)-i).Msg("sync: further parts of the policy not in force as written")
+			return
+		}
+		s.config.Log.Warn().Uint64("policy", uint64(snapshot.Version())).Str("item", w.Item).Str("reason", w.Reason).
+			Msg("sync: part of the policy not in force as written")
+	}
+}
+
 // notify calls Config.OnChange with the current state.
 func (s *Syncer) notify() {
 	s.notifyMu.Lock()
--- a/internal/mesh/statesync/watch.go
+++ b/internal/mesh/statesync/watch.go
@@ -189,6 +189,7 @@
 	}
 	var record roster.Record
 	if err := json.Unmarshal(row.Value, &record); err != nil || record.Host != host || !record.Valid() {
+		s.config.Metrics.RecordIgnored()
 		s.config.Log.Warn().AnErr("cause", err).Str("key", row.Key).Msg("sync: ignored an invalid host record")
 		return
 	}
--- a/internal/metrics/set.go
+++ b/internal/metrics/set.go
@@ -20,7 +20,7 @@
 // codes are the refusal codes used as label values.
 var codes = []string{
 	string(problem.KeyMissing), string(problem.KeyInvalid), string(problem.KeysStale), string(problem.RouteUnknown),
-	string(problem.RouteForbidden), string(problem.RateExceeded), string(problem.RateUnconfirmed),
+	string(problem.RouteForbidden), string(problem.ConfigurationInvalid), string(problem.RateExceeded), string(problem.RateUnconfirmed),
 	string(problem.QueueFull), string(problem.DeadlineTooShort), string(problem.NoTarget), string(problem.Draining),
 	string(problem.RequestQuarantined), string(problem.TicketsUnavailable), string(problem.TicketInvalid),
 	string(problem.TicketExpired), string(problem.IssuerLost), string(problem.KeyReused), string(problem.InProgress),
--- a/internal/problem/code.go
+++ b/internal/problem/code.go
@@ -12,6 +12,7 @@
 	KeysStale             Code = "keys-stale"
 	RouteUnknown          Code = "route-unknown"
 	RouteForbidden        Code = "route-forbidden"
+	ConfigurationInvalid  Code = "configuration-invalid"
 	RateExceeded          Code = "rate-exceeded"
 	RateUnconfirmed       Code = "rate-unconfirmed"
 	QueueFull             Code = "queue-full"
@@ -48,6 +49,7 @@
 	KeysStale:             {http.StatusServiceUnavailable, "The daemon cannot confirm that keys are current"},
 	RouteUnknown:          {http.StatusNotFound, "No route matches the request"},
 	RouteForbidden:        {http.StatusForbidden, "The route is not open to this customer"},
+	ConfigurationInvalid:  {http.StatusServiceUnavailable, "The configuration of the route or customer is invalid"},
 	RateExceeded:          {http.StatusTooManyRequests, "The customer's rate is used up"},
 	RateUnconfirmed:       {http.StatusServiceUnavailable, "The homes of the customer's rate cannot be reached"},
 	QueueFull:             {http.StatusServiceUnavailable, "The queue before the targets is full"},
