Skip odd entries of the roster and of targets, and leave a target that left

Change: records and announcements are checked field by field and skipped alone, logged once per version and counted; the own record is written again; a restored record that follows the announced state wins, and a peer's copy is restored while the store is unreachable; the gate compares the deadline with the clock.

--- a/internal/mesh/gate/admit.go
+++ b/internal/mesh/gate/admit.go
@@ -91,7 +91,8 @@
 // recheck checks right before dispatch that ctx, the gate and the target still permit the attempt. They may have
 // changed since the attempt was queued or admitted.
 func (e *execution) recheck(ctx context.Context) *link.Result {
-	if ctx.Err() != nil {
+	// After a pause of the process, the timer of ctx may not have fired yet.
+	if deadline, limited := ctx.Deadline(); ctx.Err() != nil || (limited && !time.Now().Before(deadline)) {
 		return newRefusal(link.OutOfTime, 0)
 	}
 	g := e.gate
--- a/internal/mesh/gate/announcement.go
+++ b/internal/mesh/gate/announcement.go
@@ -31,17 +31,25 @@
 	return fmt.Sprintf("announcement of target %q: %s", e.Target, e.Reason)
 }
 
+// maxSequence is far above the number of announcements of any incarnation. A larger number would make all later ones
+// look outdated.
+const maxSequence = 1 << 40
+
 // validate checks an announcement against the service of this host.
-func (a Announcement) validate(service id.ServiceName) error {
+func (a Announcement) validate(service id.ServiceName, now time.Time) error {
 	switch {
 	case a.Target.ID == "":
 		return &AnnouncementError{Reason: "the id is missing"}
+	case !a.Target.Valid(now):
+		return &AnnouncementError{Target: a.Target.ID, Reason: "the start time is impossible"}
 	case a.State == roster.Gone:
 		return nil
 	case a.Service != service:
 		return &AnnouncementError{Target: a.Target.ID, Reason: "service " + string(a.Service) + " is not this host's"}
-	case a.Slots <= 0:
-		return &AnnouncementError{Target: a.Target.ID, Reason: "the number of slots is not positive"}
+	case a.Slots <= 0 || !roster.ValidSlots(a.Slots):
+		return &AnnouncementError{Target: a.Target.ID, Reason: "the number of slots is impossible"}
+	case a.Sequence > maxSequence:
+		return &AnnouncementError{Target: a.Target.ID, Reason: "the sequence number is impossible"}
 	case a.State != roster.Serving && a.State != roster.Draining:
 		return &AnnouncementError{Target: a.Target.ID, Reason: "the state is unknown"}
 	}
--- a/internal/mesh/gate/gate.go
+++ b/internal/mesh/gate/gate.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"sync"
+	"time"
 
 	"buckthornlatch.example/buckthornlatch/internal/mesh/choose"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/roster"
@@ -78,7 +79,7 @@
 // Announce applies an announcement. When it returns, no further attempt is admitted for a target that is draining or
 // gone. The error is an *AnnouncementError; a stale announcement is not an error and leaves the record unchanged.
 func (g *Gate) Announce(a Announcement) error {
-	if err := a.validate(g.config.Service); err != nil {
+	if err := a.validate(g.config.Service, time.Now()); err != nil {
 		return err
 	}
 	g.mu.Lock()
@@ -140,21 +141,34 @@
 	g.deliver(g.slots.Open(g.config.Clock.Now(), t.slots))
 }
 
-// Restore takes over the record that an earlier process on this host wrote. It does nothing once the target has
-// announced itself.
+// Restore takes over the record that an earlier process on this host wrote, if it is later than what the target has
+// announced to this process: an announcement that was delayed on its way must not undo that the target is leaving.
 func (g *Gate) Restore(r roster.Record) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.target != nil || r.Host != g.config.Host || r.Service != g.config.Service || r.Target.ID == "" {
+	if r.Host != g.config.Host || r.Service != g.config.Service || r.Target.ID == "" || !g.precedes(r) {
 		return
 	}
-	g.replace(r.Target)
+	if g.target == nil || g.target.incarnation != r.Target {
+		g.replace(r.Target)
+	}
 	g.target.state, g.target.slots = r.State, r.Slots
 	g.updateAdmission()
 	g.config.EventLog.Info().Str("target", r.Target.ID).Int64("born", r.Target.StartedMS).Str("state", string(r.State)).
 		Msg("gate: target restored from the host's record")
 }
 
+// precedes reports whether the known state of the target is earlier than that in a record of an earlier process.
+func (g *Gate) precedes(r roster.Record) bool {
+	if g.target == nil {
+		return true
+	}
+	if g.target.incarnation == r.Target {
+		return r.State.Follows(g.target.state)
+	}
+	return r.Target.StartedMS > g.target.incarnation.StartedMS
+}
+
 // deliver passes turns to the waiting attempts.
 func (g *Gate) deliver(turns []slots.Turn) {
 	for _, turn := range turns {
--- a/internal/mesh/gate/gate_test.go
+++ b/internal/mesh/gate/gate_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strings"
@@ -178,6 +179,10 @@
 			Entry("no id", func(a *gate.Announcement) { a.Target.ID = "" }),
 			Entry("another service", func(a *gate.Announcement) { a.Service = "guides" }),
 			Entry("no slots", func(a *gate.Announcement) { a.Slots = 0 }),
+			Entry("more slots than possible", func(a *gate.Announcement) { a.Slots = math.MaxInt }),
+			Entry("a start time in the far future", func(a *gate.Announcement) { a.Target.StartedMS = math.MaxInt64 }),
+			Entry("a negative start time", func(a *gate.Announcement) { a.Target.StartedMS = -1 }),
+			Entry("an impossible sequence number", func(a *gate.Announcement) { a.Sequence = math.MaxUint64 }),
 			Entry("an unknown state", func(a *gate.Announcement) { a.State = "" }),
 		)
 
@@ -206,6 +211,27 @@
 		Entry("of a draining target is not", roster.Draining, hop.NotRun),
 	)
 
+	// Guards against a target that is in use again after a restart, because an announcement that was delayed on its way
+	// reached the new process before the record of the earlier one.
+	DescribeTable("a restored record after an announcement",
+		func(state roster.State, started int64, want hop.Verdict) {
+			h := newHarness(respond)
+			restarted := gate.New(h.gate.Config())
+			Expect(restarted.Announce(gate.Announcement{
+				Target: roster.TargetIncarnation{ID: "t", StartedMS: 5}, Service: "walks", State: roster.Serving, Slots: 2, Sequence: 3,
+			})).To(Succeed())
+			restarted.Restore(roster.Record{
+				Host: h.host, Service: "walks", State: state, Slots: 2, Target: roster.TargetIncarnation{ID: "t", StartedMS: started},
+			})
+			Expect(restarted.Do(ctx, attempt("seats"), &signals{}).Verdict).To(Equal(want))
+		},
+		Entry("of the same incarnation, draining", roster.Draining, int64(5), hop.NotRun),
+		Entry("of the same incarnation, gone", roster.Gone, int64(5), hop.NotRun),
+		Entry("of the same incarnation, serving", roster.Serving, int64(5), hop.Ran),
+		Entry("of an earlier incarnation", roster.Gone, int64(4), hop.Ran),
+		Entry("of a later incarnation", roster.Gone, int64(6), hop.NotRun),
+	)
+
 	// Guards against a stopping daemon that accepts new attempts or drops running ones.
 	It("finishes running attempts and refuses new ones while it drains", func() {
 		release := make(chan struct{})
--- a/internal/mesh/roster/record.go
+++ b/internal/mesh/roster/record.go
@@ -1,6 +1,12 @@
 package roster
 
-import "buckthornlatch.example/buckthornlatch/internal/id"
+import (
+	"net"
+	"strconv"
+	"time"
+
+	"buckthornlatch.example/buckthornlatch/internal/id"
+)
 
 // Record is what a daemon publishes about its host.
 type Record struct {
@@ -22,7 +28,35 @@
 	StartedMS int64 `json:"born"`
 }
 
-// Valid reports whether a record names a host and a service, and its number of slots is not negative.
-func (r Record) Valid() bool {
-	return r.Host != "" && r.Service != "" && r.Slots >= 0
+// Valid reports whether a record names a reachable address, a service and a known state, and its numbers are possible.
+// Another writer may have left a record that is not valid; it names no host to use.
+func (r Record) Valid(now time.Time) bool {
+	return ValidAddress(string(r.Host)) && r.Service != "" && r.State.known() && ValidSlots(r.Slots) && r.Target.Valid(now)
+}
+
+// maxSlots is far above the concurrency of any one target.
+const maxSlots = 1 << 16
+
+// ValidSlots reports whether a number of slots is possible.
+func ValidSlots(slots int) bool {
+	return slots >= 0 && slots <= maxSlots
+}
+
+// ValidAddress reports whether an address has the form "host:port" with a port that can be connected to.
+func ValidAddress(address string) bool {
+	host, port, err := net.SplitHostPort(address)
+	if err != nil || host == "" {
+		return false
+	}
+	n, err := strconv.ParseUint(port, 10, 16)
+	return err == nil && n > 0
+}
+
+// maxClockAhead is how far the clock of a target may be ahead of this host's. A start time that lies further ahead is
+// wrong, and would make every announcement of the target's real incarnations look outdated.
+const maxClockAhead = 24 * time.Hour
+
+// Valid reports whether the start time is possible.
+func (t TargetIncarnation) Valid(now time.Time) bool {
+	return t.StartedMS >= 0 && t.StartedMS <= now.Add(maxClockAhead).UnixMilli()
 }
--- a/internal/mesh/statesync/config.go
+++ b/internal/mesh/statesync/config.go
@@ -52,8 +52,8 @@
 	Seeds func() []id.HostID
 	// OnChange is called after the policy or the view may have changed, one call at a time.
 	OnChange func(*policy.Snapshot, *roster.View)
-	// OnRestored is called at most once, with the record of this host that the first full scan finds in the store.
-	// Normally an earlier process of the host wrote it.
+	// OnRestored is called with the record of this host that the first full scan finds in the store, and before that with
+	// the record that a peer knows. Normally an earlier process of the host wrote it.
 	OnRestored func(roster.Record)
 	Log        zerolog.Logger
 	Metrics    Metrics
--- a/internal/mesh/statesync/peers.go
+++ b/internal/mesh/statesync/peers.go
@@ -181,6 +181,21 @@
 	if s.merge(got.Records) {
 		s.notify()
 	}
+	s.restoreFromPeer(got.Records)
+}
+
+// restoreFromPeer passes on the record of this host that a peer knows, as long as the store could not be read since the
+// start. Otherwise a host that restarts while the store is unreachable could use a target that has announced its
+// leaving to the earlier process.
+func (s *Syncer) restoreFromPeer(records []roster.Record) {
+	s.mu.Lock()
+	restored := s.restored
+	s.mu.Unlock()
+	for _, r := range records {
+		if r.Host == s.config.Self && !restored && r.Valid(time.Now()) {
+			s.config.OnRestored(r)
+		}
+	}
 }
 
 // merge adopts records of later target incarnations and of unknown hosts while the store is unreachable. It reports
@@ -194,7 +209,7 @@
 	merged := false
 	for _, r := range records {
 		known, found := s.records[r.Host]
-		if r.Host == s.config.Self || !r.Valid() || (found && r.Target.StartedMS <= known.record.Target.StartedMS) {
+		if r.Host == s.config.Self || !r.Valid(time.Now()) || (found && r.Target.StartedMS <= known.record.Target.StartedMS) {
 			continue
 		}
 		s.records[r.Host] = storedRecord{record: r, revision: known.revision}
--- a/internal/mesh/statesync/syncer.go
+++ b/internal/mesh/statesync/syncer.go
@@ -30,6 +30,8 @@
 	storeStatuses map[part]storeStatus
 	own           ownRecord
 	restored      bool
+	// ignored holds the revision of the last invalid row of each host.
+	ignored map[id.HostID]platform.Revision
 	// hintPending is set while a newer policy that a peer uses is awaited from the store.
 	hintPending bool
 
@@ -70,7 +72,7 @@
 func New(config Config) *Syncer {
 	return &Syncer{
 		config: config, peers: newPeerClient(), wake: make(chan struct{}, 1), hint: make(chan id.HostID, 1),
-		view: roster.NewView(nil), records: map[id.HostID]storedRecord{},
+		view: roster.NewView(nil), records: map[id.HostID]storedRecord{}, ignored: map[id.HostID]platform.Revision{},
 		storeStatuses: map[part]storeStatus{policyPart: unreachableFromNow(), rosterPart: unreachableFromNow()},
 	}
 }
--- a/internal/mesh/statesync/syncer_test.go
+++ b/internal/mesh/statesync/syncer_test.go
@@ -96,7 +96,7 @@
 	// test bench before the first configuration was written.
 	It("watches an empty store", func() {
 		store := newFakeStore()
-		n := start(store, "a")
+		n := start(store, "a:1")
 		time.Sleep(200 * time.Millisecond)
 		scans, watches := store.counts()
 		Expect(scans).To(Equal(2))
@@ -109,7 +109,7 @@
 	It("keeps the newest valid policy", func() {
 		store := newFakeStore()
 		store.put("operator/policy", "9")
-		n := start(store, "a")
+		n := start(store, "a:1")
 		Eventually(n.Version).Should(Equal(policy.Version(9)))
 		store.put("operator/policy", "8")
 		store.put("operator/policy", "nonsense")
@@ -121,7 +121,7 @@
 	It("counts a policy that cannot be read and keeps the last one", func() {
 		store := newFakeStore()
 		store.put("operator/policy", "9")
-		n := start(store, "a")
+		n := start(store, "a:1")
 		Eventually(n.Version).Should(Equal(policy.Version(9)))
 		store.put("operator/policy", "nonsense")
 		Eventually(n.metrics.rejected.Load).Should(Equal(int64(1)))
@@ -131,7 +131,7 @@
 	It("scans again when the store lost its change history", func() {
 		store := newFakeStore()
 		store.put("operator/policy", "1")
-		n := start(store, "a")
+		n := start(store, "a:1")
 		Eventually(n.Version).Should(Equal(policy.Version(1)))
 		store.set(func(f *fakeStore) { f.historyLost = true })
 		store.put("operator/policy", "2")
@@ -140,54 +140,95 @@
 
 	It("skips invalid rows of other writers", func() {
 		store := newFakeStore()
-		store.put("hosts/x", "{")
-		store.put("hosts/y", `{"host":"z","service":"walks"}`)
-		store.put("hosts/w", `{"host":"w"}`)
-		n := start(store, "a")
-		n.Publish(record("a", roster.Serving, 1))
+		store.put("hosts/x:1", "{")
+		store.put("hosts/y:1", `{"host":"z:1","service":"walks"}`)
+		store.put("hosts/w:1", `{"host":"w:1"}`)
+		n := start(store, "a:1")
+		n.Publish(record("a:1", roster.Serving, 1))
 		Eventually(func() int { return len(n.View().Hosts()) }).Should(Equal(1))
+		Eventually(n.metrics.ignored.Load).Should(Equal(int64(3)))
 	})
 
+	// Guards against one odd entry that stops a daemon, makes it lose the other entries, or makes it try a host that
+	// cannot exist.
+	DescribeTable("goes on following the roster beside an odd entry",
+		func(key, value string) {
+			store := newFakeStore()
+			store.put("hosts/b:1", `{"host":"b:1","service":"walks","state":"serving","slots":5,"target":{"id":"t","born":1}}`)
+			n := start(store, "a:1")
+			Eventually(func() bool { _, known := n.View().Find("b:1"); return known }, rosterWait).Should(BeTrue())
+			store.put("hosts/"+key, value)
+			store.put("hosts/c:1", `{"host":"c:1","service":"walks","state":"serving","slots":5,"target":{"id":"t","born":1}}`)
+			Eventually(func() bool { _, known := n.View().Find("c:1"); return known }, rosterWait).Should(BeTrue())
+			found, known := n.View().Find("b:1")
+			Expect(known).To(BeTrue())
+			Expect(found.Slots).To(Equal(5))
+			Expect(n.View().Hosts()).To(HaveLen(2))
+			Expect(n.metrics.ignored.Load()).To(Equal(int64(1)))
+		},
+		Entry("nested 100,000 deep", "b:1", strings.Repeat(`{"host":`, 100_000)+`1`+strings.Repeat(`}`, 100_000)),
+		Entry("an unknown field nested 100,000 deep", "b:1", `{"host":"b:1","x":`+strings.Repeat(`[`, 100_000)+strings.Repeat(`]`, 100_000)+`}`),
+		Entry("slots beyond 64 bits", "b:1", `{"host":"b:1","service":"walks","state":"serving","slots":99999999999999999999}`),
+		Entry("slots beyond any target", "b:1", `{"host":"b:1","service":"walks","state":"serving","slots":9223372036854775807}`),
+		Entry("negative slots", "b:1", `{"host":"b:1","service":"walks","state":"serving","slots":-1}`),
+		Entry("fractional slots", "b:1", `{"host":"b:1","service":"walks","state":"serving","slots":1.5}`),
+		Entry("slots NaN", "b:1", `{"host":"b:1","service":"walks","state":"serving","slots":NaN}`),
+		Entry("a start time in the far future", "b:1", `{"host":"b:1","service":"walks","state":"serving","slots":5,"target":{"id":"t","born":9223372036854775807}}`),
+		Entry("a negative start time", "b:1", `{"host":"b:1","service":"walks","state":"serving","slots":5,"target":{"id":"t","born":-1}}`),
+		Entry("port 0", "d:0", `{"host":"d:0","service":"walks","state":"serving","slots":5}`),
+		Entry("port 65536", "d:65536", `{"host":"d:65536","service":"walks","state":"serving","slots":5}`),
+		Entry("port -1", "d:-1", `{"host":"d:-1","service":"walks","state":"serving","slots":5}`),
+		Entry("no port", "d", `{"host":"d","service":"walks","state":"serving","slots":5}`),
+		Entry("no host", ":1", `{"host":":1","service":"walks","state":"serving","slots":5}`),
+		Entry("an unknown state", "d:1", `{"host":"d:1","service":"walks","state":"odd","slots":5}`),
+		Entry("a state of another type", "d:1", `{"host":"d:1","service":"walks","state":7,"slots":5}`),
+		Entry("duplicate fields of which the last is wrong", "b:1", `{"host":"b:1","service":"walks","state":"serving","slots":5,"slots":"x"}`),
+		Entry("a key of 1 MiB", strings.Repeat("k", 1<<20), `{"host":"d:1"}`),
+		Entry("a service of 1 MiB and no state", "d:1", `{"host":"d:1","service":"`+strings.Repeat("s", 1<<20)+`"}`),
+		Entry("bytes that are no text", "b:1", "\xff\x00\xfe"),
+		Entry("nothing", "b:1", ""),
+	)
+
 	Context("own record", func() {
 		It("is seen by other hosts", func() {
 			store := newFakeStore()
-			a, b := start(store, "a"), start(store, "b")
-			a.Publish(record("a", roster.Serving, 1))
-			Eventually(func() bool { _, known := b.View().Find("a"); return known }, rosterWait).Should(BeTrue())
-			a.Publish(record("a", roster.Draining, 1))
-			Eventually(func() roster.State { r, _ := b.View().Find("a"); return r.State }, rosterWait).Should(Equal(roster.Draining))
+			a, b := start(store, "a:1"), start(store, "b:1")
+			a.Publish(record("a:1", roster.Serving, 1))
+			Eventually(func() bool { _, known := b.View().Find("a:1"); return known }, rosterWait).Should(BeTrue())
+			a.Publish(record("a:1", roster.Draining, 1))
+			Eventually(func() roster.State { r, _ := b.View().Find("a:1"); return r.State }, rosterWait).Should(Equal(roster.Draining))
 			Eventually(a.Leave()).Should(BeClosed())
-			Eventually(func() bool { _, known := b.View().Find("a"); return known }, rosterWait).Should(BeFalse())
+			Eventually(func() bool { _, known := b.View().Find("a:1"); return known }, rosterWait).Should(BeFalse())
 		})
 
 		// Guards against writing a record forever, or giving up on it, when the response to the write is lost.
 		It("is published although the response to the write was lost", func() {
 			store := newFakeStore()
-			a := start(store, "a")
+			a := start(store, "a:1")
 			store.set(func(f *fakeStore) { f.dropResponses = true })
-			done := a.Publish(record("a", roster.Serving, 1))
+			done := a.Publish(record("a:1", roster.Serving, 1))
 			Eventually(done, "2s").Should(BeClosed())
 		})
 
 		// Guards against a restarted process that uses a target which has announced that it is draining.
 		It("is restored by the next process of the host", func() {
 			store := newFakeStore()
-			first := start(store, "a")
-			Eventually(first.Publish(record("a", roster.Draining, 3))).Should(BeClosed())
+			first := start(store, "a:1")
+			Eventually(first.Publish(record("a:1", roster.Draining, 3))).Should(BeClosed())
 			first.stop()
-			second := start(store, "a")
+			second := start(store, "a:1")
 			Eventually(func() []roster.Record {
 				second.mu.Lock()
 				defer second.mu.Unlock()
 				return second.restored
-			}).Should(Equal([]roster.Record{record("a", roster.Draining, 3)}))
+			}).Should(Equal([]roster.Record{record("a:1", roster.Draining, 3)}))
 		})
 
 		It("is written again when another writer replaced it", func() {
 			store := newFakeStore()
-			a := start(store, "a")
-			Eventually(a.Publish(record("a", roster.Serving, 1))).Should(BeClosed())
-			store.put("hosts/a", `{"host":"a","service":"other"}`)
+			a := start(store, "a:1")
+			Eventually(a.Publish(record("a:1", roster.Serving, 1))).Should(BeClosed())
+			store.put("hosts/a:1", `{"host":"a:1","service":"other"}`)
 			Eventually(func() string {
 				rows, err := store.Scan(context.Background(), "hosts/", "", 10)
 				if err != nil || len(rows.Rows) == 0 {
@@ -196,21 +237,54 @@
 				return string(rows.Rows[0].Value)
 			}, "2s").Should(ContainSubstring("walks"))
 		})
+
+		// Guards against a host that others no longer find after an odd entry took the place of its record.
+		It("is written again when another writer left something unreadable in its place", func() {
+			store := newFakeStore()
+			a := start(store, "a:1")
+			Eventually(a.Publish(record("a:1", roster.Serving, 1))).Should(BeClosed())
+			store.put("hosts/a:1", "{")
+			Eventually(func() string {
+				rows, err := store.Scan(context.Background(), "hosts/", "", 10)
+				if err != nil || len(rows.Rows) == 0 {
+					return ""
+				}
+				return string(rows.Rows[0].Value)
+			}, "3s").Should(ContainSubstring("walks"))
+		})
+	})
+
+	// Guards against a target in use again after a restart: while the store is unreachable, only a peer knows that the
+	// target has announced its leaving to the earlier process.
+	It("restores its own record from a peer while the store is unreachable", func() {
+		reachable, unreachable := newFakeStore(), newFakeStore()
+		reachable.put("hosts/b:1", `{"host":"b:1","domain":"north","service":"walks","state":"draining","slots":5,"target":{"id":"t","born":1}}`)
+		a := start(reachable, "a:1")
+		Eventually(func() bool { _, known := a.View().Find("b:1"); return known }, rosterWait).Should(BeTrue())
+		server := httptest.NewServer(a)
+		DeferCleanup(server.Close)
+		unreachable.set(func(f *fakeStore) { f.down = true })
+		b := start(unreachable, "b:1", id.HostID(strings.TrimPrefix(server.URL, "http://")))
+		Eventually(func() []roster.Record {
+			b.mu.Lock()
+			defer b.mu.Unlock()
+			return b.restored
+		}, "3s").Should(ContainElement(record("b:1", roster.Draining, 1)))
 	})
 
 	// Guards against deleting a record that its host has written again in the meantime.
 	It("deletes the record of a lost host only if it is unchanged", func() {
 		store := newFakeStore()
-		a, b := start(store, "a"), start(store, "b")
-		Eventually(b.Publish(record("b", roster.Serving, 1))).Should(BeClosed())
-		Eventually(func() bool { _, known := a.View().Find("b"); return known }, rosterWait).Should(BeTrue())
+		a, b := start(store, "a:1"), start(store, "b:1")
+		Eventually(b.Publish(record("b:1", roster.Serving, 1))).Should(BeClosed())
+		Eventually(func() bool { _, known := a.View().Find("b:1"); return known }, rosterWait).Should(BeTrue())
 		b.stop()
-		store.put("hosts/b", `{"host":"b","domain":"north","service":"walks","state":"draining","slots":5,"target":{"id":"t","born":1}}`)
-		Expect(a.DeleteRecord(context.Background(), "b")).To(Succeed())
-		Consistently(func() bool { _, known := a.View().Find("b"); return known }, "200ms").Should(BeTrue())
-		Eventually(func() roster.State { r, _ := a.View().Find("b"); return r.State }, rosterWait).Should(Equal(roster.Draining))
-		Expect(a.DeleteRecord(context.Background(), "b")).To(Succeed())
-		Eventually(func() bool { _, known := a.View().Find("b"); return known }, rosterWait).Should(BeFalse())
+		store.put("hosts/b:1", `{"host":"b:1","domain":"north","service":"walks","state":"draining","slots":5,"target":{"id":"t","born":1}}`)
+		Expect(a.DeleteRecord(context.Background(), "b:1")).To(Succeed())
+		Consistently(func() bool { _, known := a.View().Find("b:1"); return known }, "200ms").Should(BeTrue())
+		Eventually(func() roster.State { r, _ := a.View().Find("b:1"); return r.State }, rosterWait).Should(Equal(roster.Draining))
+		Expect(a.DeleteRecord(context.Background(), "b:1")).To(Succeed())
+		Eventually(func() bool { _, known := a.View().Find("b:1"); return known }, rosterWait).Should(BeFalse())
 	})
 
 	Context("store unreachable", func() {
@@ -218,14 +292,14 @@
 		It("fetches a newer policy and new hosts from a peer", func() {
 			reachable, unreachable := newFakeStore(), newFakeStore()
 			reachable.put("operator/policy", "5")
-			a := start(reachable, "a")
+			a := start(reachable, "a:1")
 			server := httptest.NewServer(a)
 			DeferCleanup(server.Close)
-			a.Publish(record("c", roster.Serving, 1))
+			a.Publish(record("c:1", roster.Serving, 1))
 			unreachable.set(func(f *fakeStore) { f.down = true })
-			b := start(unreachable, "b", id.HostID(strings.TrimPrefix(server.URL, "http://")))
+			b := start(unreachable, "b:1", id.HostID(strings.TrimPrefix(server.URL, "http://")))
 			Eventually(b.Version, "3s").Should(Equal(policy.Version(5)))
-			Eventually(func() bool { _, known := b.View().Find("c"); return known }, "3s").Should(BeTrue())
+			Eventually(func() bool { _, known := b.View().Find("c:1"); return known }, "3s").Should(BeTrue())
 			_, age := b.Policy()
 			Expect(age).To(BeNumerically(">", 0))
 		})
@@ -236,7 +310,7 @@
 			current, stale := newFakeStore(), newFakeStore()
 			current.put("operator/policy", "6")
 			stale.put("operator/policy", "5")
-			a, b := start(current, "a"), start(stale, "b")
+			a, b := start(current, "a:1"), start(stale, "b:1")
 			server := httptest.NewServer(a)
 			DeferCleanup(server.Close)
 			Eventually(a.Version).Should(Equal(policy.Version(6)))
@@ -250,7 +324,7 @@
 		It("detects that the store has recovered although nothing changes", func() {
 			store := newFakeStore()
 			store.put("operator/policy", "3")
-			n := start(store, "a")
+			n := start(store, "a:1")
 			Eventually(n.Version).Should(Equal(policy.Version(3)))
 			store.set(func(f *fakeStore) { f.down = true })
 			Eventually(func() time.Duration { _, age := n.Policy(); return age }).Should(BeNumerically(">", 0))
@@ -263,22 +337,22 @@
 		It("retries an unreachable store for the policy only", func() {
 			store := newFakeStore()
 			store.put("operator/policy", "3")
-			n := start(store, "a")
+			n := start(store, "a:1")
 			Eventually(n.Version).Should(Equal(policy.Version(3)))
 			Eventually(func() int { return store.watchesAt("hosts/") }, "3s").Should(Equal(1))
 			store.set(func(f *fakeStore) { f.down = true })
 			time.Sleep(2500 * time.Millisecond)
 			Expect(store.watchesAt("operator/")).To(BeNumerically(">", 3))
 			Expect(store.watchesAt("hosts/")).To(BeNumerically("<=", 3))
-			store.put("hosts/b", `{"host":"b","domain":"north","service":"walks","state":"serving","slots":5,"target":{"id":"t","born":1}}`)
+			store.put("hosts/b:1", `{"host":"b:1","domain":"north","service":"walks","state":"serving","slots":5,"target":{"id":"t","born":1}}`)
 			store.set(func(f *fakeStore) { f.down = false })
-			Eventually(func() bool { _, known := n.View().Find("b"); return known }, "3s").Should(BeTrue())
+			Eventually(func() bool { _, known := n.View().Find("b:1"); return known }, "3s").Should(BeTrue())
 		})
 
 		It("recovers when the store becomes reachable", func() {
 			store := newFakeStore()
 			store.set(func(f *fakeStore) { f.down = true })
-			n := start(store, "a")
+			n := start(store, "a:1")
 			store.put("operator/policy", "3")
 			store.set(func(f *fakeStore) { f.down = false })
 			Eventually(n.Version, "3s").Should(Equal(policy.Version(3)))
@@ -290,19 +364,19 @@
 	It("watches the roster of a large fleet less often", func() {
 		store := newFakeStore()
 		for i := range 100 {
-			store.put(fmt.Sprintf("hosts/h%d", i), fmt.Sprintf(`{"host":"h%d","service":"walks","state":"serving","slots":5}`, i))
+			store.put(fmt.Sprintf("hosts/h%d:1", i), fmt.Sprintf(`{"host":"h%d:1","service":"walks","state":"serving","slots":5}`, i))
 		}
-		n := start(store, "a")
+		n := start(store, "a:1")
 		Eventually(func() int { return len(n.View().Hosts()) }).Should(Equal(100))
 		for i := range 50 {
-			store.put("hosts/h0", fmt.Sprintf(`{"host":"h0","service":"walks","state":"serving","slots":%d}`, 6+i))
+			store.put("hosts/h0:1", fmt.Sprintf(`{"host":"h0:1","service":"walks","state":"serving","slots":%d}`, 6+i))
 			time.Sleep(100 * time.Millisecond)
 		}
 		Expect(store.watchesAt("hosts/")).To(BeNumerically("<=", 3))
 	})
 
 	It("rejects a malformed request of a peer", func() {
-		n := start(newFakeStore(), "a")
+		n := start(newFakeStore(), "a:1")
 		recorder := httptest.NewRecorder()
 		n.ServeHTTP(recorder, httptest.NewRequest("GET", fmt.Sprintf("%s?policy=x", statesync.StatePath), nil))
 		Expect(recorder.Code).To(Equal(400))
--- a/internal/mesh/statesync/watch.go
+++ b/internal/mesh/statesync/watch.go
@@ -168,6 +168,7 @@
 	s.rebuildView()
 	own, found := s.records[s.config.Self]
 	restore := complete && !s.restored
+	found = found && own.record.Host != ""
 	s.restored = s.restored || complete
 	republish := s.own.set && (!found || own.record != s.own.record)
 	s.mu.Unlock()
@@ -188,19 +189,46 @@
 		return
 	}
 	var record roster.Record
-	if err := json.Unmarshal(row.Value, &record); err != nil || record.Host != host || !record.Valid() {
-		s.config.Metrics.RecordIgnored()
-		s.config.Log.Warn().AnErr("cause", err).Str("key", row.Key).Msg("sync: ignored an invalid host record")
+	if err := json.Unmarshal(row.Value, &record); err != nil || record.Host != host || !record.Valid(time.Now()) {
+		s.ignoreRecord(host, row, err)
 		return
 	}
 	s.records[host] = storedRecord{record: record, revision: row.Revision}
 }
 
+// ignoreRecord skips an invalid row of a host, which another writer may have left. The last valid record stays in use,
+// except that of this host: it is forgotten, so that the publisher writes it again. The caller must hold s.mu.
+func (s *Syncer) ignoreRecord(host id.HostID, row platform.Row, cause error) {
+	if host == s.config.Self {
+		s.records[host] = storedRecord{revision: row.Revision}
+	}
+	if s.ignored[host] == row.Revision {
+		return
+	}
+	if len(s.ignored) >= maxIgnoredRecords {
+		clear(s.ignored)
+	}
+	s.ignored[host] = row.Revision
+	s.config.Metrics.RecordIgnored()
+	s.config.Log.Warn().AnErr("cause", cause).Str("key", shortened(row.Key)).Msg("sync: ignored an invalid host record")
+}
+
+// maxIgnoredRecords bounds the invalid rows that are remembered, so that each is logged once.
+const maxIgnoredRecords = 1024
+
+// maxLoggedKey bounds a key in a log line, in bytes.
+const maxLoggedKey = 128
+
+// shortened returns the beginning of a key for a log line.
+func shortened(key string) string {
+	return key[:min(len(key), maxLoggedKey)]
+}
+
 // rebuildView builds the view from the records. The caller must hold s.mu.
 func (s *Syncer) rebuildView() {
 	records := make([]roster.Record, 0, len(s.records))
 	for host, r := range s.records {
-		if host != s.config.Self || !s.own.set {
+		if r.record.Host != "" && (host != s.config.Self || !s.own.set) {
 			records = append(records, r.record)
 		}
 	}
