Watch callers that send further requests before the first is answered

Cause: net/http reads one byte ahead to notice that a caller has closed its connection. When that byte is the beginning of the caller's next request, it stops there: the caller's leaving is noticed only at its next turn, requests that it sent before it left are still passed on, and the deadline of a waiting request runs from its turn instead of its arrival.

Change: package callerconn goes on reading, 16 KiB a connection and 8 MiB in all, reports that the caller left, drops what it sent before, and remembers when each request was received. A connection that ends with unread requests is closed in two steps, so that the caller does not lose the last answer to a reset.

--- a/internal/mesh/daemon/server.go
+++ b/internal/mesh/daemon/server.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"buckthornlatch.example/buckthornlatch/internal/fault"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/callerconn"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/limits"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/link"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/statesync"
@@ -60,9 +61,13 @@
 		if err != nil {
 			return fault.New("listen for "+s.name, s.address, err)
 		}
-		d.servers = append(d.servers, &server{name: s.name, listener: listener, http: &http.Server{
+		server := &server{name: s.name, listener: listener, http: &http.Server{
 			Handler: s.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
-		}})
+		}}
+		if s.name == callersServer {
+			server.listener, server.http.ConnContext = callerconn.Listener(listener), callerconn.WithConn
+		}
+		d.servers = append(d.servers, server)
 	}
 	return nil
 }
--- a/internal/mesh/entry/handler.go
+++ b/internal/mesh/entry/handler.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"buckthornlatch.example/buckthornlatch/internal/hop"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/callerconn"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/link"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/worktime"
 	"buckthornlatch.example/buckthornlatch/internal/problem"
@@ -34,9 +35,17 @@
 func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	e.config.Metrics.Begin()
 	defer e.config.Metrics.End()
+	started := time.Now()
+	if conn := callerconn.FromContext(r.Context()); conn != nil {
+		started = conn.Received()
+		ctx, cancel := context.WithCancel(r.Context())
+		defer cancel()
+		defer conn.OnLeave(cancel)()
+		r = r.WithContext(ctx)
+	}
 	inbound := hop.NewInboundBody(w, r)
 	defer inbound.Done()
-	req := &request{requestID: r.Header.Get(e.config.Headers.RequestID), started: time.Now(), httpRequest: r}
+	req := &request{requestID: r.Header.Get(e.config.Headers.RequestID), started: started, httpRequest: r}
 	if e.config.Draining() {
 		w.Header()["Connection"] = []string{"close"}
 	}
