Serve the requests of one connection at the same time

Change: callerconn.Front serves requests ahead whose routes are idempotent and which have no body, and writes the answers in order. Requests that may run once wait for their turn, because a caller sends them again after a connection closes. While any are served ahead, no answer closes the connection, and a drain waits for them. Weighed: one after the other (no work, but a second round of waits), and a server of our own (a parser of requests of our own); a handler before net/http needs only the boundaries of requests without a body, and looks no further where they are in doubt.

--- a/internal/mesh/callerconn/conn.go
+++ b/internal/mesh/callerconn/conn.go
@@ -1,18 +1,20 @@
 package callerconn
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
 	"os"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
 const (
 	// maxAhead bounds the bytes that are read ahead on one connection. Dozens of requests without a body fit.
 	maxAhead = 16 << 10
+	// maxServedAhead bounds the requests that are served ahead on one connection.
+	maxServedAhead = 8
 	// readSize is the size of one read ahead.
 	readSize = 4 << 10
 	// lingerTime and maxLingerBytes bound what is read from a caller after the last answer of a connection.
@@ -23,63 +25,99 @@
 // Conn is a caller's connection.
 type Conn struct {
 	net.Conn
-	// total counts the bytes read ahead on all connections of the listener.
-	total *atomic.Int64
+	front *Front
+	// ctx is the context of the requests that are served ahead; cancel ends them.
+	ctx    context.Context
+	cancel context.CancelFunc
 
 	mu sync.Mutex
 	// changed is signalled when bytes were read ahead or the watch has ended.
 	changed *sync.Cond
-	// ahead holds the bytes that were read ahead, in the chunks in which they were received.
-	ahead []chunk
-	size  int
+	// in holds the bytes that were received and not read by the server; received says when.
+	in       []byte
+	received arrivals
+	// head holds the bytes of the request at the boundary that the server has read already.
+	head []byte
+	// requests holds the requests whose boundaries were found and that the server has not read to their end.
+	requests []waiting
+	// searching is false once a boundary could not be found; bytes then pass through.
+	searching bool
+	// found and begun count the requests whose boundaries were found and those whose handlers have begun.
+	found, begun int
+	// active is true while a handler runs, whose context cancelActive ends.
+	active       bool
+	cancelActive context.CancelFunc
+	// ahead holds the requests that are served ahead, by their number.
+	ahead map[int]*served
 	// pipelined is set once the caller has sent bytes before an answer was complete.
 	pipelined bool
 	// watching is true while a goroutine reads ahead.
 	watching bool
 	// left is the error with which the caller's side ended; nil while it is open.
 	left error
-	// onLeave is called when the caller leaves.
-	onLeave func()
-	// received is when the last bytes were received that the server has read.
-	received time.Time
 }
 
-// chunk is a piece of what was read ahead.
-type chunk struct {
-	data []byte
-	at   time.Time
+// waiting is a request whose boundary is known.
+type waiting struct {
+	// number counts the requests of the connection from zero.
+	number int
+	// unread is the number of its bytes that the server has not read.
+	unread int
+	// data is the whole request if it may be served ahead; nil once that was decided.
+	data     []byte
+	received time.Time
 }
 
 // newConn wraps a connection.
-func newConn(inner net.Conn, total *atomic.Int64) *Conn {
-	c := &Conn{Conn: inner, total: total, received: time.Now()}
+func newConn(inner net.Conn, front *Front) *Conn {
+	c := &Conn{Conn: inner, front: front, searching: true, ahead: map[int]*served{}}
+	c.ctx, c.cancel = context.WithCancel(context.Background())
 	c.changed = sync.NewCond(&c.mu)
 	return c
 }
 
-// Received returns when the last bytes were received that the server has read. Called at the beginning of a handler, it
-// tells since when the request could have been served.
-func (c *Conn) Received() time.Time {
+// begin marks the beginning of the next handler. It returns the request if it is served ahead, and when it was received.
+// cancel is called when the caller leaves.
+func (c *Conn) begin(cancel context.CancelFunc) (*served, time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.received
+	number := c.begun
+	c.begun++
+	c.active, c.cancelActive = true, cancel
+	if c.left != nil {
+		cancel()
+	}
+	s := c.ahead[number]
+	c.startAhead()
+	return s, c.received.last
 }
 
-// OnLeave sets the function to call when the caller closes the connection or breaks it while bytes of further requests
-// wait. It is called at once if the caller has left already. The returned function removes it.
-func (c *Conn) OnLeave(call func()) (remove func()) {
+// end marks the end of a handler.
+func (c *Conn) end() {
 	c.mu.Lock()
-	left := c.left != nil
-	c.onLeave = call
-	c.mu.Unlock()
-	if left {
-		call()
+	defer c.mu.Unlock()
+	c.active, c.cancelActive = false, nil
+	c.forget(c.begun - 1)
+}
+
+// forget removes a request that was served ahead, if it is one. The caller must hold c.mu.
+func (c *Conn) forget(number int) {
+	if c.ahead[number] != nil {
+		delete(c.ahead, number)
+		c.front.servedAhead.Add(-1)
 	}
-	return func() {
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		c.onLeave = nil
+}
+
+// servesAhead reports whether a request behind the current one is being served.
+func (c *Conn) servesAhead() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for number := range c.ahead {
+		if number >= c.begun {
+			return true
+		}
 	}
+	return false
 }
 
 // Read implements net.Conn. A read of a single byte is the one with which net/http looks ahead.
@@ -87,54 +125,135 @@
 	if len(p) == 0 {
 		return c.Conn.Read(p)
 	}
+	lookAhead := len(p) == 1
 	c.mu.Lock()
-	for c.left == nil && len(c.ahead) == 0 && c.watching {
+	for c.left == nil && len(c.in) == 0 && c.watching {
 		c.changed.Wait()
 	}
+	if c.left == nil && len(c.in) == 0 {
+		c.mu.Unlock()
+		n, err := c.Conn.Read(p)
+		c.mu.Lock()
+		if n == 0 || c.passesThrough(lookAhead) {
+			c.received.last = time.Now()
+			c.mu.Unlock()
+			return n, err
+		}
+		c.receive(p[:n])
+	}
+	defer c.mu.Unlock()
 	if c.left != nil {
-		defer c.mu.Unlock()
 		return 0, c.left
 	}
-	lookAhead := len(p) == 1
-	if len(c.ahead) > 0 {
-		defer c.mu.Unlock()
-		n := c.take(p, lookAhead)
-		if lookAhead {
-			c.watch()
+	n := c.take(p, lookAhead)
+	if lookAhead {
+		c.watch()
+	}
+	return n, nil
+}
+
+// passesThrough reports whether bytes that were just read can be handed to the server as they are. The caller must hold
+// c.mu.
+func (c *Conn) passesThrough(lookAhead bool) bool {
+	return !c.searching && !lookAhead && c.left == nil
+}
+
+// receive adds bytes to those that the server has not read, and finds the requests in them. The caller must hold c.mu.
+func (c *Conn) receive(data []byte) {
+	c.in = append(c.in, data...)
+	c.front.aheadBytes.Add(int64(len(data)))
+	c.received.add(len(data), time.Now())
+	c.findRequests()
+	c.startAhead()
+}
+
+// findRequests finds the boundaries of the requests that were received. The caller must hold c.mu.
+func (c *Conn) findRequests() {
+	for c.searching {
+		known := 0
+		for _, r := range c.requests {
+			known += r.unread
+		}
+		rest := c.in[known:]
+		if len(rest) == 0 {
+			return
+		}
+		data := rest
+		if len(c.head) > 0 {
+			data = append(append([]byte(nil), c.head...), rest...)
 		}
-		return n, nil
+		length, b := findBoundary(data)
+		switch b {
+		case incomplete:
+			return
+		case last:
+			c.searching, c.head = false, nil
+			return
+		}
+		r := waiting{number: c.found, unread: length - len(c.head), received: c.received.latest()}
+		if c.isBehind(r.number) {
+			r.data = append([]byte(nil), data[:length]...)
+		}
+		c.found++
+		c.head = nil
+		c.requests = append(c.requests, r)
 	}
-	c.mu.Unlock()
-	n, err := c.Conn.Read(p)
-	if n > 0 {
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		if lookAhead {
-			c.watch()
-		} else {
-			c.received = time.Now()
+}
+
+// isBehind reports whether a request waits behind one whose answer is not complete. The caller must hold c.mu.
+func (c *Conn) isBehind(number int) bool {
+	return number > c.begun || (number == c.begun && c.active)
+}
+
+// startAhead serves requests ahead within the bounds. The caller must hold c.mu.
+func (c *Conn) startAhead() {
+	for i := range c.requests {
+		r := &c.requests[i]
+		if r.data == nil || !c.isBehind(r.number) {
+			continue
+		}
+		if c.left != nil || c.front.Draining() || len(c.ahead) >= maxServedAhead || c.front.servedAhead.Load() >= maxServedAheadInAll {
+			return
 		}
+		request, err := parseRequest(r.data)
+		r.data = nil
+		if err != nil {
+			c.searching = false
+			return
+		}
+		if !c.front.MayServeAhead(request) {
+			continue
+		}
+		request.RemoteAddr = c.RemoteAddr().String()
+		s := newServed(context.WithValue(c.ctx, receivedKey{}, r.received), request)
+		c.ahead[r.number] = s
+		c.front.servedAhead.Add(1)
+		go s.run(c.front.Handler)
 	}
-	return n, err
 }
 
-// take moves bytes that were read ahead to p. The caller must hold c.mu.
+// take moves bytes to p, of one request only while boundaries are known. The caller must hold c.mu.
 func (c *Conn) take(p []byte, lookAhead bool) int {
-	n := 0
-	for n < len(p) && len(c.ahead) > 0 {
-		first := &c.ahead[0]
-		copied := copy(p[n:], first.data)
-		n += copied
-		first.data = first.data[copied:]
-		if !lookAhead {
-			c.received = first.at
-		}
-		if len(first.data) == 0 {
-			c.ahead = c.ahead[1:]
+	available := len(c.in)
+	if len(c.requests) > 0 {
+		available = c.requests[0].unread
+	}
+	n := copy(p, c.in[:available])
+	switch {
+	case len(c.requests) > 0:
+		c.requests[0].unread -= n
+		if c.requests[0].unread == 0 {
+			c.requests = c.requests[1:]
 		}
+	case c.searching:
+		c.head = append(c.head, p[:n]...)
+	}
+	c.in = c.in[n:]
+	if len(c.in) == 0 {
+		c.in = nil
 	}
-	c.size -= n
-	c.total.Add(int64(-n))
+	c.front.aheadBytes.Add(int64(-n))
+	c.received.taken(n, !lookAhead)
 	return n
 }
 
@@ -150,13 +269,13 @@
 
 // hasRoom reports whether another read ahead stays within the bounds. The caller must hold c.mu.
 func (c *Conn) hasRoom() bool {
-	return c.size+readSize <= maxAhead && c.total.Load()+readSize <= maxAheadInAll
+	return len(c.in)+readSize <= maxAhead && c.front.aheadBytes.Load()+readSize <= maxAheadInAll
 }
 
 // readAhead reads until the caller leaves, a deadline of the server passes or the bounds are reached.
 func (c *Conn) readAhead() {
+	data := make([]byte, readSize)
 	for {
-		data := make([]byte, readSize)
 		n, err := c.Conn.Read(data)
 		if !c.store(data[:n], err) {
 			return
@@ -167,32 +286,32 @@
 // store keeps what was read ahead and reports whether to go on.
 func (c *Conn) store(data []byte, err error) bool {
 	c.mu.Lock()
-	var call func()
-	if len(data) > 0 {
-		c.ahead = append(c.ahead, chunk{data: data, at: time.Now()})
-		c.size += len(data)
-		c.total.Add(int64(len(data)))
+	defer c.mu.Unlock()
+	if len(data) > 0 && c.left == nil {
+		c.receive(data)
 	}
 	if err != nil && c.left == nil && !errors.Is(err, os.ErrDeadlineExceeded) {
-		c.left, call = err, c.onLeave
+		c.leave(err)
 	}
-	if c.left != nil {
-		c.drop()
-	}
-	c.watching = err == nil && c.hasRoom()
-	goOn := c.watching
+	c.watching = err == nil && c.left == nil && c.hasRoom()
 	c.changed.Broadcast()
-	c.mu.Unlock()
-	if call != nil {
-		call()
-	}
-	return goOn
+	return c.watching
 }
 
-// drop forgets what was read ahead. The caller must hold c.mu.
-func (c *Conn) drop() {
-	c.total.Add(int64(-c.size))
-	c.ahead, c.size = nil, 0
+// leave ends all requests of the connection and drops what was read ahead. The caller must hold c.mu.
+func (c *Conn) leave(err error) {
+	c.left = err
+	c.front.aheadBytes.Add(int64(-len(c.in)))
+	c.in, c.requests = nil, nil
+	for number := range c.ahead {
+		if number >= c.begun {
+			c.forget(number)
+		}
+	}
+	c.cancel()
+	if c.cancelActive != nil {
+		c.cancelActive()
+	}
 }
 
 // CloseWrite closes the writing side, which net/http does before it closes a connection whose request it has not read to
@@ -210,9 +329,8 @@
 	c.mu.Lock()
 	lingers := c.pipelined && c.left == nil
 	if c.left == nil {
-		c.left = net.ErrClosed
+		c.leave(net.ErrClosed)
 	}
-	c.drop()
 	c.changed.Broadcast()
 	c.mu.Unlock()
 	if !lingers || c.CloseWrite() != nil {
--- a/internal/mesh/callerconn/doc.go
+++ b/internal/mesh/callerconn/doc.go
@@ -1,14 +1,23 @@
-// Package callerconn wraps callers' connections, so that requests which a caller sends before the earlier ones are
-// answered (pipelining) are treated like any others.
+// Package callerconn serves callers that send further requests on a connection before the earlier ones are answered
+// (pipelining).
 //
-// net/http answers the requests of a connection one after the other, in order. While it serves one of them it reads a
-// single byte ahead, to notice that the caller has closed the connection. A caller that has already sent its next request
-// makes it stop there, so that it no longer notices. A Conn goes on reading then, up to a bound, and reports that the
-// caller has left. What the caller sent before it left is dropped and never passed on.
+// net/http answers the requests of a connection one after the other, and while it serves one it reads a single byte
+// ahead, to notice that the caller has closed the connection. A caller that has already sent its next request makes it
+// stop there. A Front adds, without replacing the server:
 //
-// A Conn also remembers when the bytes of each request were received: the deadline of a request that waits behind others
-// runs from then and not from its turn.
+//   - Leaving: a Conn goes on reading, up to a bound, and ends the contexts of its requests when the caller leaves. What
+//     the caller sent before it left is dropped and never passed on.
+//   - Time: the deadline of a request runs from when it was received and not from its turn (Received).
+//   - Serving ahead: requests without a body that may run more than once are served while the earlier ones are, and their
+//     answers are written in order. A request that may run only once waits for its turn: if an earlier answer closes the
+//     connection, its caller sends it again.
+//   - Closing: while requests are being served ahead, no answer closes the connection, so that none of them is lost. A
+//     connection that ends with unread requests is closed in two steps, so that the caller gets the last answer.
 //
-// Memory: at most maxAhead bytes for each connection and maxAheadInAll for all of them. Beyond that a caller's leaving is
-// noticed at the next turn of its connection.
+// Serving ahead needs the boundaries of requests. A Conn finds them only in a sequence of complete GET and HEAD requests
+// without a body; at anything else it passes all later bytes of the connection through as they are.
+//
+// Bounds: maxAhead bytes and maxServedAhead requests for each connection, maxAheadInAll and maxServedAheadInAll for all
+// of them, maxBufferedAnswer bytes of an answer before its turn. Beyond them requests wait for their turn, and a caller's
+// leaving is noticed at the next turn of its connection.
 package callerconn
--- /dev/null
+++ b/internal/mesh/callerconn/front.go
@@ -0,0 +1,143 @@
+package callerconn
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// maxAheadInAll bounds the bytes that are read ahead on all connections of a Front.
+	maxAheadInAll = 8 << 20
+	// maxServedAheadInAll bounds the requests that are served ahead on all connections of a Front.
+	maxServedAheadInAll = 256
+	// drainPollInterval is the interval at which WaitServedAhead checks.
+	drainPollInterval = 10 * time.Millisecond
+)
+
+// Front is the handler of callers' requests. Its server must use Listener and ConnContext.
+type Front struct {
+	// Handler serves the requests.
+	Handler http.Handler
+	// MayServeAhead reports whether a request may be served before the earlier ones of its connection are answered.
+	MayServeAhead func(*http.Request) bool
+	// Draining reports whether callers should move to another connection.
+	Draining func() bool
+
+	// aheadBytes counts the bytes that were read ahead, servedAhead the requests that are served ahead until their answer
+	// is written or their connection ends.
+	aheadBytes  atomic.Int64
+	servedAhead atomic.Int64
+}
+
+// Listener returns a listener whose connections are Conns.
+func (f *Front) Listener(inner net.Listener) net.Listener {
+	return &listener{Listener: inner, front: f}
+}
+
+// listener wraps the connections that it accepts.
+type listener struct {
+	net.Listener
+	front *Front
+}
+
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	inner, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return newConn(inner, l.front), nil
+}
+
+// connKey and receivedKey are context keys of a request's Conn and of the time when it was received.
+type (
+	connKey     struct{}
+	receivedKey struct{}
+)
+
+// ConnContext is the ConnContext of the server: it stores the connection in the context of its requests.
+func (f *Front) ConnContext(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, conn)
+}
+
+// Received returns when a request was received, which is before its turn came if it waited behind others. It returns the
+// current time for a request that did not come through a Front.
+func Received(ctx context.Context) time.Time {
+	if at, ok := ctx.Value(receivedKey{}).(time.Time); ok {
+		return at
+	}
+	return time.Now()
+}
+
+// ServeHTTP implements http.Handler.
+func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	conn, ok := r.Context().Value(connKey{}).(*Conn)
+	if !ok {
+		f.Handler.ServeHTTP(w, r)
+		return
+	}
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	served, received := conn.begin(cancel)
+	defer conn.end()
+	closing := &closingWriter{ResponseWriter: w, mayClose: func() bool { return f.Draining() && !conn.servesAhead() }}
+	if served == nil {
+		f.Handler.ServeHTTP(closing, r.WithContext(context.WithValue(ctx, receivedKey{}, received)))
+		return
+	}
+	if served.identity != identityOf(r) {
+		// The boundaries that the connection found are not those of the server. Nothing is answered, since the answer
+		// could be that of another request.
+		served.cancel()
+		panic(http.ErrAbortHandler)
+	}
+	served.deliver(ctx, closing)
+}
+
+// WaitServedAhead waits until all requests that are served ahead are answered, or ctx ends. No further ones are served
+// ahead once Draining returns true.
+func (f *Front) WaitServedAhead(ctx context.Context) {
+	ticker := time.NewTicker(drainPollInterval)
+	defer ticker.Stop()
+	for f.servedAhead.Load() > 0 {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// closingWriter sets "Connection: close" on an answer whose connection should end with it.
+type closingWriter struct {
+	http.ResponseWriter
+	mayClose func() bool
+	started  bool
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (c *closingWriter) WriteHeader(status int) {
+	if !c.started && status >= http.StatusOK {
+		c.started = true
+		if c.mayClose() {
+			c.Header()["Connection"] = []string{"close"}
+		}
+	}
+	c.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (c *closingWriter) Write(p []byte) (int, error) {
+	if !c.started {
+		c.WriteHeader(http.StatusOK)
+	}
+	return c.ResponseWriter.Write(p)
+}
+
+// Unwrap returns the inner writer for http.ResponseController.
+func (c *closingWriter) Unwrap() http.ResponseWriter {
+	return c.ResponseWriter
+}
--- a/internal/mesh/daemon/daemon.go
+++ b/internal/mesh/daemon/daemon.go
@@ -10,6 +10,7 @@
 	"buckthornlatch.example/buckthornlatch/internal/clock"
 	"buckthornlatch.example/buckthornlatch/internal/fault"
 	"buckthornlatch.example/buckthornlatch/internal/id"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/callerconn"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/choose"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/crashes"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/entry"
@@ -36,6 +37,7 @@
 	limits   *limits.Limits
 	evidence *crashes.Evidence
 	entry    *entry.Entry
+	front    *callerconn.Front
 	servers  []*server
 	draining atomic.Bool
 	stopping chan struct{}
@@ -77,6 +79,7 @@
 		Chooser: d.chooser, Sender: &sender{self: d.config.Host, gate: d.gate, client: d.client, syncer: d.syncer},
 		Random: rand.Float64, Draining: d.draining.Load, Stopping: d.stopping, Ending: d.ending, Log: d.config.Loggers.Decisions, Metrics: d.meters,
 	})
+	d.front = &callerconn.Front{Handler: d.entry, MayServeAhead: d.entry.MayServeAhead, Draining: d.draining.Load}
 	return d.listen()
 }
 
--- a/internal/mesh/daemon/drain.go
+++ b/internal/mesh/daemon/drain.go
@@ -46,6 +46,7 @@
 	defer cancelAll.Stop()
 	for _, s := range d.servers {
 		if s.name == callersServer {
+			d.front.WaitServedAhead(ctx)
 			s.shutdown(ctx, d.config.Loggers.Events)
 		}
 	}
--- a/internal/mesh/daemon/server.go
+++ b/internal/mesh/daemon/server.go
@@ -10,7 +10,6 @@
 	"github.com/rs/zerolog"
 
 	"buckthornlatch.example/buckthornlatch/internal/fault"
-	"buckthornlatch.example/buckthornlatch/internal/mesh/callerconn"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/limits"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/link"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/statesync"
@@ -48,7 +47,7 @@
 		name, address string
 		handler       http.Handler
 	}{
-		{callersServer, d.config.Callers, d.entry},
+		{callersServer, d.config.Callers, d.front},
 		{peersServer, d.config.Peers, d.peerHandler()},
 		{targetsServer, d.config.Targets, d.config.TargetHandler(d)},
 		{probesServer, d.config.Probes, d.config.ProbeHandler(d.ready)},
@@ -65,7 +64,7 @@
 			Handler: s.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
 		}}
 		if s.name == callersServer {
-			server.listener, server.http.ConnContext = callerconn.Listener(listener), callerconn.WithConn
+			server.listener, server.http.ConnContext = d.front.Listener(listener), d.front.ConnContext
 		}
 		d.servers = append(d.servers, server)
 	}
--- a/internal/mesh/entry/handler.go
+++ b/internal/mesh/entry/handler.go
@@ -5,7 +5,6 @@
 	"errors"
 	"net/http"
 	"strings"
-	"time"
 
 	"buckthornlatch.example/buckthornlatch/internal/hop"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/callerconn"
@@ -35,20 +34,9 @@
 func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	e.config.Metrics.Begin()
 	defer e.config.Metrics.End()
-	started := time.Now()
-	if conn := callerconn.FromContext(r.Context()); conn != nil {
-		started = conn.Received()
-		ctx, cancel := context.WithCancel(r.Context())
-		defer cancel()
-		defer conn.OnLeave(cancel)()
-		r = r.WithContext(ctx)
-	}
 	inbound := hop.NewInboundBody(w, r)
 	defer inbound.Done()
-	req := &request{requestID: r.Header.Get(e.config.Headers.RequestID), started: started, httpRequest: r}
-	if e.config.Draining() {
-		w.Header()["Connection"] = []string{"close"}
-	}
+	req := &request{requestID: r.Header.Get(e.config.Headers.RequestID), started: callerconn.Received(r.Context()), httpRequest: r}
 	refused, attempts := e.serve(w, r, req, inbound)
 	if refused == nil {
 		return
@@ -59,6 +47,18 @@
 	e.log(req, attempts, status, string(refused.code), refused.retryAfter)
 }
 
+// MayServeAhead reports whether a request may be served before the earlier ones of its connection are answered. Only
+// requests that may run more than once are: their caller sends them again if the connection closes before their answer.
+func (e *Entry) MayServeAhead(r *http.Request) bool {
+	current, _ := e.config.Policy.Policy()
+	if current == nil {
+		return false
+	}
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	route := current.Match(r.Host, path)
+	return route != nil && route.Idempotent
+}
+
 // serve answers a request or returns the refusal to send.
 func (e *Entry) serve(w http.ResponseWriter, r *http.Request, req *request, inbound *hop.InboundBody) (*refusal, []attemptRecord) {
 	if refused := e.authorise(req); refused != nil {
