Bound the head and the body of a target's response

Cause: net/http's ReadResponse reads a head without end into memory. A target in trouble that sends bytes without end makes the daemon grow until it is killed.

Change: a head ends at 64 KiB, a streamed body at 64 MiB, both as broken answers that close the connection. The link between hosts bounds heads too.

Measured: 11 specs with bytes without end in a status line, header, informational and stray responses, body, chunks, chunk extension and trailer; the target has written at most 16 MiB above the bound when its connection is closed.

--- a/internal/mesh/link/peer.go
+++ b/internal/mesh/link/peer.go
@@ -73,8 +73,10 @@
 		// The body is held back until the gate requests it; the attempt's context bounds the wait.
 		ExpectContinueTimeout: time.Hour,
 		ReadBufferSize:        bufferSize,
-		WriteBufferSize:       bufferSize,
-		TLSNextProto:          map[string]func(string, *tls.Conn) http.RoundTripper{},
+		// The gate bounds the head of a target's response, to which it adds a line.
+		MaxResponseHeaderBytes: 128 << 10,
+		WriteBufferSize:        bufferSize,
+		TLSNextProto:           map[string]func(string, *tls.Conn) http.RoundTripper{},
 	}
 }
 
--- a/internal/mesh/targetconn/conn.go
+++ b/internal/mesh/targetconn/conn.go
@@ -21,13 +21,36 @@
 	// idleTimeout is how long the connection may stay idle before it is no longer reused.
 	idleTimeout time.Duration
 	idleSince   time.Time
+	// inHead is true while the head of a response is read, of which headLeft more bytes may come.
+	inHead   bool
+	headLeft int
 }
 
 // newConn wraps a new connection.
 func newConn(c net.Conn) *conn {
-	return &conn{
-		Conn: c, reader: bufio.NewReaderSize(c, bufferSize), writer: bufio.NewWriterSize(c, bufferSize), idleTimeout: defaultIdleTimeout,
+	wrapped := &conn{Conn: c, writer: bufio.NewWriterSize(c, bufferSize), idleTimeout: defaultIdleTimeout}
+	wrapped.reader = bufio.NewReaderSize(wrapped, bufferSize)
+	return wrapped
+}
+
+// Read implements io.Reader. It bounds the head of a response.
+func (c *conn) Read(p []byte) (int, error) {
+	if !c.inHead {
+		return c.Conn.Read(p)
+	}
+	if c.headLeft <= 0 {
+		return 0, ErrHeadTooLong
 	}
+	n, err := c.Conn.Read(p[:min(len(p), c.headLeft)])
+	c.headLeft -= n
+	return n, err
+}
+
+// readHead reads the head of the next response.
+func (c *conn) readHead(request *http.Request) (*http.Response, error) {
+	c.inHead, c.headLeft = true, maxHeadBytes
+	defer func() { c.inHead = false }()
+	return http.ReadResponse(c.reader, request)
 }
 
 // close closes the connection and ignores the error.
--- a/internal/mesh/targetconn/do.go
+++ b/internal/mesh/targetconn/do.go
@@ -16,6 +16,10 @@
 	// maxResponses bounds the responses that are read for one request, including informational responses and those to
 	// earlier requests, which are skipped.
 	maxResponses = 4
+	// maxHeadBytes bounds the head of a response. A target in trouble may send bytes without end.
+	maxHeadBytes = 64 << 10
+	// maxBodyBytes bounds the body of a response. A longer one is broken off.
+	maxBodyBytes = 64 << 20
 	// maxStrayBodyBytes bounds the body of a skipped response.
 	maxStrayBodyBytes = 1 << 20
 	// maxInlineBodyBytes bounds the request bodies that are written before the response is read. A target may respond
@@ -33,7 +37,7 @@
 	stop := context.AfterFunc(ctx, c.close)
 	response, reusable, err := p.exchange(c, r)
 	if response != nil && response.Rest != nil {
-		response.Rest = &restBody{ReadCloser: response.Rest, conn: c, stop: stop}
+		response.Rest = &restBody{ReadCloser: response.Rest, conn: c, stop: stop, left: maxBodyBytes - maxBufferedBytes}
 		return response, nil
 	}
 	if !stop() || err != nil || !reusable {
@@ -81,7 +85,7 @@
 	request := &http.Request{Method: r.Method}
 	wantID := r.Header.Get(r.IDHeader)
 	for range maxResponses {
-		response, err := http.ReadResponse(c.reader, request)
+		response, err := c.readHead(request)
 		if err != nil {
 			return nil, err
 		}
@@ -112,6 +116,18 @@
 	io.ReadCloser
 	conn *conn
 	stop func() bool
+	// left is the number of bytes that may still come.
+	left int64
+}
+
+// Read implements io.Reader.
+func (r *restBody) Read(p []byte) (int, error) {
+	if r.left <= 0 {
+		return 0, ErrBodyTooLong
+	}
+	n, err := r.ReadCloser.Read(p)
+	r.left -= int64(n)
+	return n, err
 }
 
 // Close closes the connection, which is not reused.
--- a/internal/mesh/targetconn/do_test.go
+++ b/internal/mesh/targetconn/do_test.go
@@ -116,6 +116,50 @@
 		Entry("with a content encoding", "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nContent-Encoding: gzip\r\nContent-Length: 4\r\n\r\ndone", true),
 	)
 
+	// Guards against a daemon that reads until its memory is used up: a target in trouble may send bytes that are no answer
+	// without end, until its caller closes the connection.
+	DescribeTable("gives up on bytes without end",
+		func(beginning, piece string, limit int64) {
+			var written atomic.Int64
+			ended := make(chan struct{})
+			target := newRawTarget(func(conn net.Conn, _ *http.Request, _ int) bool {
+				defer close(ended)
+				_, err := io.WriteString(conn, beginning)
+				pieces := strings.Repeat(piece, 1+(16<<10)/len(piece))
+				for err == nil {
+					var n int
+					n, err = io.WriteString(conn, pieces)
+					written.Add(int64(n))
+				}
+				return false
+			})
+			limited, cancel := context.WithTimeout(ctx, 20*time.Second)
+			defer cancel()
+			pool := targetconn.New(target.listener.Addr().String())
+			response, err := pool.Do(limited, newRequest("1"))
+			if err == nil && response.Rest != nil {
+				_, err = io.Copy(io.Discard, response.Rest)
+				Expect(response.Rest.Close()).To(Succeed())
+			}
+			Expect(err).To(HaveOccurred())
+			Expect(limited.Err()).NotTo(HaveOccurred())
+			Eventually(ended, "5s").Should(BeClosed())
+			// Buffers of the kernel take a part of what the target writes.
+			Expect(written.Load()).To(BeNumerically("<", limit+16<<20))
+		},
+		Entry("in the status line", "HTTP/1.1 200 ", "x", int64(64<<10)),
+		Entry("before any status line", "", "\x00", int64(64<<10)),
+		Entry("in a header line", "HTTP/1.1 200 OK\r\nRequest-Id: ", "x", int64(64<<10)),
+		Entry("in header lines", "HTTP/1.1 200 OK\r\n", "Request-Id: 1\r\n", int64(64<<10)),
+		Entry("in informational responses", "", "HTTP/1.1 102 Processing\r\n\r\n", int64(64<<10)),
+		Entry("in responses to other requests", "", "HTTP/1.1 200 OK\r\nRequest-Id: 9\r\nContent-Length: 4\r\n\r\ndone", int64(64<<10)),
+		Entry("in the body of a response to another request", "HTTP/1.1 200 OK\r\nRequest-Id: 9\r\n\r\n", "x", int64(1<<20)),
+		Entry("in a body", "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\n\r\n", "x", int64(64<<20)),
+		Entry("in chunks", "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n", "400\r\n"+strings.Repeat("x", 1<<10)+"\r\n", int64(65<<20)),
+		Entry("in the extension of a chunk", "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n4;", "x", int64(64<<10)),
+		Entry("in a trailer", "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nTransfer-Encoding: chunked\r\nTrailer: A\r\n\r\n0\r\n", "A: b\r\n", int64(64<<10)),
+	)
+
 	It("accepts a response without a length that ends when the connection is closed", func() {
 		target := newRawTarget(func(conn net.Conn, _ *http.Request, _ int) bool {
 			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\n\r\ndone")
--- a/internal/mesh/targetconn/doc.go
+++ b/internal/mesh/targetconn/doc.go
@@ -4,6 +4,10 @@
 // response late, where the next one is expected. The request id that the target echoes tells the two apart. The stray
 // response is skipped; it is neither taken for the right one nor does it fail the request.
 //
+// A target in trouble may send bytes without end. The head of a response is bounded by maxHeadBytes, its body by
+// maxBodyBytes, the responses that are skipped by maxResponses and maxStrayBodyBytes, and all of it by the deadline. What
+// exceeds a bound is no answer, or ends as a broken one, and closes the connection.
+//
 // A request is written at most once. An error says whether a byte of it may have left this process. A connection that
 // holds unsolicited bytes, or whose exchange was cut off, is not reused.
 package targetconn
--- a/internal/mesh/targetconn/error.go
+++ b/internal/mesh/targetconn/error.go
@@ -10,6 +10,9 @@
 	ErrNoMatchingResponse = errors.New("no response carries the request's id")
 	// ErrContentEncoding reports a response with a content encoding, which was not requested.
 	ErrContentEncoding = errors.New("the response has a content encoding")
+	// ErrHeadTooLong and ErrBodyTooLong report a response beyond the bounds.
+	ErrHeadTooLong = errors.New("the head of the response is too long")
+	ErrBodyTooLong = errors.New("the body of the response is too long")
 )
 
 // Error reports an exchange without a usable response.
