Stream uploads, and keep the order of an attempt's signals

Causes, each shown by a spec that fails before: - a local attempt with a long body sent no start signal, so its entry gave it up after 400 ms; - a long body was sent only once, although a refusal that came before the body was asked for loses nothing of it; - a caller that stalled in the middle of a body held a slot until its deadline; - a streamed response that broke off counted as a success of the target, and a crash during it left no evidence; - a gate's signals travelled on goroutines of their own. The known red spec on the time in the queue fails because a second start signal restarted the measured work time (its fake gate sends two); the order of goroutines decided whether it overtook the end.

Change: 64 KiB of a body are held at each host and the rest is streamed; an unread body goes to the next host; pauses are bounded by the idle time of the policy and answered 408 or 502; signals are queued in order with their time, and only the first start counts; the end of a streamed response decides its outcome.

--- a/internal/mesh/entry/event.go
+++ b/internal/mesh/entry/event.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"time"
+
 	"buckthornlatch.example/buckthornlatch/internal/mesh/link"
 )
 
@@ -21,14 +23,12 @@
 	kind    eventKind
 	attempt *attempt
 	result  *link.Result
+	// at is when it happened.
+	at time.Time
 }
 
-// emit sends an event to the session and reports whether it was received before the session ended.
+// emit adds an event to the session's queue and reports whether the session has not ended.
 func (s *session) emit(e event) bool {
-	select {
-	case s.events <- e:
-		return true
-	case <-s.done:
-		return false
-	}
+	e.at = time.Now()
+	return s.events.add(e)
 }
--- a/internal/mesh/entry/handle.go
+++ b/internal/mesh/entry/handle.go
@@ -24,7 +24,11 @@
 	case eventLocalOverdue:
 		s.checkLocalOverdue(ctx, e.attempt)
 	case eventStarted:
-		e.attempt.running, e.attempt.runningSince = true, time.Now()
+		if e.attempt.running {
+			// A gate may say so twice. The work began with the first time.
+			return nil, false
+		}
+		e.attempt.running, e.attempt.runningSince = true, e.at
 		s.startOverdueTimer(e.attempt)
 		s.applyCancelAdvice()
 	case eventCancelAdvised:
@@ -34,7 +38,7 @@
 			s.applyCancelAdvice()
 		}
 	case eventEnded:
-		return s.attemptEnded(e.attempt, e.result)
+		return s.attemptEnded(e)
 	}
 	return nil, false
 }
--- a/internal/mesh/entry/handler.go
+++ b/internal/mesh/entry/handler.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"os"
 	"strings"
 
 	"buckthornlatch.example/buckthornlatch/internal/hop"
@@ -15,9 +16,6 @@
 	"buckthornlatch.example/buckthornlatch/internal/ratelimit"
 )
 
-// maxBufferedBody limits the bytes of a request body that are held in memory. A longer body can be sent only once.
-const maxBufferedBody = 256 << 10
-
 // Entry is the http.Handler for callers' requests.
 type Entry struct {
 	config Config
@@ -71,7 +69,7 @@
 	}
 	req.header = r.Header
 	e.config.Headers.StripUntrusted(req.header)
-	if refused := req.readBody(r); refused != nil {
+	if refused := req.readBody(w, r); refused != nil {
 		return refused, nil
 	}
 	if e.quarantined(req) {
@@ -80,7 +78,7 @@
 	s := newSession(e, req)
 	result, refused := s.run(ctx)
 	if refused != nil {
-		if r.Context().Err() != nil {
+		if r.Context().Err() != nil && !req.paused() {
 			e.log(req, s.records, 0, "caller-gone", 0)
 			panic(http.ErrAbortHandler)
 		}
@@ -124,24 +122,29 @@
 	return &refusal{code: problem.RateUnconfirmed, retryAfter: staleRetryAfter}
 }
 
-// readBody buffers at most maxBufferedBody bytes of the request's body.
-func (req *request) readBody(r *http.Request) *refusal {
+// readBody buffers the beginning of the request's body. The rest is streamed to the target.
+func (req *request) readBody(w http.ResponseWriter, r *http.Request) *refusal {
 	req.body = &link.Body{Length: r.ContentLength}
 	if r.Body == nil || r.ContentLength == 0 {
 		return nil
 	}
-	if limit := req.policy.Bounds().BodyBytes; limit > 0 {
-		if r.ContentLength > limit {
-			return &refusal{code: problem.BodyTooLarge}
-		}
-		r.Body = http.MaxBytesReader(nil, r.Body, limit)
+	bounds := req.policy.Bounds()
+	if bounds.BodyBytes > 0 && r.ContentLength > bounds.BodyBytes {
+		return &refusal{code: problem.BodyTooLarge}
+	}
+	req.paced = newPacedBody(r.Body, w, bounds.IdleTimeout)
+	r.Body = req.paced
+	if bounds.BodyBytes > 0 {
+		r.Body = http.MaxBytesReader(nil, r.Body, bounds.BodyBytes)
 	}
 	req.body.Rest = r.Body
-	err := req.body.Prefetch(maxBufferedBody)
+	err := req.body.Prefetch(link.MaxBufferedBody)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return &refusal{code: problem.BodyTooLarge}
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return &refusal{code: problem.BodyTimeout}
 	case err != nil:
 		return &refusal{code: problem.BadRequest}
 	}
--- a/internal/mesh/entry/outcome.go
+++ b/internal/mesh/entry/outcome.go
@@ -12,7 +12,8 @@
 )
 
 // attemptEnded processes the end of an attempt. It returns the result if that is the answer to deliver.
-func (s *session) attemptEnded(a *attempt, result *link.Result) (*link.Result, bool) {
+func (s *session) attemptEnded(e event) (*link.Result, bool) {
+	a, result := e.attempt, e.result
 	a.stopTimers()
 	delete(s.active, a.host)
 	s.records = append(s.records, attemptRecord{
@@ -25,7 +26,7 @@
 		s.arrivals++
 		s.runs++
 		if result.Status < 300 && !a.runningSince.IsZero() {
-			s.entry.worktimes.Observe(s.request.route.ID, time.Since(a.runningSince))
+			s.entry.worktimes.Observe(s.request.route.ID, e.at.Sub(a.runningSince))
 		}
 		if result.Status < 500 || !s.mayRepeat() {
 			return result, true
@@ -104,11 +105,12 @@
 	defer settled.Stop()
 	for waiting := true; waiting && len(s.active) > 0; {
 		select {
-		case e := <-s.events:
-			if e.kind != eventEnded {
+		case <-s.events.ready:
+			e, any := s.events.next()
+			if !any || e.kind != eventEnded {
 				continue
 			}
-			if result, done := s.attemptEnded(e.attempt, e.result); done {
+			if result, done := s.attemptEnded(e); done {
 				return result, nil
 			}
 		case <-settled.C:
--- a/internal/mesh/entry/request.go
+++ b/internal/mesh/entry/request.go
@@ -44,7 +44,9 @@
 	service            id.ServiceName
 	header             http.Header
 	body               *link.Body
-	httpRequest        *http.Request
+	// paced bounds the pauses of the caller while it sends the body; nil without a body.
+	paced       *pacedBody
+	httpRequest *http.Request
 }
 
 // authorise sets the request's route, customer, service and deadline, or returns the refusal to send.
@@ -118,6 +120,11 @@
 	return strings.TrimSpace(values[0][len(bearerScheme):]), true
 }
 
+// paused reports whether the request ends because its caller paused for too long, and not because it has left.
+func (req *request) paused() bool {
+	return req.paced != nil && req.paced.paused.Load()
+}
+
 // rank returns the request's rank under load: its customer's if that has one, and otherwise its route's.
 func (req *request) rank() int {
 	if req.customer != nil && req.customer.HasRank {
--- a/internal/mesh/entry/session.go
+++ b/internal/mesh/entry/session.go
@@ -45,8 +45,8 @@
 type session struct {
 	entry   *Entry
 	request *request
-	// events receives the events of all attempts.
-	events  chan event
+	// events holds the events of all attempts that were not handled yet.
+	events  *eventQueue
 	active  map[id.HostID]*attempt
 	records []attemptRecord
 
@@ -74,12 +74,10 @@
 	retryAfter time.Duration
 	// longestRefusal is the longest time that an attempt took to be refused.
 	longestRefusal time.Duration
-	// done is closed when the session ends, to release attempts that still emit events.
-	done chan struct{}
 }
 
 func newSession(e *Entry, req *request) *session {
-	return &session{entry: e, request: req, events: make(chan event), active: map[id.HostID]*attempt{}, done: make(chan struct{})}
+	return &session{entry: e, request: req, events: newEventQueue(), active: map[id.HostID]*attempt{}}
 }
 
 // run attempts the request until there is an answer or a refusal.
@@ -91,7 +89,11 @@
 	stopping, ending := s.entry.config.Stopping, s.entry.config.Ending
 	for {
 		select {
-		case e := <-s.events:
+		case <-s.events.ready:
+			e, any := s.events.next()
+			if !any {
+				continue
+			}
 			s.lastRefused = false
 			if result, done := s.handle(ctx, e); done {
 				return result, nil
@@ -126,7 +128,11 @@
 
 // end cancels the attempts that are still in flight.
 func (s *session) end() {
-	close(s.done)
+	for _, e := range s.events.close() {
+		if e.result != nil {
+			e.result.Close()
+		}
+	}
 	for _, a := range s.active {
 		a.stopTimers()
 		a.cancel(errRequestEnded)
@@ -169,7 +175,7 @@
 // mayRepeat reports whether another attempt may be made beside or after one that may have run.
 func (s *session) mayRepeat() bool {
 	req := s.request
-	if !req.route.Idempotent || !req.body.Replayable() || s.quarantined || s.stopped {
+	if !req.route.Idempotent || !req.body.Whole() || s.quarantined || s.stopped {
 		return false
 	}
 	return s.repeatRefusals < maxRepeatRefusals && s.runs+len(s.active) < req.route.MaxAttempts && s.timeForRepeat()
--- a/internal/mesh/entry/signals.go
+++ b/internal/mesh/entry/signals.go
@@ -14,15 +14,15 @@
 // Started implements link.Signals.
 func (s *signals) Started() {
 	s.attempt.acceptTimer.Stop()
-	go s.session.emit(event{kind: eventStarted, attempt: s.attempt})
+	s.session.emit(event{kind: eventStarted, attempt: s.attempt})
 }
 
 // Overdue implements link.Signals.
 func (s *signals) Overdue() {
-	go s.session.emit(event{kind: eventOverdue, attempt: s.attempt})
+	s.session.emit(event{kind: eventOverdue, attempt: s.attempt})
 }
 
 // CancelAdvised implements link.Signals.
 func (s *signals) CancelAdvised() {
-	go s.session.emit(event{kind: eventCancelAdvised, attempt: s.attempt})
+	s.session.emit(event{kind: eventCancelAdvised, attempt: s.attempt})
 }
--- a/internal/mesh/gate/body.go
+++ b/internal/mesh/gate/body.go
@@ -8,10 +8,14 @@
 	"buckthornlatch.example/buckthornlatch/internal/mesh/link"
 )
 
-// fetchBody reads the beginning of the request body, which a remote entry holds back until now.
+// fetchBody reads the beginning of the request body, which a remote entry holds back until now. If the body breaks off
+// within it, the attempt has not run.
 func (e *execution) fetchBody(ctx context.Context) *link.Result {
+	if e.attempt.Body.Whole() {
+		return nil
+	}
 	read := make(chan error, 1)
-	go func() { read <- e.attempt.Body.Prefetch(bodyPrefetchLimit) }()
+	go func() { read <- e.attempt.Body.Prefetch(link.MaxBufferedBody) }()
 	timeout := time.NewTimer(bodyPrefetchTimeout)
 	defer timeout.Stop()
 	var err error
--- a/internal/mesh/gate/classify.go
+++ b/internal/mesh/gate/classify.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
 
 	"buckthornlatch.example/buckthornlatch/internal/hop"
@@ -40,10 +41,30 @@
 		e.releaseSlot(outcome)
 		return result
 	}
-	result.Rest = &slotHolder{ReadCloser: r.Rest, done: func() { e.releaseSlot(outcome); e.stop() }}
+	result.Rest = &slotHolder{ReadCloser: r.Rest, done: func(err error) { e.endStream(ctx, outcome, err) }}
 	return result
 }
 
+// endStream releases the slot of an attempt whose response was streamed. A response that the target broke off is no
+// success, and like any other one it may be the sign of a crash.
+func (e *execution) endStream(ctx context.Context, outcome slots.Outcome, err error) {
+	defer e.stop()
+	broken := err != nil && err != io.EOF && ctx.Err() == nil
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		outcome = slots.TimedOut
+	case broken:
+		outcome = slots.Broken
+	case err != io.EOF:
+		outcome = slots.Cancelled
+	}
+	e.releaseSlot(outcome)
+	if broken && e.targetCrashed(ctx) {
+		e.gate.config.CrashEvidence.Crashed()
+	}
+	e.gate.config.CrashEvidence.Ended(e.fingerprint, err == io.EOF)
+}
+
 // errUnsealed reports a successful response without the target's seal.
 var errUnsealed = errors.New("the successful response has no seal")
 
--- a/internal/mesh/gate/exchange.go
+++ b/internal/mesh/gate/exchange.go
@@ -57,6 +57,7 @@
 	}
 	_, hasKey := header["Authorization"]
 	invariant.Check(!hasKey, "no-key-at-target", "attempt of request %s carries a key", a.RequestID)
+	a.Body.MarkSent()
 	return &targetconn.Request{
 		Method: a.Method, URI: a.URI, Host: a.Host, Header: header,
 		Body: a.Body.Data, Rest: a.Body.Rest, Length: a.Body.Length,
--- a/internal/mesh/gate/execution.go
+++ b/internal/mesh/gate/execution.go
@@ -12,10 +12,7 @@
 )
 
 const (
-	// bodyPrefetchLimit bounds the part of a request body that is read before the attempt is sent to the target, in
-	// bytes. If the body breaks off within it, the attempt has not run.
-	bodyPrefetchLimit = 256 << 10
-	// bodyPrefetchTimeout bounds the time for reading that part, because a slot is held meanwhile.
+	// bodyPrefetchTimeout bounds the time for reading the beginning of a request body, because a slot is held meanwhile.
 	bodyPrefetchTimeout = time.Second
 	// deadlineMargin is subtracted from the time that the target is given, so that a response at the last moment still
 	// reaches the caller.
@@ -32,6 +29,8 @@
 	started time.Time
 	target  *target
 	signals link.Signals
+	// fingerprint identifies the request in the evidence of crashes.
+	fingerprint string
 	// cancel ends the exchange with the target.
 	cancel context.CancelCauseFunc
 	// stop releases the resources of the attempt's context, which also ends the exchange.
@@ -68,10 +67,11 @@
 		return refusal
 	}
 	e.started = time.Now()
-	// Reading the body of a remote attempt makes net/http send 100 Continue, which its entry takes for Started.
-	if e.attempt.Body.Replayable() {
+	// Reading a body that is held back makes net/http send 100 Continue, which the entry takes for Started.
+	if !e.attempt.BodyHeld {
 		e.signals.Started()
-	} else if refusal := e.fetchBody(ctx); refusal != nil {
+	}
+	if refusal := e.fetchBody(ctx); refusal != nil {
 		e.releaseSlot(slots.Cancelled)
 		return refusal
 	}
@@ -85,17 +85,20 @@
 // dispatch sends the attempt to the target unless its request is quarantined. It records a crash as evidence.
 func (e *execution) dispatch(ctx context.Context) *link.Result {
 	evidence := e.gate.config.CrashEvidence
-	fingerprint := crashes.Fingerprint(e.attempt)
-	if evidence.Any() && evidence.Quarantined(fingerprint) {
+	e.fingerprint = crashes.Fingerprint(e.attempt)
+	if evidence.Any() && evidence.Quarantined(e.fingerprint) {
 		e.releaseSlot(slots.Cancelled)
 		return newRefusal(link.Quarantined, 0)
 	}
-	evidence.Started(fingerprint)
+	evidence.Started(e.fingerprint)
 	result := e.exchange(ctx)
+	if result.Rest != nil {
+		return result
+	}
 	if result.Verdict == hop.Unknown && result.Reason == link.TargetBroken && e.targetCrashed(ctx) {
 		evidence.Crashed()
 	}
-	evidence.Ended(fingerprint, result.Verdict == hop.Ran)
+	evidence.Ended(e.fingerprint, result.Verdict == hop.Ran)
 	return result
 }
 
--- a/internal/mesh/link/attempt.go
+++ b/internal/mesh/link/attempt.go
@@ -38,6 +38,8 @@
 	// HoldBody is set when the latest attempt to reach the host has failed. Then the body is held back until the gate
 	// requests it, even if the attempt is idempotent and its body empty.
 	HoldBody bool
+	// BodyHeld is set at the gate if the entry holds the body back until the gate reads it.
+	BodyHeld bool
 	// Policy is the policy version in force at the entry.
 	Policy policy.Version
 
--- a/internal/mesh/link/client.go
+++ b/internal/mesh/link/client.go
@@ -116,7 +116,7 @@
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Header: header,
 	}
 	if !a.Idempotent || !a.Body.Empty() || a.HoldBody {
-		c.body = &heldBody{source: a.Body.reader()}
+		c.body = &heldBody{body: a.Body, source: a.Body.reader()}
 		r.Body, r.ContentLength = c.body, a.Body.Length
 		header["Expect"] = []string{"100-continue"}
 		if a.Body.Empty() || a.Body.Length < 0 {
@@ -170,6 +170,10 @@
 		_ = response.Body.Close()
 		return c.failed(fmt.Errorf("response %d: %w", response.StatusCode, err))
 	}
+	if r.Verdict == hop.NotRun && c.body != nil {
+		// The body may be sent to another host next.
+		c.body.cancel()
+	}
 	if r.Verdict == hop.Ran {
 		r.Status, r.Header, r.Length = response.StatusCode, response.Header, response.ContentLength
 		hop.StripConnection(r.Header)
--- a/internal/mesh/link/encode.go
+++ b/internal/mesh/link/encode.go
@@ -79,7 +79,7 @@
 		Body: &Body{Length: r.ContentLength},
 	}
 	if r.Body != nil && r.ContentLength != 0 {
-		a.Body.Rest = r.Body
+		a.Body.Rest, a.BodyHeld = r.Body, true
 	}
 	return a, p.err
 }
--- a/internal/mesh/link/encode_test.go
+++ b/internal/mesh/link/encode_test.go
@@ -64,6 +64,9 @@
 		func(text string, length int64, whole bool) {
 			b := &link.Body{Rest: strings.NewReader(text), Length: length}
 			Expect(b.Prefetch(4)).To(Succeed())
+			Expect(b.Whole()).To(Equal(whole))
+			Expect(b.Replayable()).To(BeTrue())
+			b.MarkSent()
 			Expect(b.Replayable()).To(Equal(whole))
 			if whole {
 				Expect(string(b.Data)).To(Equal(text))
--- a/internal/mesh/link/heldbody.go
+++ b/internal/mesh/link/heldbody.go
@@ -11,6 +11,7 @@
 
 // heldBody is a request body that records whether it was released, that is, whether the gate requested it.
 type heldBody struct {
+	body   *Body
 	source io.Reader
 
 	mu        sync.Mutex
@@ -25,7 +26,10 @@
 		h.mu.Unlock()
 		return 0, errNotReleased
 	}
-	h.released = true
+	if !h.released {
+		h.released = true
+		h.body.MarkSent()
+	}
 	h.mu.Unlock()
 	return h.source.Read(p)
 }
--- a/internal/metrics/set.go
+++ b/internal/metrics/set.go
@@ -25,7 +25,7 @@
 	string(problem.RequestQuarantined), string(problem.TicketsUnavailable), string(problem.TicketInvalid),
 	string(problem.TicketExpired), string(problem.IssuerLost), string(problem.KeyReused), string(problem.InProgress),
 	string(problem.OutcomeUnknown), string(problem.AnswerNotKept), string(problem.ClaimStoreUnavailable),
-	string(problem.BodyTooLarge), string(problem.BadRequest), string(problem.AttemptBlocked),
+	string(problem.BodyTooLarge), string(problem.BodyTimeout), string(problem.BadRequest), string(problem.AttemptBlocked),
 	string(problem.ValidityExpired), string(problem.TargetFailed),
 }
 
--- a/internal/problem/code.go
+++ b/internal/problem/code.go
@@ -30,6 +30,7 @@
 	AnswerNotKept         Code = "answer-not-kept"
 	ClaimStoreUnavailable Code = "claim-store-unavailable"
 	BodyTooLarge          Code = "body-too-large"
+	BodyTimeout           Code = "body-timeout"
 	BadRequest            Code = "bad-request"
 	AttemptBlocked        Code = "attempt-blocked"
 	ValidityExpired       Code = "validity-expired"
@@ -67,6 +68,7 @@
 	AnswerNotKept:         {http.StatusConflict, "The request ran, but its answer was not kept"},
 	ClaimStoreUnavailable: {http.StatusServiceUnavailable, "The idempotency key cannot be recorded"},
 	BodyTooLarge:          {http.StatusRequestEntityTooLarge, "The request body is too large"},
+	BodyTimeout:           {http.StatusRequestTimeout, "The request body did not arrive in time"},
 	BadRequest:            {http.StatusBadRequest, "The request is malformed"},
 	AttemptBlocked:        {http.StatusConflict, "The attempt was blocked before it was dispatched"},
 	ValidityExpired:       {http.StatusServiceUnavailable, "The permission to run the request expired on the way"},
