Relay the roster within a failure domain

Change: the first two hosts of a failure domain, in an order that all hosts compute alike, watch the store; the others poll one of them each second and get what has changed since a revision. A relay that does not answer within a second, or whose roster the store has not confirmed for 3 s while the asking host reaches the store, is avoided for 20 s and the next host is asked. A host that is asked watches the store itself for 10 s, so that no agreement on roles is needed. The policy is still watched by every host, so that nothing changes for configurations and keys.

Weighed: a push by the watchers (a connection held for each host, the same bytes), a gossip of records (more bytes, no order by the store's revision), longer pauses (later knowledge of new targets). Bytes within a failure domain cost nothing here.

The spec on large fleets now gives each host a failure domain of its own, as the hosts of one domain no longer all watch.

--- a/internal/mesh/daemon/server.go
+++ b/internal/mesh/daemon/server.go
@@ -78,7 +78,7 @@
 		switch {
 		case r.Header[link.HeaderAttempt] != nil:
 			d.gate.ServeHTTP(w, r)
-		case r.URL.Path == statesync.StatePath:
+		case r.URL.Path == statesync.StatePath, r.URL.Path == statesync.RosterPath:
 			d.syncer.ServeHTTP(w, r)
 		case len(r.URL.Path) > len(limits.Path) && r.URL.Path[:len(limits.Path)] == limits.Path:
 			grants.ServeHTTP(w, r)
--- a/internal/mesh/statesync/peers.go
+++ b/internal/mesh/statesync/peers.go
@@ -52,15 +52,23 @@
 // peerClient fetches state from peers.
 type peerClient struct {
 	client *http.Client
+	// relay keeps its connection for the next poll of the same relay.
+	relay *http.Client
 }
 
 // newPeerClient returns a client without keep-alive: requests are rare and usually go to a different host each time.
 func newPeerClient() *peerClient {
 	dialer := link.Dialer()
-	return &peerClient{client: &http.Client{
-		Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true},
-		Timeout:   peerTimeout,
-	}}
+	return &peerClient{
+		client: &http.Client{
+			Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true},
+			Timeout:   peerTimeout,
+		},
+		relay: &http.Client{
+			Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: 4 * relayInterval},
+			Timeout:   peerTimeout,
+		},
+	}
 }
 
 // fetchState fetches the policy of a host if it is newer than have, and its roster if records is set.
@@ -86,8 +94,12 @@
 	return got, fault.New("decode state", string(host), err)
 }
 
-// ServeHTTP serves StatePath.
+// ServeHTTP serves StatePath and RosterPath.
 func (s *Syncer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == RosterPath {
+		s.serveRoster(w, r)
+		return
+	}
 	have, err := strconv.ParseUint(r.URL.Query().Get(versionParameter), 16, 64)
 	if err != nil {
 		http.Error(w, "malformed policy version", http.StatusBadRequest)
--- /dev/null
+++ b/internal/mesh/statesync/relay.go
@@ -0,0 +1,306 @@
+package statesync
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"buckthornlatch.example/buckthornlatch/internal/clock"
+	"buckthornlatch.example/buckthornlatch/internal/fault"
+	"buckthornlatch.example/buckthornlatch/internal/id"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/roster"
+	"buckthornlatch.example/buckthornlatch/internal/platform"
+)
+
+const (
+	// RosterPath is the path at which a host relays the roster to the hosts of its failure domain.
+	RosterPath = "/.buckthornlatch/v1/roster"
+	// sinceParameter is the query parameter with the revision up to which the requester knows the roster.
+	sinceParameter = "since"
+	// watchersPerDomain is the number of hosts of a failure domain that watch the roster in the store. The others poll one
+	// of them, so that the calls to the store do not grow with the number of hosts.
+	watchersPerDomain = 2
+	// relayInterval is the time between two polls of a relay.
+	relayInterval = time.Second
+	// recruitedFor is how long a host watches the store after another one has polled it.
+	recruitedFor = 10 * time.Second
+	// avoidRelayFor is how long a relay that failed is not polled.
+	avoidRelayFor = 20 * time.Second
+	// maxRelayAge is the age of a relay's roster from which it counts as failed.
+	maxRelayAge = 3 * time.Second
+	// maxRemoved bounds the deletions that are remembered for relaying.
+	maxRemoved = 1024
+)
+
+// relayedRoster is the body of a response at RosterPath.
+type relayedRoster struct {
+	// Through is the revision up to which the roster is complete.
+	Through platform.Revision `json:"through"`
+	// Full is set if Rows are all rows. Otherwise they are those that changed since the requester's revision, and Removed
+	// lists the hosts whose rows were deleted since.
+	Full    bool         `json:"full,omitempty"`
+	Rows    []relayedRow `json:"rows,omitempty"`
+	Removed []id.HostID  `json:"removed,omitempty"`
+	// AgeMS is how long ago the roster was confirmed by the store, in milliseconds.
+	AgeMS int64 `json:"age_ms"`
+}
+
+// relayedRow is a record with the revision of its row.
+type relayedRow struct {
+	Record   roster.Record     `json:"record"`
+	Revision platform.Revision `json:"revision"`
+}
+
+// relays decides from which host this one gets the roster. Every host computes the same order of the hosts of its
+// failure domain. The first ones watch the store, and so does any other that was polled lately: if all first ones fail,
+// the next ones take their place because they are asked. It is safe for concurrent use.
+type relays struct {
+	self   id.HostID
+	domain id.FailureDomain
+
+	mu sync.Mutex
+	// avoid holds the time until which a failed relay is not polled.
+	avoid map[id.HostID]time.Time
+	// polledAt is when another host polled this one last.
+	polledAt time.Time
+}
+
+// newRelays returns the relays of a host.
+func newRelays(self id.HostID, domain id.FailureDomain) *relays {
+	return &relays{self: self, domain: domain, avoid: map[id.HostID]time.Time{}}
+}
+
+// pick returns the host to poll, and false if this host should watch the store itself.
+func (r *relays) pick(now time.Time, view *roster.View) (id.HostID, bool) {
+	order := r.order(view)
+	if slices.Contains(order[:min(len(order), watchersPerDomain)], r.self) || !slices.Contains(order, r.self) {
+		return "", false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if now.Sub(r.polledAt) < recruitedFor {
+		return "", false
+	}
+	var usable []id.HostID
+	for _, host := range order {
+		if host != r.self && !now.Before(r.avoid[host]) && len(usable) < watchersPerDomain {
+			usable = append(usable, host)
+		}
+	}
+	// After failures of several hosts this one is among the first that are left.
+	if len(usable) < watchersPerDomain {
+		return "", false
+	}
+	return usable[xxhash.Sum64String(string(r.self))%watchersPerDomain], true
+}
+
+// order returns the hosts of the failure domain in the order in which they are used.
+func (r *relays) order(view *roster.View) []id.HostID {
+	var hosts []id.HostID
+	for _, record := range view.Hosts() {
+		if record.Domain == r.domain && record.State != roster.Gone {
+			hosts = append(hosts, record.Host)
+		}
+	}
+	slices.SortFunc(hosts, func(a, b id.HostID) int {
+		return cmp.Compare(xxhash.Sum64String(string(a)), xxhash.Sum64String(string(b)))
+	})
+	return hosts
+}
+
+// failed records that a relay could not be used.
+func (r *relays) failed(now time.Time, host id.HostID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for known, until := range r.avoid {
+		if !now.Before(until) {
+			delete(r.avoid, known)
+		}
+	}
+	r.avoid[host] = now.Add(avoidRelayFor)
+}
+
+// polled records that another host polled this one.
+func (r *relays) polled(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.polledAt = now
+}
+
+// followRoster keeps the roster up to date until ctx ends, from the store or from a relay.
+func (s *Syncer) followRoster(ctx context.Context) {
+	w := &watch{
+		watcher:   watcher{part: rosterPart, prefix: s.config.Keys.HostPrefix, coalesceDelay: s.rosterCoalesceDelay, apply: s.applyRoster},
+		backoff:   initialBackoff,
+		watchWait: WatchWait,
+	}
+	for ctx.Err() == nil {
+		host, relayed := s.relays.pick(time.Now(), s.View())
+		if !relayed || !w.scanned {
+			s.openWatch(w.scanned)
+			s.step(ctx, w)
+			continue
+		}
+		through, err := s.pollRelay(ctx, host, w.since)
+		if err != nil {
+			if ctx.Err() == nil {
+				s.relays.failed(time.Now(), host)
+				s.config.Log.Info().Str("peer", string(host)).Err(err).Msg("sync: relay of the roster not usable")
+			}
+			continue
+		}
+		w.since = max(w.since, through)
+		clock.Sleep(ctx, relayInterval)
+	}
+}
+
+// openWatch records that the roster comes from the store from now on, if it was read before.
+func (s *Syncer) openWatch(scanned bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rosterDirect = s.rosterDirect || scanned
+}
+
+// errOldRoster reports a relay whose roster was not confirmed lately.
+var errOldRoster = fmt.Errorf("the relay's roster is older than %v", maxRelayAge)
+
+// pollRelay takes over what has changed in the roster of a relay since a revision. It returns the revision up to which
+// the roster is known then.
+func (s *Syncer) pollRelay(ctx context.Context, host id.HostID, since platform.Revision) (platform.Revision, error) {
+	got, err := s.peers.fetchRoster(ctx, host, since)
+	if err != nil {
+		return 0, err
+	}
+	age := time.Duration(got.AgeMS) * time.Millisecond
+	// While this host cannot reach the store either, an old roster does not speak against the relay.
+	if age > maxRelayAge && s.policyRecovered() == nil {
+		return 0, fault.New("poll relay", string(host), errOldRoster)
+	}
+	if got.Full || len(got.Rows) > 0 || len(got.Removed) > 0 {
+		s.applyRelayed(got, since)
+	}
+	s.confirmRoster(age)
+	return got.Through, nil
+}
+
+// applyRelayed merges a relayed roster. Rows that are not newer than the known ones change nothing.
+func (s *Syncer) applyRelayed(got relayedRoster, since platform.Revision) {
+	s.mu.Lock()
+	s.rosterThrough = max(s.rosterThrough, got.Through)
+	now := time.Now()
+	listed := map[id.HostID]bool{}
+	for _, row := range got.Rows {
+		listed[row.Record.Host] = true
+		if row.Revision > s.records[row.Record.Host].revision && row.Record.Valid(now) {
+			s.records[row.Record.Host] = storedRecord{record: row.Record, revision: row.Revision}
+		}
+	}
+	if got.Full && got.Through >= since {
+		for host, known := range s.records {
+			if !listed[host] && known.revision <= got.Through {
+				s.removeRecord(host, got.Through)
+			}
+		}
+	}
+	for _, host := range got.Removed {
+		if s.records[host].revision <= got.Through {
+			s.removeRecord(host, got.Through)
+		}
+	}
+	s.rebuildView()
+	own, found := s.records[s.config.Self]
+	republish := s.own.set && !s.own.remove && (!found || own.record != s.own.record)
+	s.mu.Unlock()
+	if republish {
+		s.wakePublisher()
+	}
+	s.notify()
+}
+
+// removeRecord removes the record of a host and remembers that for relaying. The caller must hold s.mu.
+func (s *Syncer) removeRecord(host id.HostID, at platform.Revision) {
+	delete(s.records, host)
+	if len(s.removed) >= maxRemoved {
+		clear(s.removed)
+		s.relayFloor = at
+	}
+	s.removed[host] = at
+}
+
+// confirmRoster records that the roster was confirmed by the store some time ago.
+func (s *Syncer) confirmRoster(age time.Duration) {
+	if age <= maxRelayAge {
+		s.markReachable(rosterPart)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rosterConfirmed = time.Now().Add(-age)
+	s.rosterDirect = false
+}
+
+// rosterAge returns how long ago the roster was confirmed by the store. A watch that is open confirms it all the time.
+// The caller must hold s.mu.
+func (s *Syncer) rosterAge() time.Duration {
+	if s.rosterDirect {
+		return s.outageDuration(rosterPart)
+	}
+	return time.Since(s.rosterConfirmed)
+}
+
+// serveRoster serves RosterPath.
+func (s *Syncer) serveRoster(w http.ResponseWriter, r *http.Request) {
+	since, err := strconv.ParseUint(r.URL.Query().Get(sinceParameter), 10, 64)
+	if err != nil {
+		http.Error(w, "malformed revision", http.StatusBadRequest)
+		return
+	}
+	s.relays.polled(time.Now())
+	s.mu.Lock()
+	out := relayedRoster{Through: s.rosterThrough, AgeMS: s.rosterAge().Milliseconds()}
+	out.Full = platform.Revision(since) < s.relayFloor
+	for _, known := range s.records {
+		if known.revision > 0 && known.record.Host != "" && (out.Full || known.revision > platform.Revision(since)) {
+			out.Rows = append(out.Rows, relayedRow{Record: known.record, Revision: known.revision})
+		}
+	}
+	for host, at := range s.removed {
+		if !out.Full && at > platform.Revision(since) {
+			out.Removed = append(out.Removed, host)
+		}
+	}
+	s.mu.Unlock()
+	w.Header().Set("Content-Type", "application/json")
+	// The error is ignored because the requester polls again.
+	_ = json.NewEncoder(w).Encode(out)
+}
+
+// fetchRoster fetches what has changed in the roster of a host since a revision.
+func (p *peerClient) fetchRoster(ctx context.Context, host id.HostID, since platform.Revision) (relayedRoster, error) {
+	target := url.URL{Scheme: "http", Host: string(host), Path: RosterPath}
+	target.RawQuery = url.Values{sinceParameter: {strconv.FormatUint(uint64(since), 10)}}.Encode()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target.String(), nil)
+	if err != nil {
+		return relayedRoster{}, fault.New("poll relay", string(host), err)
+	}
+	response, err := p.relay.Do(request)
+	if err != nil {
+		return relayedRoster{}, fault.New("poll relay", string(host), err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return relayedRoster{}, fault.New("poll relay", string(host), fmt.Errorf("status %d", response.StatusCode))
+	}
+	var got relayedRoster
+	err = json.NewDecoder(io.LimitReader(response.Body, maxStateBytes)).Decode(&got)
+	return got, fault.New("decode relayed roster", string(host), err)
+}
--- a/internal/mesh/statesync/store_test.go
+++ b/internal/mesh/statesync/store_test.go
@@ -35,6 +35,23 @@
 	return &fakeStore{memory: platform.NewMemory(), changed: make(chan struct{}), watchesOf: map[string]int{}}
 }
 
+// connection returns another access to the rows of a store, with faults of its own. Its watches notice changes within
+// connectionPoll.
+func (f *fakeStore) connection() *fakeStore {
+	other := newFakeStore()
+	other.memory = f.memory
+	go func() {
+		for range 6000 {
+			time.Sleep(connectionPoll)
+			other.set(func(*fakeStore) {})
+		}
+	}()
+	return other
+}
+
+// connectionPoll is the interval at which connections look for changes.
+const connectionPoll = 20 * time.Millisecond
+
 // set changes the injected faults and wakes all watches.
 func (f *fakeStore) set(change func(*fakeStore)) {
 	f.mu.Lock()
--- a/internal/mesh/statesync/syncer.go
+++ b/internal/mesh/statesync/syncer.go
@@ -30,6 +30,15 @@
 	storeStatuses map[part]storeStatus
 	own           ownRecord
 	restored      bool
+	relays        *relays
+	// rosterThrough is the revision up to which the roster is known. rosterDirect is set while it comes from the store;
+	// otherwise rosterConfirmed is when the store has confirmed it last.
+	rosterThrough   platform.Revision
+	rosterDirect    bool
+	rosterConfirmed time.Time
+	// removed holds the revisions at which hosts were removed since relayFloor.
+	removed    map[id.HostID]platform.Revision
+	relayFloor platform.Revision
 	// ignored holds the revision of the last invalid row of each host.
 	ignored map[id.HostID]platform.Revision
 	// hintPending is set while a newer policy that a peer uses is awaited from the store.
@@ -71,7 +80,8 @@
 // New returns a syncer without policy and with an empty roster. Run starts it.
 func New(config Config) *Syncer {
 	return &Syncer{
-		config: config, peers: newPeerClient(), wake: make(chan struct{}, 1), hint: make(chan id.HostID, 1),
+		config: config, relays: newRelays(config.Self, config.Domain), removed: map[id.HostID]platform.Revision{},
+		peers: newPeerClient(), wake: make(chan struct{}, 1), hint: make(chan id.HostID, 1),
 		view: roster.NewView(nil), records: map[id.HostID]storedRecord{}, ignored: map[id.HostID]platform.Revision{},
 		storeStatuses: map[part]storeStatus{policyPart: unreachableFromNow(), rosterPart: unreachableFromNow()},
 	}
@@ -80,7 +90,7 @@
 // Run synchronizes the state until ctx ends.
 func (s *Syncer) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
-	for _, loop := range []func(context.Context){s.watchPolicy, s.watchRoster, s.publish, s.pollPeers} {
+	for _, loop := range []func(context.Context){s.watchPolicy, s.followRoster, s.publish, s.pollPeers} {
 		group.Go(func() error {
 			loop(ctx)
 			return nil
--- a/internal/mesh/statesync/syncer_test.go
+++ b/internal/mesh/statesync/syncer_test.go
@@ -395,16 +395,17 @@
 		})
 	})
 
-	// Guards against a number of calls quadratic in the number of hosts while targets change all the time.
+	// Guards against a number of calls quadratic in the number of hosts while targets change all the time. Each host has a
+	// failure domain of its own here, so that all of them watch the store.
 	It("watches the roster of a large fleet less often", func() {
 		store := newFakeStore()
 		for i := range 100 {
-			store.put(fmt.Sprintf("hosts/h%d:1", i), fmt.Sprintf(`{"host":"h%d:1","service":"walks","state":"serving","slots":5}`, i))
+			store.put(fmt.Sprintf("hosts/h%d:1", i), fmt.Sprintf(`{"host":"h%d:1","domain":"d%d","service":"walks","state":"serving","slots":5}`, i, i))
 		}
 		n := start(store, "a:1")
 		Eventually(func() int { return len(n.View().Hosts()) }).Should(Equal(100))
 		for i := range 50 {
-			store.put("hosts/h0:1", fmt.Sprintf(`{"host":"h0:1","service":"walks","state":"serving","slots":%d}`, 6+i))
+			store.put("hosts/h0:1", fmt.Sprintf(`{"host":"h0:1","domain":"d0","service":"walks","state":"serving","slots":%d}`, 6+i))
 			time.Sleep(100 * time.Millisecond)
 		}
 		Expect(store.watchesAt("hosts/")).To(BeNumerically("<=", 3))
--- a/internal/mesh/statesync/watch.go
+++ b/internal/mesh/statesync/watch.go
@@ -20,8 +20,9 @@
 	prefix string
 	// coalesceDelay returns the pause between two watches; nil means none.
 	coalesceDelay func() time.Duration
-	// apply applies rows to the local state; complete reports whether they are all rows of the part.
-	apply func(rows []platform.Row, complete bool)
+	// apply applies rows to the local state, which then is that of a revision; complete reports whether they are all rows
+	// of the part.
+	apply func(rows []platform.Row, through platform.Revision, complete bool)
 }
 
 // watchPolicy keeps the policy up to date.
@@ -29,48 +30,63 @@
 	s.watch(ctx, watcher{part: policyPart, prefix: s.config.Keys.PolicyPrefix, apply: s.applyPolicy})
 }
 
-// watchRoster keeps the roster up to date.
-func (s *Syncer) watchRoster(ctx context.Context) {
-	s.watch(ctx, watcher{part: rosterPart, prefix: s.config.Keys.HostPrefix, coalesceDelay: s.rosterCoalesceDelay, apply: s.applyRoster})
+// rosterCoalesceDelay returns the pause between two watches of the roster, which grows with the number of hosts that watch
+// it.
+func (s *Syncer) rosterCoalesceDelay() time.Duration {
+	hosts := s.View().Hosts()
+	watching := len(hosts)
+	if _, relayed := s.relays.pick(time.Now(), s.View()); !relayed {
+		domains := map[id.FailureDomain]bool{}
+		for _, r := range hosts {
+			domains[r.Domain] = true
+		}
+		watching = min(watching, watchersPerDomain*len(domains))
+	}
+	return min(max(time.Duration(watching)*coalesceDelayPerHost, minCoalesceDelay), maxCoalesceDelay)
 }
 
-// rosterCoalesceDelay returns the pause between two watches of the roster, which grows with the number of hosts.
-func (s *Syncer) rosterCoalesceDelay() time.Duration {
-	hosts := time.Duration(len(s.View().Hosts()))
-	return min(max(hosts*coalesceDelayPerHost, minCoalesceDelay), maxCoalesceDelay)
+// watch is the state of a watcher between its calls.
+type watch struct {
+	watcher
+	// scanned is set once the part was read whole; since is the revision to watch from then. A separate flag is needed
+	// because revision zero is valid: it is the revision of an empty store.
+	scanned   bool
+	since     platform.Revision
+	backoff   time.Duration
+	watchWait time.Duration
 }
 
 // watch scans a part and then watches it for changes until ctx ends.
-func (s *Syncer) watch(ctx context.Context, w watcher) {
-	// A separate flag is needed because revision zero is valid: it is the revision of an empty store.
-	var since platform.Revision
-	scanned := false
-	backoff := initialBackoff
-	watchWait := WatchWait
+func (s *Syncer) watch(ctx context.Context, part watcher) {
+	w := &watch{watcher: part, backoff: initialBackoff, watchWait: WatchWait}
 	for ctx.Err() == nil {
-		through, err := s.scanOrWatch(ctx, w, scanned, since, watchWait)
-		switch {
-		case err == nil:
-			scanned, since, backoff, watchWait = true, through, initialBackoff, WatchWait
-			s.markReachable(w.part)
-			if w.coalesceDelay != nil && !clock.Sleep(ctx, w.coalesceDelay()) {
-				return
-			}
-			continue
-		case ctx.Err() != nil:
-			return
-		case errors.Is(err, platform.ErrHistoryLost):
-			s.config.Log.Info().Str("part", string(w.part)).Uint64("since", uint64(since)).Msg("sync: store lost its change history; scanning again")
-			scanned = false
-			continue
-		}
-		s.markUnreachable(w.part, err)
-		watchWait = recoveryWatchWait
-		// The jitter of half the backoff keeps the daemons from returning to a recovered store all at once.
-		if !s.waitToRetry(ctx, w.part, backoff/2+rand.N(backoff/2)) {
-			return
+		s.step(ctx, w)
+	}
+}
+
+// step makes one call to the store, and waits for the next one to be due.
+func (s *Syncer) step(ctx context.Context, w *watch) {
+	through, err := s.scanOrWatch(ctx, w)
+	switch {
+	case err == nil:
+		w.scanned, w.since, w.backoff, w.watchWait = true, through, initialBackoff, WatchWait
+		s.markReachable(w.part)
+		if w.coalesceDelay != nil {
+			clock.Sleep(ctx, w.coalesceDelay())
 		}
-		backoff = min(2*backoff, maxBackoff)
+		return
+	case ctx.Err() != nil:
+		return
+	case errors.Is(err, platform.ErrHistoryLost):
+		s.config.Log.Info().Str("part", string(w.part)).Uint64("since", uint64(w.since)).Msg("sync: store lost its change history; scanning again")
+		w.scanned = false
+		return
+	}
+	s.markUnreachable(w.part, err)
+	w.watchWait = recoveryWatchWait
+	// The jitter of half the backoff keeps the daemons from returning to a recovered store all at once.
+	if s.waitToRetry(ctx, w.part, w.backoff/2+rand.N(w.backoff/2)) {
+		w.backoff = min(2*w.backoff, maxBackoff)
 	}
 }
 
@@ -101,18 +117,18 @@
 
 // scanOrWatch scans a part if it was not scanned yet, and otherwise waits for its next changes. It returns the revision
 // to watch from.
-func (s *Syncer) scanOrWatch(ctx context.Context, w watcher, scanned bool, since platform.Revision, wait time.Duration) (platform.Revision, error) {
-	if !scanned {
-		return s.scanAll(ctx, w)
+func (s *Syncer) scanOrWatch(ctx context.Context, w *watch) (platform.Revision, error) {
+	if !w.scanned {
+		return s.scanAll(ctx, w.watcher)
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait+watchSlack)
+	ctx, cancel := context.WithTimeout(ctx, w.watchWait+watchSlack)
 	defer cancel()
-	rows, err := s.config.Store.Watch(ctx, w.prefix, since, wait)
+	rows, err := s.config.Store.Watch(ctx, w.prefix, w.since, w.watchWait)
 	if err != nil {
 		return 0, err
 	}
-	if len(rows.Rows) > 0 {
-		w.apply(rows.Rows, false)
+	if len(rows.Rows) > 0 || w.part == rosterPart {
+		w.apply(rows.Rows, rows.Through, false)
 	}
 	return rows.Through, nil
 }
@@ -133,7 +149,7 @@
 		}
 		all = append(all, rows.Rows...)
 		if !rows.More || len(rows.Rows) == 0 {
-			w.apply(all, true)
+			w.apply(all, first, true)
 			return first, nil
 		}
 		after = rows.Rows[len(rows.Rows)-1].Key
@@ -148,7 +164,7 @@
 }
 
 // applyPolicy applies rows of the operator.
-func (s *Syncer) applyPolicy(rows []platform.Row, _ bool) {
+func (s *Syncer) applyPolicy(rows []platform.Row, _ platform.Revision, _ bool) {
 	for _, row := range rows {
 		if row.Key == s.config.Keys.PolicyKey && row.Exists() {
 			s.setPolicy(row.Value, "store")
@@ -157,10 +173,18 @@
 }
 
 // applyRoster applies rows of hosts. It wakes the publisher if the store does not hold the current record of this host.
-func (s *Syncer) applyRoster(rows []platform.Row, complete bool) {
+func (s *Syncer) applyRoster(rows []platform.Row, through platform.Revision, complete bool) {
 	s.mu.Lock()
+	s.rosterThrough, s.rosterDirect = max(s.rosterThrough, through), true
+	if len(rows) == 0 && !complete {
+		s.mu.Unlock()
+		return
+	}
 	if complete {
 		s.records = map[id.HostID]storedRecord{}
+		// Which rows were deleted is not known; those that ask with an earlier revision get the whole roster.
+		clear(s.removed)
+		s.relayFloor = through
 	}
 	for _, row := range rows {
 		s.applyRecord(row)
@@ -185,7 +209,7 @@
 func (s *Syncer) applyRecord(row platform.Row) {
 	host := id.HostID(strings.TrimPrefix(row.Key, s.config.Keys.HostPrefix))
 	if !row.Exists() {
-		delete(s.records, host)
+		s.removeRecord(host, row.Revision)
 		return
 	}
 	var record roster.Record
