Decide about relays before the own record is written, and retry the store less often

Change: the order of relays includes the asking host; a host that was polled watches the store for 4 s instead of 10; the longest pause between retries is 2 s instead of 1 s.

The spec on failing relays expects one or two relays: six hosts all choose the same of two in 1 of 32 cases, and did so once.

--- a/internal/mesh/statesync/config.go
+++ b/internal/mesh/statesync/config.go
@@ -24,7 +24,7 @@
 	watchSlack = 2 * time.Second
 	// initialBackoff and maxBackoff are the first and the longest backoff after a failure.
 	initialBackoff = 200 * time.Millisecond
-	maxBackoff     = time.Second
+	maxBackoff     = 2 * time.Second
 	// maxRosterDeferral bounds how long retries for the roster are held back because the policy cannot be read either.
 	// The policy is retried many times within it. The bound is needed because reads of the policy may fail alone.
 	maxRosterDeferral = 10 * time.Second
--- a/internal/mesh/statesync/relay.go
+++ b/internal/mesh/statesync/relay.go
@@ -33,7 +33,7 @@
 	// relayInterval is the time between two polls of a relay.
 	relayInterval = time.Second
 	// recruitedFor is how long a host watches the store after another one has polled it.
-	recruitedFor = 10 * time.Second
+	recruitedFor = 4 * relayInterval
 	// avoidRelayFor is how long a relay that failed is not polled.
 	avoidRelayFor = 20 * time.Second
 	// maxRelayAge is the age of a relay's roster from which it counts as failed.
@@ -83,7 +83,7 @@
 // pick returns the host to poll, and false if this host should watch the store itself.
 func (r *relays) pick(now time.Time, view *roster.View) (id.HostID, bool) {
 	order := r.order(view)
-	if slices.Contains(order[:min(len(order), watchersPerDomain)], r.self) || !slices.Contains(order, r.self) {
+	if slices.Contains(order[:min(len(order), watchersPerDomain)], r.self) {
 		return "", false
 	}
 	r.mu.Lock()
@@ -104,11 +104,12 @@
 	return usable[xxhash.Sum64String(string(r.self))%watchersPerDomain], true
 }
 
-// order returns the hosts of the failure domain in the order in which they are used.
+// order returns the hosts of the failure domain in the order in which they are used. It includes this host, whose record
+// may not be written yet.
 func (r *relays) order(view *roster.View) []id.HostID {
-	var hosts []id.HostID
+	hosts := []id.HostID{r.self}
 	for _, record := range view.Hosts() {
-		if record.Domain == r.domain && record.State != roster.Gone {
+		if record.Domain == r.domain && record.State != roster.Gone && record.Host != r.self {
 			hosts = append(hosts, record.Host)
 		}
 	}
