Keep a host that left and came back between two polls of the roster

Cause, found by reading: a relay listed a host both as written and as deleted when its record was deleted and written again after the requester's revision; the requester removed it, and got it back only with the next change of the record.

Change: a record that is set is no longer listed as deleted, and a deletion does not apply to a row of the same response.

--- a/internal/mesh/statesync/doc.go
+++ b/internal/mesh/statesync/doc.go
@@ -1,6 +1,7 @@
 // Package statesync replicates the state that all daemons share: the operator's policy and the roster of hosts.
 //
-// Both are stored in the platform's row store, and each daemon watches both. The operator writes the policy. Each daemon
+// Both are stored in the platform's row store. Each daemon watches the policy there. Two hosts of each failure domain
+// watch the roster, and the others poll one of them (relays). The operator writes the policy. Each daemon
 // writes a single record, that of its own host, when the record changes. The write is conditional on the revision that
 // the daemon last saw, so that a delayed write of an earlier process has no effect.
 //
--- a/internal/mesh/statesync/publish.go
+++ b/internal/mesh/statesync/publish.go
@@ -130,7 +130,7 @@
 	if own.remove {
 		delete(s.records, s.config.Self)
 	} else {
-		s.records[s.config.Self] = storedRecord{record: own.record, revision: revision}
+		s.setRecord(s.config.Self, storedRecord{record: own.record, revision: revision})
 	}
 	if s.own.done == own.done && own.done != nil {
 		close(own.done)
--- a/internal/mesh/statesync/relay.go
+++ b/internal/mesh/statesync/relay.go
@@ -1,24 +1,18 @@
 package statesync
 
 import (
-	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
 	"net/url"
-	"slices"
 	"strconv"
-	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"buckthornlatch.example/buckthornlatch/internal/clock"
 	"buckthornlatch.example/buckthornlatch/internal/fault"
 	"buckthornlatch.example/buckthornlatch/internal/id"
-	"buckthornlatch.example/buckthornlatch/internal/mesh/roster"
 	"buckthornlatch.example/buckthornlatch/internal/platform"
 )
 
@@ -42,102 +36,6 @@
 	maxRemoved = 1024
 )
 
-// relayedRoster is the body of a response at RosterPath.
-type relayedRoster struct {
-	// Through is the revision up to which the roster is complete.
-	Through platform.Revision `json:"through"`
-	// Full is set if Rows are all rows. Otherwise they are those that changed since the requester's revision, and Removed
-	// lists the hosts whose rows were deleted since.
-	Full    bool         `json:"full,omitempty"`
-	Rows    []relayedRow `json:"rows,omitempty"`
-	Removed []id.HostID  `json:"removed,omitempty"`
-	// AgeMS is how long ago the roster was confirmed by the store, in milliseconds.
-	AgeMS int64 `json:"age_ms"`
-}
-
-// relayedRow is a record with the revision of its row.
-type relayedRow struct {
-	Record   roster.Record     `json:"record"`
-	Revision platform.Revision `json:"revision"`
-}
-
-// relays decides from which host this one gets the roster. Every host computes the same order of the hosts of its
-// failure domain. The first ones watch the store, and so does any other that was polled lately: if all first ones fail,
-// the next ones take their place because they are asked. It is safe for concurrent use.
-type relays struct {
-	self   id.HostID
-	domain id.FailureDomain
-
-	mu sync.Mutex
-	// avoid holds the time until which a failed relay is not polled.
-	avoid map[id.HostID]time.Time
-	// polledAt is when another host polled this one last.
-	polledAt time.Time
-}
-
-// newRelays returns the relays of a host.
-func newRelays(self id.HostID, domain id.FailureDomain) *relays {
-	return &relays{self: self, domain: domain, avoid: map[id.HostID]time.Time{}}
-}
-
-// pick returns the host to poll, and false if this host should watch the store itself.
-func (r *relays) pick(now time.Time, view *roster.View) (id.HostID, bool) {
-	order := r.order(view)
-	if slices.Contains(order[:min(len(order), watchersPerDomain)], r.self) {
-		return "", false
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if now.Sub(r.polledAt) < recruitedFor {
-		return "", false
-	}
-	var usable []id.HostID
-	for _, host := range order {
-		if host != r.self && !now.Before(r.avoid[host]) && len(usable) < watchersPerDomain {
-			usable = append(usable, host)
-		}
-	}
-	// After failures of several hosts this one is among the first that are left.
-	if len(usable) < watchersPerDomain {
-		return "", false
-	}
-	return usable[xxhash.Sum64String(string(r.self))%watchersPerDomain], true
-}
-
-// order returns the hosts of the failure domain in the order in which they are used. It includes this host, whose record
-// may not be written yet.
-func (r *relays) order(view *roster.View) []id.HostID {
-	hosts := []id.HostID{r.self}
-	for _, record := range view.Hosts() {
-		if record.Domain == r.domain && record.State != roster.Gone && record.Host != r.self {
-			hosts = append(hosts, record.Host)
-		}
-	}
-	slices.SortFunc(hosts, func(a, b id.HostID) int {
-		return cmp.Compare(xxhash.Sum64String(string(a)), xxhash.Sum64String(string(b)))
-	})
-	return hosts
-}
-
-// failed records that a relay could not be used.
-func (r *relays) failed(now time.Time, host id.HostID) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for known, until := range r.avoid {
-		if !now.Before(until) {
-			delete(r.avoid, known)
-		}
-	}
-	r.avoid[host] = now.Add(avoidRelayFor)
-}
-
-// polled records that another host polled this one.
-func (r *relays) polled(now time.Time) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.polledAt = now
-}
-
 // followRoster keeps the roster up to date until ctx ends, from the store or from a relay.
 func (s *Syncer) followRoster(ctx context.Context) {
 	w := &watch{
@@ -203,7 +101,7 @@
 	for _, row := range got.Rows {
 		listed[row.Record.Host] = true
 		if row.Revision > s.records[row.Record.Host].revision && row.Record.Valid(now) {
-			s.records[row.Record.Host] = storedRecord{record: row.Record, revision: row.Revision}
+			s.setRecord(row.Record.Host, storedRecord{record: row.Record, revision: row.Revision})
 		}
 	}
 	if got.Full && got.Through >= since {
@@ -214,7 +112,7 @@
 		}
 	}
 	for _, host := range got.Removed {
-		if s.records[host].revision <= got.Through {
+		if !listed[host] && s.records[host].revision <= got.Through {
 			s.removeRecord(host, got.Through)
 		}
 	}
@@ -228,6 +126,12 @@
 	s.notify()
 }
 
+// setRecord sets the record of a host, which is not removed any more. The caller must hold s.mu.
+func (s *Syncer) setRecord(host id.HostID, known storedRecord) {
+	s.records[host] = known
+	delete(s.removed, host)
+}
+
 // removeRecord removes the record of a host and remembers that for relaying. The caller must hold s.mu.
 func (s *Syncer) removeRecord(host id.HostID, at platform.Revision) {
 	delete(s.records, host)
--- a/internal/mesh/statesync/relay_test.go
+++ b/internal/mesh/statesync/relay_test.go
@@ -129,6 +129,21 @@
 		expectKnown(all, "x:1", 0)
 	})
 
+	// Guards against a host that left and came back between two polls, and that the others remove for good.
+	It("keeps a record that was deleted and written again", func() {
+		store := newFakeStore()
+		all := startServed(same(store, 6)...)
+		settle(store, all)
+		putSlots(store, "x:1", 5)
+		expectKnown(all, "x:1", 5)
+		store.remove("hosts/x:1")
+		putSlots(store, "x:1", 6)
+		expectKnown(all, "x:1", 6)
+		for _, s := range all {
+			Consistently(func() int { r, _ := s.View().Find("x:1"); return r.Slots }, "500ms").Should(Equal(6))
+		}
+	})
+
 	DescribeTable("is followed by all hosts when both relays fail",
 		func(fail func(*served)) {
 			store := newFakeStore()
--- /dev/null
+++ b/internal/mesh/statesync/relayedroster.go
@@ -0,0 +1,26 @@
+package statesync
+
+import (
+	"buckthornlatch.example/buckthornlatch/internal/id"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/roster"
+	"buckthornlatch.example/buckthornlatch/internal/platform"
+)
+
+// relayedRoster is the body of a response at RosterPath.
+type relayedRoster struct {
+	// Through is the revision up to which the roster is complete.
+	Through platform.Revision `json:"through"`
+	// Full is set if Rows are all rows. Otherwise they are those that changed since the requester's revision, and Removed
+	// lists the hosts whose rows were deleted since.
+	Full    bool         `json:"full,omitempty"`
+	Rows    []relayedRow `json:"rows,omitempty"`
+	Removed []id.HostID  `json:"removed,omitempty"`
+	// AgeMS is how long ago the roster was confirmed by the store, in milliseconds.
+	AgeMS int64 `json:"age_ms"`
+}
+
+// relayedRow is a record with the revision of its row.
+type relayedRow struct {
+	Record   roster.Record     `json:"record"`
+	Revision platform.Revision `json:"revision"`
+}
--- a/internal/mesh/statesync/store_test.go
+++ b/internal/mesh/statesync/store_test.go
@@ -91,6 +91,16 @@
 	f.wake()
 }
 
+// remove deletes a row on behalf of another writer.
+func (f *fakeStore) remove(key string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if _, err := f.memory.Table().Commit(context.Background(), platform.Txn{Deletes: []string{key}}); err != nil {
+		panic(err)
+	}
+	f.wake()
+}
+
 // Commit implements platform.Feed.
 func (f *fakeStore) Commit(ctx context.Context, txn platform.Txn) (platform.Revision, error) {
 	f.mu.Lock()
--- a/internal/mesh/statesync/watch.go
+++ b/internal/mesh/statesync/watch.go
@@ -217,7 +217,7 @@
 		s.ignoreRecord(host, row, err)
 		return
 	}
-	s.records[host] = storedRecord{record: record, revision: row.Revision}
+	s.setRecord(host, storedRecord{record: record, revision: row.Revision})
 }
 
 // ignoreRecord skips an invalid row of a host, which another writer may have left. The last valid record stays in use,
