Decide once whether an attempt was acknowledged or given up

Cause: the end of the 400 ms for an acknowledgement and the gate's word are separate events.

Change: one atomic state per attempt. A word of the gate, or its request for the body, decides for the attempt and the timer then cancels nothing; if the timer comes first, the body is not released and the attempt has not run. The first wait in a queue is zero for every request, as a body that was not asked for can go to the next host.

--- a/internal/mesh/entry/handle.go
+++ b/internal/mesh/entry/handle.go
@@ -13,7 +13,7 @@
 func (s *session) handle(ctx context.Context, e event) (*link.Result, bool) {
 	switch e.kind {
 	case eventAcceptTimeout:
-		if s.active[e.attempt.host] == e.attempt {
+		if s.active[e.attempt.host] == e.attempt && e.attempt.acceptance.giveUp() {
 			e.attempt.cancel(link.ErrAcceptTimeout)
 		}
 	case eventOverdue:
--- a/internal/mesh/entry/inflight.go
+++ b/internal/mesh/entry/inflight.go
@@ -12,8 +12,9 @@
 	host   id.HostID
 	sentAt time.Time
 	cancel context.CancelCauseFunc
-	// acceptTimer ends the attempt if its host does not acknowledge it.
+	// acceptTimer ends the attempt if its host does not acknowledge it; acceptance tells which of both came first.
 	acceptTimer *time.Timer
+	acceptance  acceptance
 	// overdueTimer fires when the attempt is overdue by the entry's own estimate, in case its gate has died.
 	overdueTimer *time.Timer
 	// running is true once the attempt has a slot, cancelAdvised once its gate advised to cancel it.
--- a/internal/mesh/entry/next.go
+++ b/internal/mesh/entry/next.go
@@ -19,7 +19,7 @@
 	if s.fullRefusals < maxFullRefusals && len(s.tried) < maxHostsTried {
 		if host, ok := chooser.Start(s.request.service, s.tried); ok {
 			s.tried = append(s.tried, host)
-			s.start(ctx, host, s.firstQueueWait(), false)
+			s.start(ctx, host, 0, false)
 			return true
 		}
 	}
@@ -39,15 +39,6 @@
 	return false
 }
 
-// firstQueueWait returns how long the request may wait for a slot at a host that was not tried yet. That is zero unless
-// the body cannot be sent twice, since such a request has only one attempt.
-func (s *session) firstQueueWait() time.Duration {
-	if s.request.body.Replayable() {
-		return 0
-	}
-	return s.queueWait()
-}
-
 // queueWait returns how long the request may wait for a slot at one host. A nested request may wait for most of the
 // time left. Any other waits, within its share of that time, only while it can meet its objective but at least for
 // minQueueWait, so that its caller gets an early refusal when there is no room.
@@ -77,7 +68,7 @@
 		HoldBody: s.entry.config.Chooser.IsUnreachable(host), Remaining: time.Until(req.deadline), Objective: s.objective(), MaxQueueWait: queueWait,
 		OverdueAfter: s.entry.worktimes.OverdueAfter(req.route.ID), Policy: req.policy.Version(),
 		Method: req.httpRequest.Method, URI: req.httpRequest.RequestURI, Host: req.httpRequest.Host, Header: req.header,
-		Body: req.body,
+		Body: req.body, Release: a.acceptance.acknowledge,
 	}
 	go func() {
 		result := s.entry.config.Sender.Send(ctx, host, message, &signals{session: s, attempt: a})
--- a/internal/mesh/entry/signals.go
+++ b/internal/mesh/entry/signals.go
@@ -9,11 +9,13 @@
 // Queued implements link.Signals.
 func (s *signals) Queued() {
 	s.attempt.acceptTimer.Stop()
+	s.attempt.acceptance.acknowledge()
 }
 
 // Started implements link.Signals.
 func (s *signals) Started() {
 	s.attempt.acceptTimer.Stop()
+	s.attempt.acceptance.acknowledge()
 	s.session.emit(event{kind: eventStarted, attempt: s.attempt})
 }
 
--- a/internal/mesh/gate/gate_test.go
+++ b/internal/mesh/gate/gate_test.go
@@ -436,6 +436,20 @@
 		Expect(a.Body.Replayable()).To(BeFalse())
 	})
 
+	// Guards against a body that leaves its entry after the entry has given the attempt up.
+	It("does not run an attempt whose body its entry no longer releases", func() {
+		h := newHarness(respond)
+		asked := false
+		a := attempt("seats", func(a *link.Attempt) { a.Release = func() bool { asked = true; return false } })
+		limited, cancel := context.WithTimeout(ctx, 5*time.Second)
+		defer cancel()
+		result, _ := h.sendRemote(limited, a)
+		Expect(asked).To(BeTrue())
+		Expect(result.Verdict).To(Equal(hop.NotRun))
+		Expect(h.requests()).To(BeEmpty())
+		Eventually(h.gate.Idle).Should(BeTrue())
+	})
+
 	// Guards against an upload that is sent only once although nothing of it was read.
 	It("leaves a long body to be sent again when it refuses the attempt", func() {
 		h := newHarness(respond)
--- a/internal/mesh/link/attempt.go
+++ b/internal/mesh/link/attempt.go
@@ -38,6 +38,9 @@
 	// HoldBody is set when the latest attempt to reach the host has failed. Then the body is held back until the gate
 	// requests it, even if the attempt is idempotent and its body empty.
 	HoldBody bool
+	// Release is called when the gate asks for a body that is held back, which is an acknowledgement. If it returns false,
+	// the attempt was given up meanwhile and the body stays. Nil always releases it.
+	Release func() bool
 	// BodyHeld is set at the gate if the entry holds the body back until the gate reads it.
 	BodyHeld bool
 	// Policy is the policy version in force at the entry.
--- a/internal/mesh/link/client.go
+++ b/internal/mesh/link/client.go
@@ -116,7 +116,7 @@
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Header: header,
 	}
 	if !a.Idempotent || !a.Body.Empty() || a.HoldBody {
-		c.body = &heldBody{body: a.Body, source: a.Body.reader()}
+		c.body = &heldBody{body: a.Body, source: a.Body.reader(), mayRelease: a.Release}
 		r.Body, r.ContentLength = c.body, a.Body.Length
 		header["Expect"] = []string{"100-continue"}
 		if a.Body.Empty() || a.Body.Length < 0 {
--- a/internal/mesh/link/heldbody.go
+++ b/internal/mesh/link/heldbody.go
@@ -13,6 +13,8 @@
 type heldBody struct {
 	body   *Body
 	source io.Reader
+	// mayRelease is asked before the release; nil permits it.
+	mayRelease func() bool
 
 	mu        sync.Mutex
 	released  bool
@@ -22,7 +24,7 @@
 // Read implements io.Reader. net/http reads the body only after the gate requested it with 100 Continue.
 func (h *heldBody) Read(p []byte) (int, error) {
 	h.mu.Lock()
-	if h.cancelled && !h.released {
+	if !h.released && (h.cancelled || (h.mayRelease != nil && !h.mayRelease())) {
 		h.mu.Unlock()
 		return 0, errNotReleased
 	}
