--- a/internal/mesh/entry/upload_test.go
+++ b/internal/mesh/entry/upload_test.go
@@ -33,6 +33,15 @@
 	return snapshot
 }
 
+// receive returns a gate that takes an upload and passes on what follows the buffered beginning of its body.
+func receive(rest func(io.Reader) *link.Result) gateFunc {
+	return func(_ context.Context, a *link.Attempt, s link.Signals) *link.Result {
+		s.Started()
+		a.Body.MarkSent()
+		return rest(a.Body.Rest)
+	}
+}
+
 // uploadTo begins an upload to a server: it sends the header and the first bytes of a body.
 func uploadTo(server *httptest.Server, length, first int) net.Conn {
 	conn, err := net.Dial("tcp", strings.TrimPrefix(server.URL, "http://"))
@@ -62,12 +71,10 @@
 	It("end when the caller stalls while the body is streamed", func() {
 		h := newHarness(2)
 		h.snapshot = uploadPolicy()
-		h.setGates(func(_ context.Context, a *link.Attempt, s link.Signals) *link.Result {
-			s.Started()
-			a.Body.MarkSent()
-			_, err := io.Copy(io.Discard, a.Body.Rest)
+		h.setGates(receive(func(rest io.Reader) *link.Result {
+			_, err := io.Copy(io.Discard, rest)
 			return &link.Result{Verdict: hop.Unknown, Reason: link.TargetBroken, Err: err}
-		})
+		}))
 		server := httptest.NewServer(h.entry)
 		DeferCleanup(server.Close)
 		started := time.Now()
@@ -81,14 +88,12 @@
 	It("may pause for less than the bound, as often as they like", func() {
 		h := newHarness(2)
 		h.snapshot = uploadPolicy()
-		h.setGates(func(ctx context.Context, a *link.Attempt, s link.Signals) *link.Result {
-			s.Started()
-			a.Body.MarkSent()
-			n, err := io.Copy(io.Discard, a.Body.Rest)
+		h.setGates(receive(func(rest io.Reader) *link.Result {
+			n, err := io.Copy(io.Discard, rest)
 			Expect(err).NotTo(HaveOccurred())
-			Expect(len(a.Body.Data) + int(n)).To(Equal(200 << 10))
-			return answer(http.StatusOK)(ctx, a, s)
-		})
+			Expect(link.MaxBufferedBody + int(n)).To(Equal(200 << 10))
+			return &link.Result{Verdict: hop.Ran, Reason: link.Answered, Status: http.StatusOK, Header: http.Header{}}
+		}))
 		server := httptest.NewServer(h.entry)
 		DeferCleanup(server.Close)
 		conn := uploadTo(server, 200<<10, 100<<10)
@@ -116,12 +121,10 @@
 	It("are sent once after a part was read", func() {
 		h := newHarness(3)
 		h.snapshot = uploadPolicy()
-		h.setGates(func(_ context.Context, a *link.Attempt, s link.Signals) *link.Result {
-			s.Started()
-			a.Body.MarkSent()
-			_, _ = a.Body.Rest.Read(make([]byte, 1000))
+		h.setGates(receive(func(rest io.Reader) *link.Result {
+			_, _ = rest.Read(make([]byte, 1000))
 			return &link.Result{Verdict: hop.NotRun, Reason: link.TargetDeclined}
-		})
+		}))
 		response := h.do("POST", "/photos/1", strings.Repeat("x", 1<<20))
 		Expect(response.Code).To(Equal(http.StatusServiceUnavailable))
 		Expect(h.attempts()).To(HaveLen(1))
