Relay names instead of records when deletions are forgotten

Cause: a relay that does not know all deletions since the requester's revision sent its whole roster.

Change: the relay sends the rows that changed and the names of all hosts.

--- a/internal/mesh/statesync/relay.go
+++ b/internal/mesh/statesync/relay.go
@@ -98,6 +98,9 @@
 	s.rosterThrough = max(s.rosterThrough, got.Through)
 	now := time.Now()
 	listed := map[id.HostID]bool{}
+	for _, host := range got.Present {
+		listed[host] = true
+	}
 	for _, row := range got.Rows {
 		listed[row.Record.Host] = true
 		if row.Revision > s.records[row.Record.Host].revision && row.Record.Valid(now) {
@@ -174,7 +177,13 @@
 	out := relayedRoster{Through: s.rosterThrough, AgeMS: s.rosterAge().Milliseconds()}
 	out.Full = platform.Revision(since) < s.relayFloor
 	for _, known := range s.records {
-		if known.revision > 0 && known.record.Host != "" && (out.Full || known.revision > platform.Revision(since)) {
+		if known.revision == 0 || known.record.Host == "" {
+			continue
+		}
+		if out.Full {
+			out.Present = append(out.Present, known.record.Host)
+		}
+		if known.revision > platform.Revision(since) {
 			out.Rows = append(out.Rows, relayedRow{Record: known.record, Revision: known.revision})
 		}
 	}
--- a/internal/mesh/statesync/relay_internal_test.go
+++ b/internal/mesh/statesync/relay_internal_test.go
@@ -46,11 +46,14 @@
 	}
 }
 
-// TestRelayFullRoster guards against a deletion that a requester does not get because the relay no longer remembers it.
-func TestRelayFullRoster(t *testing.T) {
+// TestRelayForgottenDeletions guards against a deletion that a requester does not get because the relay no longer
+// remembers it, and against records that are sent although the requester knows them: after a start of 300 hosts a relay
+// sent each of them the whole roster.
+func TestRelayForgottenDeletions(t *testing.T) {
+	kept := platform.Row{Key: "hosts/y:1", Revision: 1, Value: []byte(`{"host":"y:1","service":"walks","state":"serving","slots":5}`)}
 	relay, follower := newTestSyncer("a:1"), newTestSyncer("b:1")
-	follower.applyRoster([]platform.Row{row(2, "5")}, 2, true)
-	relay.applyRoster(nil, 9, true)
+	follower.applyRoster([]platform.Row{kept, row(2, "5")}, 2, true)
+	relay.applyRoster([]platform.Row{kept}, 9, true)
 	recorder := httptest.NewRecorder()
 	relay.ServeHTTP(recorder, httptest.NewRequest("GET", RosterPath+"?since=2", nil))
 	var got relayedRoster
@@ -58,7 +61,10 @@
 		t.Fatal(err)
 	}
 	follower.applyRelayed(got, 2)
-	if _, known := follower.View().Find("x:1"); known || !got.Full {
-		t.Fatalf("the follower keeps the record after %s", recorder.Body)
+	if _, known := follower.View().Find("x:1"); known {
+		t.Errorf("the follower keeps a deleted record after %s", recorder.Body)
+	}
+	if _, known := follower.View().Find("y:1"); !known || len(got.Rows) > 0 {
+		t.Errorf("the follower knows %+v after %s", follower.View().Hosts(), recorder.Body)
 	}
 }
--- a/internal/mesh/statesync/relayedroster.go
+++ b/internal/mesh/statesync/relayedroster.go
@@ -10,11 +10,13 @@
 type relayedRoster struct {
 	// Through is the revision up to which the roster is complete.
 	Through platform.Revision `json:"through"`
-	// Full is set if Rows are all rows. Otherwise they are those that changed since the requester's revision, and Removed
-	// lists the hosts whose rows were deleted since.
-	Full    bool         `json:"full,omitempty"`
+	// Rows are those that changed since the requester's revision, Removed the hosts whose rows were deleted since.
 	Rows    []relayedRow `json:"rows,omitempty"`
 	Removed []id.HostID  `json:"removed,omitempty"`
+	// Full is set if the relay does not know all deletions since. Present then lists all hosts that have a row: names are
+	// far shorter than records, most of which the requester knows.
+	Full    bool        `json:"full,omitempty"`
+	Present []id.HostID `json:"present,omitempty"`
 	// AgeMS is how long ago the roster was confirmed by the store, in milliseconds.
 	AgeMS int64 `json:"age_ms"`
 }
