Give the upload spec a route without a short timeout

Beside 8 busy processes all 100 uploads of 1 MiB of one run ended with 504 at the 3 s of the harness's booking route: the spec waits until all of them stall, which took longer with the race detector. The answers were right; the spec measures memory and wholeness, not speed.

--- a/internal/mesh/daemon/harness_test.go
+++ b/internal/mesh/daemon/harness_test.go
@@ -205,7 +205,8 @@
 	Key     string
 }
 
-// decodePolicy decodes a test's policy, which has an idempotent and a booking route to one service and one customer.
+// decodePolicy decodes a test's policy, which has an idempotent, a booking and an upload route to one service and one
+// customer.
 func decodePolicy(raw []byte) (policy.Document, error) {
 	var d document
 	if err := json.Unmarshal(raw, &d); err != nil {
@@ -217,6 +218,7 @@
 		Routes: []policy.Route{
 			{ID: "browse", Host: "trails.example", Prefix: "/browse/", Idempotent: true, Rank: 2, MaxAttempts: 3, Timeout: 3 * time.Second, Objective: time.Second, Services: part},
 			{ID: "book", Host: "trails.example", Prefix: "/book/", Rank: 1, MaxAttempts: 3, Timeout: 3 * time.Second, Objective: time.Second, Services: part},
+			{ID: "photos", Host: "trails.example", Prefix: "/photos/", Rank: 1, MaxAttempts: 3, Timeout: time.Minute, Services: part},
 		},
 		Customers: []policy.Customer{{ID: "school", Keys: []string{d.Key}}},
 	}, nil
