Let callers of refused uploads get the refusal

Change: a connection whose writing side was closed is read on, and the bytes dropped, until the caller closes it, for at most 2 s and 8 MiB. The same serves connections that end with unread requests behind an answer.

--- a/internal/mesh/callerconn/callerconn_test.go
+++ b/internal/mesh/callerconn/callerconn_test.go
@@ -44,6 +44,11 @@
 			s.served = append(s.served, r.URL.Path)
 			s.received[r.URL.Path] = time.Since(callerconn.Received(ctx))
 		})
+		if r.URL.Path == "/refused" {
+			w.Header().Set("Connection", "close")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
 		if r.URL.Path == "/stubborn" {
 			<-release
 		}
@@ -254,6 +259,27 @@
 		}
 	})
 
+	// Guards against a refusal that the caller of a long upload loses: it still sends its body, nobody reads it, and the
+	// connection is reset.
+	It("delivers a refusal before a body that it does not read", func() {
+		s := serve(nil)
+		conn := s.dial()
+		body := 4 << 20
+		_, err := fmt.Fprintf(conn, "POST /refused HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n", body)
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(s.paths).Should(HaveLen(1))
+		// A caller on a busy machine sends on a while later, and reads the answer when it has to wait.
+		for range 8 {
+			time.Sleep(100 * time.Millisecond)
+			_, err = conn.Write(make([]byte, 256<<10))
+			Expect(err).NotTo(HaveOccurred())
+		}
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.StatusCode).To(Equal(http.StatusServiceUnavailable))
+		Expect(response.Close).To(BeTrue())
+	})
+
 	It("ends such a connection at an answer when the server shuts down", func() {
 		release := make(chan struct{})
 		s := serve(release)
--- a/internal/mesh/callerconn/conn.go
+++ b/internal/mesh/callerconn/conn.go
@@ -18,8 +18,8 @@
 	// readSize is the size of one read ahead.
 	readSize = 4 << 10
 	// lingerTime and maxLingerBytes bound what is read from a caller after the last answer of a connection.
-	lingerTime     = time.Second
-	maxLingerBytes = 256 << 10
+	lingerTime     = 2 * time.Second
+	maxLingerBytes = 8 << 20
 )
 
 // Conn is a caller's connection.
@@ -51,6 +51,8 @@
 	ahead map[int]*served
 	// pipelined is set once the caller has sent bytes before an answer was complete.
 	pipelined bool
+	// lingering is set once the connection is being closed in two steps.
+	lingering bool
 	// watching is true while a goroutine reads ahead.
 	watching bool
 	// left is the error with which the caller's side ended; nil while it is open.
@@ -314,30 +316,43 @@
 	}
 }
 
-// CloseWrite closes the writing side, which net/http does before it closes a connection whose request it has not read to
-// the end.
+// CloseWrite closes the writing side. net/http does so before it closes a connection whose request it has not read to the
+// end. From then on nothing that the caller sends is read, except to let it get the answer: closing a connection with
+// unread bytes resets it, and the caller would lose what it has not read.
 func (c *Conn) CloseWrite() error {
-	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
-		return half.CloseWrite()
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok {
+		return c.Conn.Close()
+	}
+	c.mu.Lock()
+	started := c.lingering
+	c.lingering = true
+	c.mu.Unlock()
+	err := half.CloseWrite()
+	if !started {
+		go c.linger()
 	}
-	return nil
+	return err
 }
 
-// Close implements net.Conn. If the caller has sent requests that were not read, the connection is closed in two steps:
-// closing it with unread bytes would reset it, and the reset could make the caller lose the last answer.
+// Close implements net.Conn. If the caller has sent requests that were not read, or its request was not read to the end,
+// the connection lingers before it is closed.
 func (c *Conn) Close() error {
 	c.mu.Lock()
-	lingers := c.pipelined && c.left == nil
+	unread := c.pipelined && c.left == nil
 	if c.left == nil {
 		c.leave(net.ErrClosed)
 	}
+	lingering := c.lingering
 	c.changed.Broadcast()
 	c.mu.Unlock()
-	if !lingers || c.CloseWrite() != nil {
-		return c.Conn.Close()
+	if unread {
+		return c.CloseWrite()
+	}
+	if lingering {
+		return nil
 	}
-	go c.linger()
-	return nil
+	return c.Conn.Close()
 }
 
 // linger reads what the caller still sends until it closes its side, for at most lingerTime, and closes the connection.
