Count the time of a suspension against deadlines and grants

Cause: a machine may be suspended for seconds, and the clock behind time.Time does not count that time. After a suspension a gate sent an attempt whose time had run out, with the whole of it as its deadline; an entry went on to the next host; and a host spent tokens that their home had taken back meanwhile.

Gates and entries compare the time left of an attempt with it before they send anything. Grants used this clock already.

--- a/internal/mesh/daemon/daemon.go
+++ b/internal/mesh/daemon/daemon.go
@@ -77,7 +77,7 @@
 	d.entry = entry.New(entry.Config{
 		Service: d.config.Service, Headers: d.config.Headers, Policy: d.syncer, Limits: d.limits, CrashEvidence: d.evidence,
 		Chooser: d.chooser, Sender: &sender{self: d.config.Host, gate: d.gate, client: d.client, syncer: d.syncer},
-		Random: rand.Float64, Draining: d.draining.Load, Stopping: d.stopping, Ending: d.ending, Log: d.config.Loggers.Decisions, Metrics: d.meters,
+		Clock: d.clock, Random: rand.Float64, Draining: d.draining.Load, Stopping: d.stopping, Ending: d.ending, Log: d.config.Loggers.Decisions, Metrics: d.meters,
 	})
 	d.front = &callerconn.Front{Handler: d.entry, MayServeAhead: d.entry.MayServeAhead, Draining: d.draining.Load}
 	return d.listen()
--- a/internal/mesh/entry/config.go
+++ b/internal/mesh/entry/config.go
@@ -6,6 +6,7 @@
 
 	"github.com/rs/zerolog"
 
+	"buckthornlatch.example/buckthornlatch/internal/clock"
 	"buckthornlatch.example/buckthornlatch/internal/id"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/choose"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/dialect"
@@ -25,6 +26,8 @@
 	Sender  Sender
 	// CrashEvidence identifies quarantined requests, which crash targets and are refused.
 	CrashEvidence CrashEvidence
+	// Clock counts the time for which the machine was suspended.
+	Clock clock.Clock
 	// Random returns a random number in [0, 1).
 	Random func() float64
 	// Draining reports whether callers should move to another connection.
--- a/internal/mesh/entry/harness_test.go
+++ b/internal/mesh/entry/harness_test.go
@@ -33,6 +33,7 @@
 type harness struct {
 	entry    *entry.Entry
 	chooser  *choose.Shared
+	clock    *leapClock
 	stopping chan struct{}
 	ending   chan struct{}
 
@@ -56,7 +57,7 @@
 
 // newHarness returns a harness with the given number of hosts, named h0, h1 and so on, whose gates answer 200.
 func newHarness(hosts int) *harness {
-	h := &harness{stopping: make(chan struct{}), ending: make(chan struct{}), gates: map[id.HostID]gateFunc{}}
+	h := &harness{clock: &leapClock{system: clock.NewSystem()}, stopping: make(chan struct{}), ending: make(chan struct{}), gates: map[id.HostID]gateFunc{}}
 	snapshot, err := policy.Build(policy.Document{
 		Version:  7,
 		Services: []string{"walks"},
@@ -78,7 +79,6 @@
 	})
 	Expect(err).NotTo(HaveOccurred())
 	h.snapshot = snapshot
-	clk := clock.NewSystem()
 	var records []roster.Record
 	for i := range hosts {
 		name := id.HostID(fmt.Sprintf("h%d", i))
@@ -89,10 +89,10 @@
 	}
 	chooser := choose.New("self", "north", 1)
 	chooser.SetView(roster.NewView(records))
-	h.chooser = choose.NewShared(chooser, clk)
+	h.chooser = choose.NewShared(chooser, h.clock)
 	h.entry = entry.New(entry.Config{
 		Service: "desk", Headers: headers, Policy: h, Limits: h, Chooser: h.chooser, Sender: h,
-		Random: func() float64 { return 0 }, Draining: func() bool { return false }, Stopping: h.stopping, Ending: h.ending,
+		Clock: h.clock, Random: func() float64 { return 0 }, Draining: func() bool { return false }, Stopping: h.stopping, Ending: h.ending,
 		Log: zerolog.Nop(), Metrics: noMetrics{}, CrashEvidence: h,
 	})
 	return h
--- a/internal/mesh/entry/next.go
+++ b/internal/mesh/entry/next.go
@@ -15,6 +15,9 @@
 	if !s.request.body.Replayable() && len(s.tried) > 0 {
 		return false
 	}
+	if s.timeLeft() <= 0 {
+		return false
+	}
 	chooser := s.entry.config.Chooser
 	if s.fullRefusals < maxFullRefusals && len(s.tried) < maxHostsTried {
 		if host, ok := chooser.Start(s.request.service, s.tried); ok {
@@ -43,7 +46,7 @@
 // time left. Any other waits, within its share of that time, only while it can meet its objective but at least for
 // minQueueWait, so that its caller gets an early refusal when there is no room.
 func (s *session) queueWait() time.Duration {
-	left := time.Until(s.request.deadline)
+	left := s.timeLeft()
 	if s.request.nested() {
 		return time.Duration(nestedQueueWaitShare * float64(left))
 	}
@@ -65,7 +68,7 @@
 		RequestID: req.requestID, Service: req.service, Caller: s.entry.config.Service, Route: req.route.ID,
 		Customer: req.customerID(), Rank: req.rank(), Nested: req.nested(), Idempotent: req.route.Idempotent,
 		Repeat: s.arrivals > 0 || len(s.active) > 1, Forced: forced,
-		HoldBody: s.entry.config.Chooser.IsUnreachable(host), Remaining: time.Until(req.deadline), Objective: s.objective(), MaxQueueWait: queueWait,
+		HoldBody: s.entry.config.Chooser.IsUnreachable(host), Remaining: s.timeLeft(), Objective: s.objective(), MaxQueueWait: queueWait,
 		OverdueAfter: s.entry.worktimes.OverdueAfter(req.route.ID), Policy: req.policy.Version(),
 		Method: req.httpRequest.Method, URI: req.httpRequest.RequestURI, Host: req.httpRequest.Host, Header: req.header,
 		Body: req.body, Release: a.acceptance.acknowledge,
@@ -84,7 +87,7 @@
 // objective returns the time left to meet the route's objective, or until the deadline if the route has none.
 func (s *session) objective() time.Duration {
 	if s.request.route.Objective <= 0 {
-		return time.Until(s.request.deadline)
+		return s.timeLeft()
 	}
 	return time.Until(s.request.started.Add(s.request.route.Objective))
 }
--- a/internal/mesh/entry/request.go
+++ b/internal/mesh/entry/request.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"buckthornlatch.example/buckthornlatch/internal/clock"
 	"buckthornlatch.example/buckthornlatch/internal/id"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/link"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/policy"
@@ -35,15 +36,15 @@
 	started   time.Time
 	// deadline is when the caller stops waiting for the answer, or when the route's timeout ends.
 	deadline time.Time
-	// deadlineFromCaller is true if the deadline comes from the caller and not from the route's timeout.
-	deadlineFromCaller bool
-	policy             *policy.Snapshot
-	policyAge          time.Duration
-	route              *policy.Route
-	customer           *policy.Customer
-	service            id.ServiceName
-	header             http.Header
-	body               *link.Body
+	// expires is the deadline as a reading of the entry's clock.
+	expires   clock.Time
+	policy    *policy.Snapshot
+	policyAge time.Duration
+	route     *policy.Route
+	customer  *policy.Customer
+	service   id.ServiceName
+	header    http.Header
+	body      *link.Body
 	// paced bounds the pauses of the caller while it sends the body; nil without a body.
 	paced       *pacedBody
 	httpRequest *http.Request
@@ -76,7 +77,8 @@
 		}
 	}
 	req.service = req.route.PickService(e.config.Random())
-	req.deadline, req.deadlineFromCaller = e.deadline(req)
+	req.deadline = e.deadline(req)
+	req.expires = e.config.Clock.Now().Add(time.Until(req.deadline))
 	return nil
 }
 
@@ -97,18 +99,17 @@
 	return &refusal{code: code}
 }
 
-// deadline returns the request's deadline and whether it comes from the caller. A caller can shorten the route's
-// timeout but not extend it.
-func (e *Entry) deadline(req *request) (time.Time, bool) {
+// deadline returns the request's deadline. A caller can shorten the route's timeout but not extend it.
+func (e *Entry) deadline(req *request) time.Time {
 	limit := req.route.Timeout
 	if limit <= 0 {
 		limit = defaultTimeout
 	}
 	given, err := strconv.ParseInt(req.httpRequest.Header.Get(e.config.Headers.Deadline), 10, 64)
 	if err != nil || given <= 0 || given > int64(limit/time.Millisecond) {
-		return req.started.Add(limit), false
+		return req.started.Add(limit)
 	}
-	return req.started.Add(time.Duration(given) * time.Millisecond), true
+	return req.started.Add(time.Duration(given) * time.Millisecond)
 }
 
 // bearerToken returns the caller's key from the Authorization header.
--- a/internal/mesh/entry/session.go
+++ b/internal/mesh/entry/session.go
@@ -184,5 +184,11 @@
 // timeForRepeat reports whether a repeat can be answered in time. One that cannot would waste the retry budget.
 func (s *session) timeForRepeat() bool {
 	usual := s.entry.worktimes.Mean(s.request.route.ID)
-	return time.Until(s.request.deadline) >= max(minRepeatTime, time.Duration(minRepeatWorkShare*float64(usual)))
+	return s.timeLeft() >= max(minRepeatTime, time.Duration(minRepeatWorkShare*float64(usual)))
+}
+
+// timeLeft returns the time until the request's deadline. Unlike the timers of the runtime, it counts the time for which
+// the machine was suspended.
+func (s *session) timeLeft() time.Duration {
+	return s.request.expires.Sub(s.entry.config.Clock.Now())
 }
--- /dev/null
+++ b/internal/mesh/entry/suspension_test.go
@@ -0,0 +1,52 @@
+package entry_test
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"buckthornlatch.example/buckthornlatch/internal/clock"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/link"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/slots"
+)
+
+// leapClock is the system's clock, which leaps when a test plays a suspension of the machine: the timers of the runtime
+// do not count that time.
+type leapClock struct {
+	system *clock.System
+	leaps  atomic.Int64
+}
+
+// Now implements clock.Clock.
+func (c *leapClock) Now() clock.Time { return c.system.Now().Add(time.Duration(c.leaps.Load())) }
+
+// suspended returns a gate that refuses after the entry's machine was suspended for a time.
+func (h *harness) suspended(d time.Duration) gateFunc {
+	refused := refuse(link.Reason(slots.Full), 0)
+	return func(ctx context.Context, a *link.Attempt, signals link.Signals) *link.Result {
+		h.clock.leaps.Add(int64(d))
+		return refused(ctx, a, signals)
+	}
+}
+
+var _ = Describe("A suspension of the machine", func() {
+	// Guards against attempts that are sent on after their callers have stopped waiting.
+	It("starts no attempt for a request whose deadline has passed meanwhile", func() {
+		h := newHarness(3)
+		h.setFirstGate(h.suspended(4*time.Second), answer(http.StatusOK))
+		Expect(h.do(http.MethodPost, "/book/1", "seats").Code).To(Equal(http.StatusServiceUnavailable))
+		Expect(h.attempts()).To(HaveLen(1))
+	})
+
+	It("gives the next gate only the time that is left", func() {
+		h := newHarness(3)
+		h.setFirstGate(h.suspended(2*time.Second), answer(http.StatusOK))
+		Expect(h.do(http.MethodPost, "/book/1", "seats").Code).To(Equal(http.StatusOK))
+		Expect(h.attempts()).To(HaveLen(2))
+		Expect(h.attempts()[1].attempt.Remaining).To(BeNumerically("<=", time.Second))
+	})
+})
--- a/internal/mesh/gate/admit.go
+++ b/internal/mesh/gate/admit.go
@@ -91,11 +91,11 @@
 // recheck checks right before dispatch that ctx, the gate and the target still permit the attempt. They may have
 // changed since the attempt was queued or admitted.
 func (e *execution) recheck(ctx context.Context) *link.Result {
-	// After a pause of the process, the timer of ctx may not have fired yet.
-	if deadline, limited := ctx.Deadline(); ctx.Err() != nil || (limited && !time.Now().Before(deadline)) {
+	g := e.gate
+	// After a pause of the process, the timer of ctx may not have fired yet; it does not count a suspension at all.
+	if ctx.Err() != nil || !g.config.Clock.Now().Before(e.expires) {
 		return newRefusal(link.OutOfTime, 0)
 	}
-	g := e.gate
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.draining {
--- a/internal/mesh/gate/exchange.go
+++ b/internal/mesh/gate/exchange.go
@@ -48,7 +48,7 @@
 	a, headers := e.attempt, e.gate.config.Headers
 	header := a.Header.Clone()
 	headers.StripUntrusted(header)
-	left := a.Remaining - time.Since(e.arrived) - deadlineMargin
+	left := e.expires.Sub(e.gate.config.Clock.Now()) - deadlineMargin
 	header[headers.Deadline] = []string{strconv.FormatInt(max(left.Milliseconds(), 1), 10)}
 	header[headers.Target] = []string{e.target.incarnation.ID}
 	header[headers.Caller] = []string{string(a.Caller)}
--- a/internal/mesh/gate/execution.go
+++ b/internal/mesh/gate/execution.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"buckthornlatch.example/buckthornlatch/internal/clock"
 	"buckthornlatch.example/buckthornlatch/internal/hop"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/crashes"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/link"
@@ -25,6 +26,8 @@
 	attempt *link.Attempt
 	demand  slots.Demand
 	arrived time.Time
+	// expires is when Remaining is used up, suspended time included.
+	expires clock.Time
 	// started is when the attempt got its slot, zero until then.
 	started time.Time
 	target  *target
@@ -42,7 +45,9 @@
 
 // Do runs an attempt and returns its result. Cancelling ctx ends the attempt.
 func (g *Gate) Do(ctx context.Context, a *link.Attempt, signals link.Signals) *link.Result {
-	e := &execution{gate: g, attempt: a, signals: signals, arrived: time.Now(), reclaim: make(chan struct{}, 1)}
+	e := &execution{
+		gate: g, attempt: a, signals: signals, arrived: time.Now(), expires: g.config.Clock.Now().Add(a.Remaining), reclaim: make(chan struct{}, 1),
+	}
 	ctx, e.cancel = context.WithCancelCause(ctx)
 	ctx, stopTimer := context.WithTimeout(ctx, a.Remaining)
 	e.stop = func() {
--- a/internal/mesh/gate/harness_test.go
+++ b/internal/mesh/gate/harness_test.go
@@ -32,6 +32,8 @@
 	gate   *gate.Gate
 	host   id.HostID
 	client *link.Client
+	// clock is the gate's clock.
+	clock *leapClock
 	// evidence is the gate's evidence of crashes; listener is the target's listener.
 	evidence *crashes.Evidence
 	listener net.Listener
@@ -46,7 +48,7 @@
 
 // newHarness returns a gate whose target has two slots.
 func newHarness(serve http.HandlerFunc) *harness {
-	h := &harness{client: link.NewClient(), serve: serve}
+	h := &harness{client: link.NewClient(), serve: serve, clock: &leapClock{system: clock.NewSystem()}}
 	target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		h.mu.Lock()
 		h.seen = append(h.seen, r)
@@ -63,7 +65,7 @@
 	h.evidence = crashes.New(h.host, 1, clock.NewSystem())
 	h.gate = gate.New(gate.Config{
 		Host: h.host, Domain: "north", Service: "walks", TargetAddress: strings.TrimPrefix(target.URL, "http://"),
-		Headers: headers, Clock: clock.NewSystem(), PolicyVersion: func() policy.Version { return 7 },
+		Headers: headers, Clock: h.clock, PolicyVersion: func() policy.Version { return 7 },
 		PublishRecord: func(r roster.Record) {
 			h.mu.Lock()
 			defer h.mu.Unlock()
