--- a/internal/mesh/slots/admission_test.go
+++ b/internal/mesh/slots/admission_test.go
@@ -1,6 +1,7 @@
 package slots_test
 
 import (
+	"strconv"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -199,6 +200,25 @@
 			Expect(decision.Kind).To(Equal(slots.Run))
 		})
 
+		// Guards against forgetting who has had most of the work when many customers are active.
+		It("remembers a large customer among thousands of small ones", func() {
+			b := newTestBench(1)
+			for range 20 {
+				attempt, _ := b.arrive("book", customer("large"))
+				b.advance(500 * time.Millisecond)
+				b.Done(b.now, attempt, slots.Succeeded)
+			}
+			for i := range 3000 {
+				attempt, _ := b.arrive("lookup", customer(id.CustomerID(strconv.Itoa(i))))
+				b.advance(time.Millisecond)
+				b.Done(b.now, attempt, slots.Succeeded)
+			}
+			running := b.fill(1, "book")
+			b.arrive("book", patient, customer("large"))
+			small, _ := b.arrive("book", patient, customer("2999"))
+			Expect(next(b, running[0])).To(Equal(small))
+		})
+
 		It("uses all slots for other attempts when there are no nested ones", func() {
 			b := newTestBench(5)
 			b.fill(5, "book")
@@ -344,6 +364,40 @@
 			Expect(admitted).To(BeNumerically(">=", 6))
 		})
 
+		// Guards against a repeat that is refused for the budget and keeps the target's next trial for itself, so that a
+		// target that is well again is found out later.
+		It("spends no trial of a suspected target on a repeat beyond the budget", func() {
+			b := newTestBench(5)
+			b.SetRepeatBudget(b.now, slots.RepeatBudget{Allowance: 2, Window: 1000 * time.Hour})
+			_, first := b.arrive("lookup", repeated, idempotent)
+			Expect(first.Kind).To(Equal(slots.Run))
+			for range 3 {
+				b.work("book", 50*time.Millisecond, slots.Broken)
+			}
+			b.advance(500 * time.Millisecond)
+			_, beyond := b.arrive("lookup", repeated, idempotent)
+			Expect(beyond.Reason).To(Equal(slots.RepeatsUsedUp))
+			_, trial := b.arrive("lookup", idempotent)
+			Expect(trial.Kind).To(Equal(slots.Run))
+		})
+
+		// Guards against a budget that is used up by repeats that never reached the target.
+		It("charges queued repeats only when they run", func() {
+			b := newTestBench(1)
+			b.SetRepeatBudget(b.now, slots.RepeatBudget{Allowance: 2, Window: 1000 * time.Hour})
+			running := b.fill(1, "book")
+			for range 3 {
+				waiting, decision := b.arrive("lookup", repeated, idempotent, patient)
+				Expect(decision.Kind).To(Equal(slots.Wait))
+				Expect(b.Abandon(waiting)).To(BeTrue())
+			}
+			waiting, _ := b.arrive("lookup", repeated, idempotent, patient)
+			beyond, _ := b.arrive("lookup", repeated, idempotent, patient)
+			b.advance(100 * time.Millisecond)
+			Expect(b.Done(b.now, running[0], slots.Succeeded)).To(Equal([]slots.Turn{{ID: waiting, Run: true}}))
+			Expect(b.Done(b.now, waiting, slots.Succeeded)).To(Equal([]slots.Turn{{ID: beyond, Reason: slots.RepeatsUsedUp}}))
+		})
+
 		It("credits repeats for first attempts of customers", func() {
 			b := newTestBench(5)
 			b.SetRepeatBudget(b.now, slots.RepeatBudget{Ratio: 0.5, Allowance: 0, Window: 10 * time.Second})
--- a/internal/mesh/slots/admit.go
+++ b/internal/mesh/slots/admit.go
@@ -33,16 +33,20 @@
 	if !a.suspicion.allows(now, d) {
 		return Decision{Kind: Refuse, Reason: Suspected, RetryAfter: trialInterval}
 	}
-	if d.Repeat && !a.repeats.take(now) {
+	if d.Repeat && !a.repeats.available(now) {
 		return Decision{Kind: Refuse, Reason: RepeatsUsedUp}
 	}
 	if !d.Repeat && d.Customer != "" {
 		a.repeats.credit()
 	}
+	if !d.Forced {
+		a.suspicion.tried(now)
+	}
 	if full {
 		a.queue = append(a.queue, &waiter{Demand: d, arrived: now})
 		return Decision{Kind: Wait}
 	}
+	a.repeats.spend(d)
 	a.start(now, d)
 	return Decision{Kind: Run}
 }
--- a/internal/mesh/slots/order.go
+++ b/internal/mesh/slots/order.go
@@ -2,7 +2,8 @@
 
 import "buckthornlatch.example/buckthornlatch/internal/clock"
 
-// serveQueue starts queued attempts while slots are free, and refuses those that have too little time left.
+// serveQueue starts queued attempts while slots are free. It refuses those that have too little time left, and repeats
+// for which the budget no longer suffices: they are charged when they run, because most queued attempts go elsewhere.
 func (a *Admission) serveQueue(now clock.Time) []Turn {
 	var turns []Turn
 	for a.open && len(a.queue) > 0 {
@@ -17,6 +18,11 @@
 			turns = append(turns, Turn{ID: w.ID, Reason: TooLate})
 			continue
 		}
+		if w.Repeat && !a.repeats.available(now) {
+			turns = append(turns, Turn{ID: w.ID, Reason: RepeatsUsedUp})
+			continue
+		}
+		a.repeats.spend(w.Demand)
 		a.start(now, w.Demand)
 		turns = append(turns, Turn{ID: w.ID, Run: true})
 	}
--- a/internal/mesh/slots/repeats.go
+++ b/internal/mesh/slots/repeats.go
@@ -53,12 +53,15 @@
 	r.tokens = min(r.tokens+r.budget.Ratio, r.capacity()+r.budget.Ratio)
 }
 
-// take consumes one token if there is one.
-func (r *repeatBucket) take(now clock.Time) bool {
+// available reports whether there is a token for a repeat.
+func (r *repeatBucket) available(now clock.Time) bool {
 	r.refill(now)
-	if r.tokens < 1 {
-		return false
+	return r.tokens >= 1
+}
+
+// spend consumes a token if the attempt, which is about to run, is a repeat.
+func (r *repeatBucket) spend(d Demand) {
+	if d.Repeat {
+		r.tokens--
 	}
-	r.tokens--
-	return true
 }
--- a/internal/mesh/slots/suspicion.go
+++ b/internal/mesh/slots/suspicion.go
@@ -63,15 +63,17 @@
 	s.decay(now)
 }
 
-// allows reports whether the suspicion lets an attempt pass. An attempt that passes as a trial delays the next trial.
+// allows reports whether the suspicion lets an attempt pass.
 func (s *suspicion) allows(now clock.Time, d Demand) bool {
 	s.decay(now)
 	if !s.suspected || d.Forced {
 		return true
 	}
-	if !d.Idempotent || now.Before(s.nextTrial) {
-		return false
-	}
+	return d.Idempotent && !now.Before(s.nextTrial)
+}
+
+// tried records that an attempt that was not forced is admitted, which at a suspected target is a trial and delays the
+// next one.
+func (s *suspicion) tried(now clock.Time) {
 	s.nextTrial = now.Add(trialInterval)
-	return true
 }
