Let callers that close their connections get the refusal of an upload

Cause: a caller that sends "Connection: close" with an upload that is refused was reset while it still sent its body: net/http reads nothing more of such a request and closes the connection at once, without closing its writing side first, so that the connection did not linger.

Change: a connection whose last answer came with "Connection: close" for a request with a body lingers when it is closed, as those with unread requests do.

Measured: the new entry of "delivers a refusal before a body that it does not read" fails before and passes; three runs of the package's specs under the race detector pass.

--- a/internal/mesh/callerconn/callerconn_test.go
+++ b/internal/mesh/callerconn/callerconn_test.go
@@ -261,11 +261,11 @@
 
 	// Guards against a refusal that the caller of a long upload loses: it still sends its body, nobody reads it, and the
 	// connection is reset.
-	It("delivers a refusal before a body that it does not read", func() {
+	DescribeTable("delivers a refusal before a body that it does not read", func(header string) {
 		s := serve(nil)
 		conn := s.dial()
 		body := 4 << 20
-		_, err := fmt.Fprintf(conn, "POST /refused HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n", body)
+		_, err := fmt.Fprintf(conn, "POST /refused HTTP/1.1\r\nHost: a\r\n%sContent-Length: %d\r\n\r\n", header, body)
 		Expect(err).NotTo(HaveOccurred())
 		Eventually(s.paths).Should(HaveLen(1))
 		// A caller on a busy machine sends on a while later, and reads the answer when it has to wait.
@@ -278,7 +278,11 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(response.StatusCode).To(Equal(http.StatusServiceUnavailable))
 		Expect(response.Close).To(BeTrue())
-	})
+	},
+		Entry("of a caller that would use its connection again", ""),
+		// net/http closes the connection of such a caller at once.
+		Entry("of a caller that closes its connection", "Connection: close\r\n"),
+	)
 
 	It("ends such a connection at an answer when the server shuts down", func() {
 		release := make(chan struct{})
--- a/internal/mesh/callerconn/conn.go
+++ b/internal/mesh/callerconn/conn.go
@@ -51,6 +51,8 @@
 	ahead map[int]*served
 	// pipelined is set once the caller has sent bytes before an answer was complete.
 	pipelined bool
+	// bodyUnread is set if the last answer may have been given before the body of its request was read.
+	bodyUnread bool
 	// lingering is set once the connection is being closed in two steps.
 	lingering bool
 	// watching is true while a goroutine reads ahead.
@@ -339,7 +341,7 @@
 // the connection lingers before it is closed.
 func (c *Conn) Close() error {
 	c.mu.Lock()
-	unread := c.pipelined && c.left == nil
+	unread := (c.pipelined || c.bodyUnread) && c.left == nil
 	if c.left == nil {
 		c.leave(net.ErrClosed)
 	}
@@ -355,6 +357,13 @@
 	return c.Conn.Close()
 }
 
+// lingerOnClose records that the caller may still be sending the body of a request whose answer ends the connection.
+func (c *Conn) lingerOnClose() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.bodyUnread = true
+}
+
 // linger reads what the caller still sends until it closes its side, for at most lingerTime, and closes the connection.
 func (c *Conn) linger() {
 	_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTime))
--- a/internal/mesh/callerconn/front.go
+++ b/internal/mesh/callerconn/front.go
@@ -86,6 +86,9 @@
 	closing := &closingWriter{ResponseWriter: w, mayClose: func() bool { return f.Draining() && !conn.servesAhead() }}
 	if served == nil {
 		f.Handler.ServeHTTP(closing, r.WithContext(context.WithValue(ctx, receivedKey{}, received)))
+		if r.ContentLength != 0 && w.Header().Get("Connection") == "close" {
+			conn.lingerOnClose()
+		}
 		return
 	}
 	if served.identity != identityOf(r) {
