Start with the newest policy of several peers after a restart

Cause: a host that restarts while the store is unreachable took the policy of one peer, which may lack the change in which the operator has withdrawn a key; the earlier process no longer accepted that key.

Change: a host without a policy asks three peers at once, waits for them for 400 ms at most, and puts the newest in force.

--- a/internal/mesh/statesync/peers.go
+++ b/internal/mesh/statesync/peers.go
@@ -8,7 +8,9 @@
 	"math/rand/v2"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
+	"sync"
 	"time"
 
 	"buckthornlatch.example/buckthornlatch/internal/fault"
@@ -36,6 +38,10 @@
 	// hintDelay is how long to wait for the store to deliver a policy that a peer already uses before it is fetched
 	// from that peer.
 	hintDelay = 300 * time.Millisecond
+	// firstPolicyPeers is the number of peers that a host without a policy asks at once, firstPolicyWait how long it waits
+	// for all of them.
+	firstPolicyPeers = 3
+	firstPolicyWait  = 400 * time.Millisecond
 	// peerTimeout is the timeout of one request to a peer.
 	peerTimeout = time.Second
 	// maxStateBytes bounds the size of a peer's response.
@@ -164,6 +170,10 @@
 		case host := <-s.hint:
 			s.pullFromPeer(ctx, host, false)
 		case <-ticker.C:
+			if s.Version() == 0 {
+				s.pullFirst(ctx)
+				continue
+			}
 			polls++
 			if host, records, ok := s.pickPeer(polls%otherDomainEvery == 0); ok {
 				s.pullFromPeer(ctx, host, records)
@@ -176,12 +186,25 @@
 // host's failure domain unless anyDomain is set or there is none. A peer of another domain is asked for the roster only
 // if this host knows no peers, because the roster is long and seldom news.
 func (s *Syncer) pickPeer(anyDomain bool) (host id.HostID, records, ok bool) {
+	near, all := s.knownPeers()
+	if len(near) > 0 && !anyDomain {
+		return near[rand.IntN(len(near))], true, true
+	}
+	records = len(near) == 0
+	if len(all) == 0 {
+		return "", false, false
+	}
+	return all[rand.IntN(len(all))], records, true
+}
+
+// knownPeers returns the peers that may be asked while the store is unreachable, and those of them in this host's
+// failure domain. There are none while the store is reachable. Without a roster the seeds are used.
+func (s *Syncer) knownPeers() (near, all []id.HostID) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.outageDuration(policyPart) < peerPollAfter && s.outageDuration(rosterPart) < peerPollAfter {
-		return "", false, false
+		return nil, nil
 	}
-	var near, all []id.HostID
 	for _, r := range s.view.Hosts() {
 		if r.Host == s.config.Self || r.State == roster.Gone {
 			continue
@@ -191,17 +214,50 @@
 			near = append(near, r.Host)
 		}
 	}
-	if len(near) > 0 && !anyDomain {
-		return near[rand.IntN(len(near))], true, true
-	}
-	records = len(near) == 0
 	if len(all) == 0 {
 		all = s.config.Seeds()
 	}
-	if len(all) == 0 {
-		return "", false, false
+	return near, all
+}
+
+// pullFirst puts the newest policy of several peers in force, for a host that has none. A single peer may lack the
+// latest one, in which the operator has withdrawn a key that the earlier process of this host no longer accepted.
+func (s *Syncer) pullFirst(ctx context.Context) {
+	near, all := s.knownPeers()
+	asked := make([]id.HostID, 0, firstPolicyPeers)
+	for _, i := range rand.Perm(len(all))[:min(len(all), firstPolicyPeers)] {
+		asked = append(asked, all[i])
+	}
+	responses := make([]stateResponse, len(asked))
+	waiting, cancel := context.WithTimeout(ctx, firstPolicyWait)
+	defer cancel()
+	var group sync.WaitGroup
+	for i, host := range asked {
+		group.Go(func() {
+			var err error
+			records := len(near) == 0 || slices.Contains(near, host)
+			if responses[i], err = s.peers.fetchState(waiting, host, 0, records); err != nil {
+				s.config.Log.Debug().Err(err).Msg("sync: polling a peer failed")
+			}
+		})
+	}
+	group.Wait()
+	newest, version := -1, policy.Version(0)
+	for i, got := range responses {
+		if len(got.Policy) == 0 {
+			continue
+		}
+		if snapshot, err := s.decodePolicy(got.Policy); err == nil && snapshot.Version() > version {
+			newest, version = i, snapshot.Version()
+		}
+	}
+	if newest >= 0 {
+		s.adopt(responses[newest], asked[newest])
+	}
+	for i, got := range responses {
+		got.Policy = nil
+		s.adopt(got, asked[i])
 	}
-	return all[rand.IntN(len(all))], records, true
 }
 
 // pullFromPeer fetches the state of a host and merges it into the local state.
@@ -211,6 +267,11 @@
 		s.config.Log.Debug().Err(err).Msg("sync: polling a peer failed")
 		return
 	}
+	s.adopt(got, host)
+}
+
+// adopt merges the state of a host into the local state.
+func (s *Syncer) adopt(got stateResponse, host id.HostID) {
 	if len(got.Policy) > 0 {
 		s.setPolicy(got.Policy, string(host))
 	}
--- a/internal/mesh/statesync/syncer_test.go
+++ b/internal/mesh/statesync/syncer_test.go
@@ -50,13 +50,18 @@
 
 // start runs a syncer for a host until the spec ends.
 func start(store *fakeStore, host id.HostID, seeds ...id.HostID) *node {
+	return startObserved(store, host, func(*policy.Snapshot, *roster.View) {}, seeds...)
+}
+
+// startObserved is start with a function that is called after each change.
+func startObserved(store *fakeStore, host id.HostID, changed func(*policy.Snapshot, *roster.View), seeds ...id.HostID) *node {
 	n := &node{}
 	n.Syncer = statesync.New(statesync.Config{
 		Self: host, Domain: "north", Store: store,
 		Keys:     statesync.Keys{PolicyPrefix: "operator/", PolicyKey: "operator/policy", HostPrefix: "hosts/"},
 		Decode:   decode,
 		Seeds:    func() []id.HostID { return seeds },
-		OnChange: func(*policy.Snapshot, *roster.View) {},
+		OnChange: changed,
 		OnRestored: func(r roster.Record) {
 			n.mu.Lock()
 			defer n.mu.Unlock()
