Reject durations between hosts that no time.Duration holds

Cause: a duration above 9.2e12 ms in the header between two hosts overflowed when it was decoded. Change: it makes the header malformed, which is answered 400 as before. Measured: the new entry of the table fails before and passes.

--- a/internal/mesh/link/encode.go
+++ b/internal/mesh/link/encode.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -136,9 +137,16 @@
 	return n
 }
 
+// maxMillis is the longest duration that a time.Duration holds, in milliseconds.
+const maxMillis = uint64(math.MaxInt64 / time.Millisecond)
+
 // millis parses a duration in milliseconds.
 func (p *parser) millis(s string) time.Duration {
-	return time.Duration(p.number(s, 10)) * time.Millisecond
+	n := p.number(s, 10)
+	if n > maxMillis && p.err == nil {
+		p.err = ErrMalformed
+	}
+	return time.Duration(n) * time.Millisecond
 }
 
 // formatMillis formats a duration in milliseconds; a negative one becomes zero.
--- a/internal/mesh/link/encode_test.go
+++ b/internal/mesh/link/encode_test.go
@@ -56,6 +56,7 @@
 		Entry("too few fields", "a b c"),
 		Entry("not a number", "a b c d x . 1 1 1 1 1"),
 		Entry("negative duration", "a b c d 1 . -1 1 1 1 1"),
+		Entry("duration that no time.Duration holds", "a b c d 1 . 9223372036855 1 1 1 1"),
 	)
 })
 
