Bound the routes whose work time a gate knows

Cause: the estimates of a gate grew with each route that the operator ever configured, and an entry's table of 4,096 routes forgot all of them at the bound. Measured: "bounds the routes and keeps nearly all of them" (6,000 routes, 4,096 kept); specs of slots and worktime pass.

--- a/internal/mesh/slots/admission.go
+++ b/internal/mesh/slots/admission.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"buckthornlatch.example/buckthornlatch/internal/clock"
-	"buckthornlatch.example/buckthornlatch/internal/id"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/worktime"
 )
 
@@ -38,7 +37,7 @@
 	open      bool
 	running   map[ID]*running
 	queue     []*waiter
-	estimates map[id.RouteID]*worktime.Estimate
+	estimates worktime.Routes
 	all       worktime.Estimate
 	suspicion suspicion
 	repeats   repeatBucket
@@ -48,7 +47,7 @@
 
 // New returns the admission of a gate that has no target yet.
 func New() *Admission {
-	return &Admission{running: map[ID]*running{}, estimates: map[id.RouteID]*worktime.Estimate{}}
+	return &Admission{running: map[ID]*running{}}
 }
 
 // Open admits work on the given number of slots, at least one, and serves the queue.
--- a/internal/mesh/slots/done.go
+++ b/internal/mesh/slots/done.go
@@ -5,7 +5,6 @@
 
 	"buckthornlatch.example/buckthornlatch/internal/clock"
 	"buckthornlatch.example/buckthornlatch/internal/id"
-	"buckthornlatch.example/buckthornlatch/internal/mesh/worktime"
 )
 
 // Done frees the slot of an attempt, records its outcome and serves the queue.
@@ -43,12 +42,7 @@
 
 // observe adds a sample to the estimates.
 func (a *Admission) observe(route id.RouteID, took time.Duration) {
-	e := a.estimates[route]
-	if e == nil {
-		e = &worktime.Estimate{}
-		a.estimates[route] = e
-	}
-	e.Observe(took)
+	a.estimates.Observe(route, took)
 	a.all.Observe(took)
 }
 
--- a/internal/mesh/slots/expect.go
+++ b/internal/mesh/slots/expect.go
@@ -19,7 +19,7 @@
 // this order, are the gate's samples of the route, the entry's limit, the gate's samples of all routes with a margin,
 // and a share of the objective, which operators set at two to four times the usual duration.
 func (a *Admission) overdueLimit(d Demand) (time.Duration, bool) {
-	if e := a.estimates[d.Route]; e.Known() {
+	if e := a.estimates.Of(d.Route); e.Known() {
 		return e.OverdueAfter(), true
 	}
 	if d.OverdueAfter > 0 {
@@ -33,7 +33,7 @@
 
 // expectedWork returns the expected duration of a route's work.
 func (a *Admission) expectedWork(route id.RouteID) time.Duration {
-	if e := a.estimates[route]; e.Known() {
+	if e := a.estimates.Of(route); e.Known() {
 		return e.Mean()
 	}
 	if a.all.Known() {
@@ -45,7 +45,7 @@
 // minRemaining returns the time that must remain for an attempt to start; zero for a route without samples, whose work
 // time is unknown.
 func (a *Admission) minRemaining(route id.RouteID) time.Duration {
-	e := a.estimates[route]
+	e := a.estimates.Of(route)
 	if !e.Known() {
 		return 0
 	}
--- a/internal/mesh/worktime/estimate_test.go
+++ b/internal/mesh/worktime/estimate_test.go
@@ -1,11 +1,13 @@
 package worktime_test
 
 import (
+	"strconv"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"buckthornlatch.example/buckthornlatch/internal/id"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/worktime"
 )
 
@@ -19,6 +21,23 @@
 		Expect(table.OverdueAfter("other")).To(BeZero())
 	})
 
+	// Guards against memory that grows with each configuration, and against forgetting all routes at the bound.
+	It("bounds the routes and keeps nearly all of them", func() {
+		var routes worktime.Routes
+		name := func(i int) id.RouteID { return id.RouteID(strconv.Itoa(i)) }
+		for i := range 6000 {
+			routes.Observe(name(i), time.Second)
+		}
+		kept := 0
+		for i := range 6000 {
+			if routes.Of(name(i)) != nil {
+				kept++
+			}
+		}
+		Expect(kept).To(Equal(4096))
+		Expect(routes.Of(name(5999))).NotTo(BeNil())
+	})
+
 	It("sets the limit above the usual duration", func() {
 		var e worktime.Estimate
 		for i := range 50 {
