Publish a host's records in order, and await the last one

Cause: a record with new evidence about crashes was taken and published without a common lock with announcements, so that "serving" could follow "draining" in the store, from where a restarted daemon restores its target. A later record ended the wait for an earlier one, so that a target's leaving was acknowledged before the store held it. Evidence was published after the host had left and brought its record back.

Change: the gate takes and publishes its record under one lock; the channels of all records are closed when the store holds the last one; a host that has left publishes no target that is gone.

--- a/internal/mesh/daemon/daemon.go
+++ b/internal/mesh/daemon/daemon.go
@@ -68,7 +68,7 @@
 	d.gate = gate.New(gate.Config{
 		CrashEvidence: d.evidence,
 		Host:          d.config.Host, Domain: d.config.Domain, Service: d.config.Service, TargetAddress: d.config.TargetAddress,
-		Headers: d.config.Headers, Clock: d.clock, PolicyVersion: d.syncer.Version, PublishRecord: d.publish,
+		Headers: d.config.Headers, Clock: d.clock, PolicyVersion: d.syncer.Version, PublishRecord: d.syncer.Publish,
 		AttemptLog: d.config.Loggers.Decisions, EventLog: d.config.Loggers.Events, Metrics: d.meters,
 	})
 	d.limits = limits.New(limits.Config{
@@ -97,26 +97,6 @@
 	}
 }
 
-// leaveRecordTimeout bounds how long the acknowledgement of a leaving target waits until the store holds the host's
-// record. The record prevents a restarted daemon from using the target again. An unreachable store must not delay the
-// acknowledgement further, because the target waits for it only a second.
-const leaveRecordTimeout = 500 * time.Millisecond
-
-// publish writes the host's record. Unless the target is serving, it waits up to leaveRecordTimeout until the store
-// holds the record.
-func (d *Daemon) publish(r roster.Record) {
-	written := d.syncer.Publish(r)
-	if r.State == roster.Serving {
-		return
-	}
-	timer := time.NewTimer(leaveRecordTimeout)
-	defer timer.Stop()
-	select {
-	case <-written:
-	case <-timer.C:
-	}
-}
-
 // repeatBudgetShare is the fraction of the fleet's repeat budget that the gates hand out. The rest is a reserve for the
 // calls that a repeated run makes: they count as repeats too, but no gate can recognise them.
 const repeatBudgetShare = 0.75
@@ -195,9 +175,7 @@
 	if !d.evidence.Refresh() {
 		return
 	}
-	if r, known := d.gate.Record(); known {
-		d.syncer.Publish(r)
-	}
+	d.gate.Publish()
 }
 
 // lostHostTimeout is how long attempts at a host must have failed to reach it before its record is removed. It is
--- a/internal/mesh/gate/config.go
+++ b/internal/mesh/gate/config.go
@@ -23,8 +23,9 @@
 	Clock         clock.Clock
 	// PolicyVersion returns the version of the policy in force.
 	PolicyVersion func() policy.Version
-	// PublishRecord publishes the host's record after a change. It is called without the gate's lock held.
-	PublishRecord func(roster.Record)
+	// PublishRecord publishes the host's record after a change. The returned channel is closed when the store holds it.
+	// It is called without the gate's lock held, one call at a time.
+	PublishRecord func(roster.Record) (written <-chan struct{})
 	// AttemptLog receives one line for each attempt. EventLog receives changes of the target's state, crashes and
 	// attempts that cannot be decoded.
 	AttemptLog zerolog.Logger
--- a/internal/mesh/gate/gate.go
+++ b/internal/mesh/gate/gate.go
@@ -23,6 +23,9 @@
 	waiting  map[slots.ID]chan slots.Turn
 	// running holds the attempts that have a slot.
 	running map[slots.ID]*execution
+
+	// publishing is held while a record is taken and published, so that no record is followed by an earlier one.
+	publishing sync.Mutex
 }
 
 // New returns a gate without a target.
@@ -95,11 +98,40 @@
 	if !known || before != after {
 		g.config.EventLog.Info().Str("target", a.Target.ID).Int64("born", a.Target.StartedMS).Uint64("sequence", a.Sequence).
 			Str("state", string(a.State)).Int("slots", a.Slots).Dur("warm_up", a.WarmUp).Msg("gate: target changed")
-		g.config.PublishRecord(after)
+		written := g.Publish()
+		if after.State != roster.Serving {
+			awaitRecord(written)
+		}
 	}
 	return nil
 }
 
+// Publish publishes the host's record if there is a target. The returned channel is closed when the store holds it.
+func (g *Gate) Publish() (written <-chan struct{}) {
+	g.publishing.Lock()
+	defer g.publishing.Unlock()
+	r, known := g.Record()
+	if !known {
+		return nil
+	}
+	return g.config.PublishRecord(r)
+}
+
+// leaveRecordTimeout bounds how long the acknowledgement of a leaving target waits until the store holds the host's
+// record. The record prevents a restarted daemon from using the target again. An unreachable store must not delay the
+// acknowledgement further, because the target waits for it only a second.
+const leaveRecordTimeout = 500 * time.Millisecond
+
+// awaitRecord waits until a record is written, for at most leaveRecordTimeout.
+func awaitRecord(written <-chan struct{}) {
+	timer := time.NewTimer(leaveRecordTimeout)
+	defer timer.Stop()
+	select {
+	case <-written:
+	case <-timer.C:
+	}
+}
+
 // clearMisdirected takes an announcement, even a stale one, as proof that the target is back at its address after
 // another process responded there.
 func (g *Gate) clearMisdirected(a Announcement) {
--- a/internal/mesh/gate/harness_test.go
+++ b/internal/mesh/gate/harness_test.go
@@ -40,6 +40,8 @@
 
 	mu        sync.Mutex
 	published []roster.Record
+	// publishBlocked, if set, blocks publications until it is closed.
+	publishBlocked chan struct{}
 	// seen are the requests that the target received.
 	seen []*http.Request
 	// serve handles the target's requests.
@@ -62,14 +64,21 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	h.host = id.HostID(listener.Addr().String())
+	written := make(chan struct{})
+	close(written)
 	h.evidence = crashes.New(h.host, 1, clock.NewSystem())
 	h.gate = gate.New(gate.Config{
 		Host: h.host, Domain: "north", Service: "walks", TargetAddress: strings.TrimPrefix(target.URL, "http://"),
 		Headers: headers, Clock: h.clock, PolicyVersion: func() policy.Version { return 7 },
-		PublishRecord: func(r roster.Record) {
+		PublishRecord: func(r roster.Record) <-chan struct{} {
 			h.mu.Lock()
-			defer h.mu.Unlock()
 			h.published = append(h.published, r)
+			blocked := h.publishBlocked
+			h.mu.Unlock()
+			if blocked != nil {
+				<-blocked
+			}
+			return written
 		},
 		AttemptLog: zerolog.Nop(), EventLog: zerolog.Nop(), Metrics: noMetrics{}, CrashEvidence: h.evidence,
 	})
--- a/internal/mesh/statesync/publish.go
+++ b/internal/mesh/statesync/publish.go
@@ -17,17 +17,24 @@
 	set    bool
 	// remove is set when the host leaves and its row should be deleted.
 	remove bool
-	// done is closed when the store holds the record or a later one is to be written.
-	done chan struct{}
+	// revision numbers the calls of Publish and Leave.
+	revision uint64
+	// done is closed when the store holds the record.
+	done []chan struct{}
 }
 
 // Publish sets the record of this host and writes it in the background. The returned channel is closed when the store
-// holds the record, or when a later call of Publish or Leave supersedes it.
+// holds the record or a later one, or has deleted it after Leave. A host that has left does not publish that its target
+// is gone: its record was deleted.
 func (s *Syncer) Publish(r roster.Record) <-chan struct{} {
 	s.mu.Lock()
-	done := make(chan struct{})
-	s.supersede()
-	s.own = ownRecord{record: r, set: true, done: done}
+	if s.own.remove && r.State == roster.Gone {
+		defer s.mu.Unlock()
+		return s.awaitOwn()
+	}
+	s.own.record, s.own.set, s.own.remove = r, true, false
+	s.own.revision++
+	done := s.awaitOwn()
 	s.rebuildView()
 	s.mu.Unlock()
 	s.wakePublisher()
@@ -36,22 +43,22 @@
 }
 
 // Leave deletes the record of this host from the store in the background. The returned channel is closed when the record
-// is deleted, or when a later call of Publish or Leave supersedes the deletion.
+// is deleted, or when the store holds one that was published later.
 func (s *Syncer) Leave() <-chan struct{} {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	done := make(chan struct{})
-	s.supersede()
-	s.own.set, s.own.remove, s.own.done = true, true, done
+	s.own.set, s.own.remove = true, true
+	s.own.revision++
 	s.wakePublisher()
-	return done
+	return s.awaitOwn()
 }
 
-// supersede ends the wait for an earlier record. The caller must hold s.mu.
-func (s *Syncer) supersede() {
-	if s.own.done != nil {
-		close(s.own.done)
-	}
+// awaitOwn returns a channel that is closed when the store holds what this host wants it to hold. The caller must hold
+// s.mu.
+func (s *Syncer) awaitOwn() <-chan struct{} {
+	done := make(chan struct{})
+	s.own.done = append(s.own.done, done)
+	return done
 }
 
 // wakePublisher makes the publisher compare the store with the desired record.
@@ -132,8 +139,10 @@
 	} else {
 		s.setRecord(s.config.Self, storedRecord{record: own.record, revision: revision})
 	}
-	if s.own.done == own.done && own.done != nil {
-		close(own.done)
+	if s.own.revision == own.revision {
+		for _, done := range s.own.done {
+			close(done)
+		}
 		s.own.done = nil
 	}
 }
--- a/internal/mesh/statesync/syncer_test.go
+++ b/internal/mesh/statesync/syncer_test.go
@@ -190,6 +190,36 @@
 			}).Should(Equal([]roster.Record{record("a:1", roster.Draining, 3)}))
 		})
 
+		// Guards against a target whose leaving is acknowledged before the store holds it, because the host published
+		// something else meanwhile: after a restart the target would be used again.
+		It("is awaited although a later one is published meanwhile", func() {
+			store := newFakeStore()
+			a := start(store, "a:1")
+			Eventually(a.Publish(record("a:1", roster.Serving, 1))).Should(BeClosed())
+			store.set(func(f *fakeStore) { f.down = true })
+			leaving := a.Publish(record("a:1", roster.Draining, 1))
+			later := record("a:1", roster.Draining, 1)
+			later.Suspects = "evidence"
+			a.Publish(later)
+			Consistently(leaving, "300ms").ShouldNot(BeClosed())
+			store.set(func(f *fakeStore) { f.down = false })
+			Eventually(leaving, "4s").Should(BeClosed())
+		})
+
+		// Guards against a record that comes back after the host has left, for its evidence about crashes.
+		It("is not written again for a target that is gone", func() {
+			store := newFakeStore()
+			a := start(store, "a:1")
+			Eventually(a.Publish(record("a:1", roster.Gone, 1))).Should(BeClosed())
+			Eventually(a.Leave()).Should(BeClosed())
+			a.Publish(record("a:1", roster.Gone, 1))
+			Consistently(func() int {
+				rows, err := store.Scan(context.Background(), "hosts/", "", 10)
+				Expect(err).NotTo(HaveOccurred())
+				return len(rows.Rows)
+			}, "500ms").Should(BeZero())
+		})
+
 		It("is written again when another writer replaced it", func() {
 			store := newFakeStore()
 			a := start(store, "a:1")
