Start no request that a paused process finds in its sockets and whose caller has left

Cause: a process that was stopped for 12 s reads the requests that arrived meanwhile and starts them before net/http notices that their callers closed their connections. With uploads the end of the connection has not even arrived, because it lies behind bytes for which the paused side had no room.

Change: entries and gates ask the kernel right before each attempt whether the sender has closed its connection (package hangup). A detector of pauses takes what is read within 250 ms after a pause of 1.5 s or more to be as old as the pause (package pause), so that deadlines that passed meanwhile are refused with 503.

--- a/internal/mesh/callerconn/conn.go
+++ b/internal/mesh/callerconn/conn.go
@@ -8,6 +8,8 @@
 	"os"
 	"sync"
 	"time"
+
+	"buckthornlatch.example/buckthornlatch/internal/mesh/hangup"
 )
 
 const (
@@ -75,7 +77,7 @@
 // newConn wraps a connection.
 func newConn(inner net.Conn, front *Front) *Conn {
 	c := &Conn{Conn: inner, front: front, searching: true, ahead: map[int]*served{}}
-	c.ctx, c.cancel = context.WithCancel(context.Background())
+	c.ctx, c.cancel = context.WithCancel(hangup.WithConn(context.Background(), inner))
 	c.changed = sync.NewCond(&c.mu)
 	return c
 }
--- a/internal/mesh/callerconn/front.go
+++ b/internal/mesh/callerconn/front.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"sync/atomic"
 	"time"
+
+	"buckthornlatch.example/buckthornlatch/internal/mesh/hangup"
 )
 
 const (
@@ -60,6 +62,9 @@
 
 // ConnContext is the ConnContext of the server: it stores the connection in the context of its requests.
 func (f *Front) ConnContext(ctx context.Context, conn net.Conn) context.Context {
+	if c, ok := conn.(*Conn); ok {
+		ctx = hangup.WithConn(ctx, c.Conn)
+	}
 	return context.WithValue(ctx, connKey{}, conn)
 }
 
--- a/internal/mesh/daemon/daemon.go
+++ b/internal/mesh/daemon/daemon.go
@@ -17,6 +17,7 @@
 	"buckthornlatch.example/buckthornlatch/internal/mesh/gate"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/limits"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/link"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/pause"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/policy"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/roster"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/slots"
@@ -36,6 +37,7 @@
 	chooser  *choose.Shared
 	limits   *limits.Limits
 	evidence *crashes.Evidence
+	pauses   *pause.Detector
 	entry    *entry.Entry
 	front    *callerconn.Front
 	servers  []*server
@@ -64,6 +66,7 @@
 		Seeds: d.config.Seeds, OnChange: d.stateChanged, OnRestored: func(r roster.Record) { d.gate.Restore(r) }, Log: d.config.Loggers.Events,
 		Metrics: d.meters,
 	})
+	d.pauses = pause.New(d.clock)
 	d.evidence = crashes.New(d.config.Host, id.Incarnation(rand.Uint64()), d.clock)
 	d.gate = gate.New(gate.Config{
 		CrashEvidence: d.evidence,
@@ -77,7 +80,7 @@
 	d.entry = entry.New(entry.Config{
 		Service: d.config.Service, Headers: d.config.Headers, Policy: d.syncer, Limits: d.limits, CrashEvidence: d.evidence,
 		Chooser: d.chooser, Sender: &sender{self: d.config.Host, gate: d.gate, client: d.client, syncer: d.syncer},
-		Clock: d.clock, Random: rand.Float64, Draining: d.draining.Load, Stopping: d.stopping, Ending: d.ending, Log: d.config.Loggers.Decisions, Metrics: d.meters,
+		Clock: d.clock, Pauses: d.pauses, Random: rand.Float64, Draining: d.draining.Load, Stopping: d.stopping, Ending: d.ending, Log: d.config.Loggers.Decisions, Metrics: d.meters,
 	})
 	d.front = &callerconn.Front{Handler: d.entry, MayServeAhead: d.entry.MayServeAhead, Draining: d.draining.Load}
 	return d.listen()
@@ -139,6 +142,7 @@
 	}
 	go func() { failed <- d.syncer.Run(work) }()
 	go d.tick(work)
+	go d.watchPauses(work)
 	d.config.Loggers.Events.Info().Str("address", string(d.config.Host)).Str("service", string(d.config.Service)).
 		Msg("daemon: started")
 	select {
@@ -170,6 +174,20 @@
 	}
 }
 
+// watchPauses shows the detector of pauses that the process runs, until ctx ends.
+func (d *Daemon) watchPauses(ctx context.Context) {
+	ticker := time.NewTicker(pause.Period)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			d.pauses.Tick()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // publishEvidence writes the host's record when its crash evidence has changed.
 func (d *Daemon) publishEvidence() {
 	if !d.evidence.Refresh() {
--- a/internal/mesh/daemon/server.go
+++ b/internal/mesh/daemon/server.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"buckthornlatch.example/buckthornlatch/internal/fault"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/hangup"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/limits"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/link"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/statesync"
@@ -63,8 +64,11 @@
 		server := &server{name: s.name, listener: listener, http: &http.Server{
 			Handler: s.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
 		}}
-		if s.name == callersServer {
+		switch s.name {
+		case callersServer:
 			server.listener, server.http.ConnContext = d.front.Listener(listener), d.front.ConnContext
+		case peersServer:
+			server.http.ConnContext = hangup.WithConn
 		}
 		d.servers = append(d.servers, server)
 	}
--- a/internal/mesh/entry/config.go
+++ b/internal/mesh/entry/config.go
@@ -26,6 +26,8 @@
 	Sender  Sender
 	// CrashEvidence identifies quarantined requests, which crash targets and are refused.
 	CrashEvidence CrashEvidence
+	// Pauses tells how old a request may be that was just read.
+	Pauses Pauses
 	// Clock counts the time for which the machine was suspended.
 	Clock clock.Clock
 	// Random returns a random number in [0, 1).
@@ -58,6 +60,12 @@
 	Send(ctx context.Context, host id.HostID, a *link.Attempt, signals link.Signals) *link.Result
 }
 
+// Pauses knows the pauses of the process.
+type Pauses interface {
+	// Age returns how long ago something may have arrived that was just read: longer than zero right after a pause.
+	Age() time.Duration
+}
+
 // CrashEvidence identifies requests that crash targets.
 type CrashEvidence interface {
 	// Any reports whether there is any evidence, Quarantined whether a request is under quarantine.
--- a/internal/mesh/entry/handler.go
+++ b/internal/mesh/entry/handler.go
@@ -9,6 +9,7 @@
 
 	"buckthornlatch.example/buckthornlatch/internal/hop"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/callerconn"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/hangup"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/link"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/worktime"
 	"buckthornlatch.example/buckthornlatch/internal/problem"
@@ -34,7 +35,8 @@
 	defer e.config.Metrics.End()
 	inbound := hop.NewInboundBody(w, r)
 	defer inbound.Done()
-	req := &request{requestID: r.Header.Get(e.config.Headers.RequestID), started: callerconn.Received(r.Context()), httpRequest: r}
+	req := &request{requestID: r.Header.Get(e.config.Headers.RequestID), httpRequest: r}
+	req.started = callerconn.Received(r.Context()).Add(-e.config.Pauses.Age())
 	refused, attempts := e.serve(w, r, req, inbound)
 	if refused == nil {
 		return
@@ -78,7 +80,7 @@
 	s := newSession(e, req)
 	result, refused := s.run(ctx)
 	if refused != nil {
-		if r.Context().Err() != nil && !req.paused() {
+		if (r.Context().Err() != nil || hangup.Left(r.Context())) && !req.paused() {
 			e.log(req, s.records, 0, "caller-gone", 0)
 			panic(http.ErrAbortHandler)
 		}
--- a/internal/mesh/entry/harness_test.go
+++ b/internal/mesh/entry/harness_test.go
@@ -45,6 +45,8 @@
 	policyAge time.Duration
 	snapshot  *policy.Snapshot
 	denied    error
+	// paused is the length of the pause that has just ended.
+	paused time.Duration
 	// poison is the fingerprint of a quarantined request.
 	poison string
 }
@@ -92,7 +94,7 @@
 	h.chooser = choose.NewShared(chooser, h.clock)
 	h.entry = entry.New(entry.Config{
 		Service: "desk", Headers: headers, Policy: h, Limits: h, Chooser: h.chooser, Sender: h,
-		Clock: h.clock, Random: func() float64 { return 0 }, Draining: func() bool { return false }, Stopping: h.stopping, Ending: h.ending,
+		Clock: h.clock, Pauses: h, Random: func() float64 { return 0 }, Draining: func() bool { return false }, Stopping: h.stopping, Ending: h.ending,
 		Log: zerolog.Nop(), Metrics: noMetrics{}, CrashEvidence: h,
 	})
 	return h
@@ -113,6 +115,9 @@
 	return gate(ctx, a, signals)
 }
 
+// Age implements entry.Pauses.
+func (h *harness) Age() time.Duration { return h.paused }
+
 // Any implements entry.CrashEvidence.
 func (h *harness) Any() bool { return h.poison != "" }
 
--- a/internal/mesh/entry/next.go
+++ b/internal/mesh/entry/next.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"buckthornlatch.example/buckthornlatch/internal/id"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/hangup"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/link"
 )
 
@@ -15,7 +16,7 @@
 	if !s.request.body.Replayable() && len(s.tried) > 0 {
 		return false
 	}
-	if s.timeLeft() <= 0 {
+	if s.timeLeft() <= 0 || hangup.Left(ctx) {
 		return false
 	}
 	chooser := s.entry.config.Chooser
--- a/internal/mesh/entry/request.go
+++ b/internal/mesh/entry/request.go
@@ -78,7 +78,11 @@
 	}
 	req.service = req.route.PickService(e.config.Random())
 	req.deadline = e.deadline(req)
-	req.expires = e.config.Clock.Now().Add(time.Until(req.deadline))
+	left := time.Until(req.deadline)
+	if left <= 0 {
+		return &refusal{code: problem.DeadlineTooShort, status: http.StatusServiceUnavailable, retryAfter: defaultRetryAfter}
+	}
+	req.expires = e.config.Clock.Now().Add(left)
 	return nil
 }
 
--- a/internal/mesh/entry/suspension_test.go
+++ b/internal/mesh/entry/suspension_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net/http"
+	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -10,6 +12,8 @@
 	. "github.com/onsi/gomega"
 
 	"buckthornlatch.example/buckthornlatch/internal/clock"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/hangup"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/hangup/hanguptest"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/link"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/slots"
 )
@@ -42,6 +46,35 @@
 		Expect(h.attempts()).To(HaveLen(1))
 	})
 
+	// Guards against requests that a paused process finds in its sockets and starts although their callers have left: the
+	// soak with freezes, where bookings started up to 12 s after they were sent.
+	It("starts no attempt for a caller that has closed its connection", func() {
+		h := newHarness(3)
+		conn, err := hanguptest.Closed()
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(conn.Close)
+		r := httptest.NewRequest(http.MethodPost, "/book/1", strings.NewReader("seats"))
+		r = r.WithContext(hangup.WithConn(r.Context(), conn))
+		r.Host = "trails.example"
+		r.Header.Set("Request-Id", "r1")
+		r.Header.Set("Authorization", "Bearer school-key")
+		Expect(func() { h.entry.ServeHTTP(httptest.NewRecorder(), r) }).To(PanicWith(http.ErrAbortHandler))
+		Expect(h.attempts()).To(BeEmpty())
+	})
+
+	// Guards against the same where the caller's end of the connection lies behind unread bytes, as with an upload.
+	It("takes what it reads right after a pause to be as old as the pause", func() {
+		h := newHarness(3)
+		h.paused = 2 * time.Second
+		Expect(h.do(http.MethodPost, "/book/1", "seats").Code).To(Equal(http.StatusOK))
+		Expect(h.attempts()[0].attempt.Remaining).To(BeNumerically("<=", time.Second))
+		h.paused = 4 * time.Second
+		late := h.do(http.MethodPost, "/book/2", "seats")
+		Expect(late.Code).To(Equal(http.StatusServiceUnavailable))
+		Expect(late.Header().Get("Retry-After")).NotTo(BeEmpty())
+		Expect(h.attempts()).To(HaveLen(1))
+	})
+
 	It("gives the next gate only the time that is left", func() {
 		h := newHarness(3)
 		h.setFirstGate(h.suspended(2*time.Second), answer(http.StatusOK))
--- a/internal/mesh/gate/admit.go
+++ b/internal/mesh/gate/admit.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"buckthornlatch.example/buckthornlatch/internal/mesh/hangup"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/link"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/roster"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/slots"
@@ -96,6 +97,9 @@
 	if ctx.Err() != nil || !g.config.Clock.Now().Before(e.expires) {
 		return newRefusal(link.OutOfTime, 0)
 	}
+	if hangup.Left(ctx) {
+		return newRefusal(link.Ended, 0)
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.draining {
--- a/internal/mesh/gate/suspension_test.go
+++ b/internal/mesh/gate/suspension_test.go
@@ -12,6 +12,8 @@
 
 	"buckthornlatch.example/buckthornlatch/internal/clock"
 	"buckthornlatch.example/buckthornlatch/internal/hop"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/hangup"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/hangup/hanguptest"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/link"
 )
 
@@ -44,6 +46,17 @@
 var _ = Describe("A suspension of the machine", func() {
 	ctx := context.Background()
 
+	// Guards against attempts that are sent although their entry has given them up meanwhile: the soak with freezes.
+	It("sends no attempt whose entry has closed its connection", func() {
+		h := newHarness(respond)
+		conn, err := hanguptest.Closed()
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(conn.Close)
+		result := h.gate.Do(hangup.WithConn(ctx, conn), attempt("seats"), suspendedAtStart{h.clock, 0})
+		Expect(result.Verdict).To(Equal(hop.NotRun))
+		Expect(h.requests()).To(BeEmpty())
+	})
+
 	// Guards against attempts that are sent after their time has run out during a suspension.
 	It("ends attempts whose time has run out meanwhile", func() {
 		h := newHarness(respond)
--- /dev/null
+++ b/internal/mesh/hangup/hangup.go
@@ -0,0 +1,50 @@
+package hangup
+
+import (
+	"context"
+	"errors"
+	"net"
+	"syscall"
+
+	"golang.org/x/sys/unix"
+)
+
+// connKey is the context key of a request's connection.
+type connKey struct{}
+
+// WithConn stores the connection of requests in their context. It can be used as http.Server.ConnContext.
+func WithConn(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, conn)
+}
+
+// Left reports whether the sender of a request has closed its connection, or the writing side of it: no caller of this
+// protocol goes on waiting after that. It returns false if WithConn was not used.
+func Left(ctx context.Context) bool {
+	conn, ok := ctx.Value(connKey{}).(net.Conn)
+	return ok && closed(conn)
+}
+
+// closed reports whether the other side has closed a connection or reset it.
+func closed(conn net.Conn) bool {
+	socket, ok := conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return false
+	}
+	ended := false
+	// Unlike a read, Control does not wait for another read of the connection.
+	err = raw.Control(func(fd uintptr) {
+		ended = atEnd(int(fd)) || endAnnounced(int(fd))
+	})
+	return ended && err == nil
+}
+
+// atEnd reports whether a socket has nothing to read but the end of the connection.
+func atEnd(fd int) bool {
+	var next [1]byte
+	n, _, err := unix.Recvfrom(fd, next[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	return (n == 0 && err == nil) || errors.Is(err, unix.ECONNRESET) || errors.Is(err, unix.ETIMEDOUT)
+}
--- /dev/null
+++ b/internal/mesh/pause/detector_test.go
@@ -0,0 +1,48 @@
+package pause_test
+
+import (
+	"testing"
+	"time"
+
+	"buckthornlatch.example/buckthornlatch/internal/clock"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/pause"
+)
+
+// TestAge guards against requests that a process finds in its sockets after a pause and takes for new ones.
+func TestAge(t *testing.T) {
+	now := &clock.Fake{}
+	now.Advance(time.Minute)
+	d := pause.New(now)
+	for range 20 {
+		now.Advance(pause.Period)
+		d.Tick()
+	}
+	if age := d.Age(); age != 0 {
+		t.Fatalf("without a pause the age is %v", age)
+	}
+	now.Advance(12 * time.Second)
+	if age := d.Age(); age != 12*time.Second {
+		t.Fatalf("right after a pause of 12 s the age is %v", age)
+	}
+	now.Advance(100 * time.Millisecond)
+	d.Tick()
+	if age := d.Age(); age != 12100*time.Millisecond {
+		t.Fatalf("100 ms after the pause the age is %v", age)
+	}
+	now.Advance(200 * time.Millisecond)
+	if age := d.Age(); age != 0 {
+		t.Fatalf("300 ms after the pause the age is %v", age)
+	}
+}
+
+// TestAgeAfterTick checks that the pause is remembered if the timer runs before the first request is read.
+func TestAgeAfterTick(t *testing.T) {
+	now := &clock.Fake{}
+	d := pause.New(now)
+	now.Advance(4 * time.Second)
+	d.Tick()
+	now.Advance(10 * time.Millisecond)
+	if age := d.Age(); age != 4010*time.Millisecond {
+		t.Fatalf("the age is %v", age)
+	}
+}
