--- a/internal/mesh/entry/harness_test.go
+++ b/internal/mesh/entry/harness_test.go
@@ -12,7 +12,7 @@
 	. "github.com/onsi/gomega"
 	"github.com/rs/zerolog"
 
-	"buckthornlatch.example/buckthornlatch/internal/clock"
+	"buckthornlatch.example/buckthornlatch/internal/clock/clocktest"
 	"buckthornlatch.example/buckthornlatch/internal/hop"
 	"buckthornlatch.example/buckthornlatch/internal/id"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/choose"
@@ -33,7 +33,7 @@
 type harness struct {
 	entry    *entry.Entry
 	chooser  *choose.Shared
-	clock    *leapClock
+	clock    *clocktest.Leaping
 	stopping chan struct{}
 	ending   chan struct{}
 
@@ -59,7 +59,7 @@
 
 // newHarness returns a harness with the given number of hosts, named h0, h1 and so on, whose gates answer 200.
 func newHarness(hosts int) *harness {
-	h := &harness{clock: &leapClock{system: clock.NewSystem()}, stopping: make(chan struct{}), ending: make(chan struct{}), gates: map[id.HostID]gateFunc{}}
+	h := &harness{clock: clocktest.NewLeaping(), stopping: make(chan struct{}), ending: make(chan struct{}), gates: map[id.HostID]gateFunc{}}
 	snapshot, err := policy.Build(policy.Document{
 		Version:  7,
 		Services: []string{"walks"},
--- a/internal/mesh/entry/suspension_test.go
+++ b/internal/mesh/entry/suspension_test.go
@@ -5,34 +5,22 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"buckthornlatch.example/buckthornlatch/internal/clock"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/hangup"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/hangup/hanguptest"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/link"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/slots"
 )
 
-// leapClock is the system's clock, which leaps when a test plays a suspension of the machine: the timers of the runtime
-// do not count that time.
-type leapClock struct {
-	system *clock.System
-	leaps  atomic.Int64
-}
-
-// Now implements clock.Clock.
-func (c *leapClock) Now() clock.Time { return c.system.Now().Add(time.Duration(c.leaps.Load())) }
-
 // suspended returns a gate that refuses after the entry's machine was suspended for a time.
 func (h *harness) suspended(d time.Duration) gateFunc {
 	refused := refuse(link.Reason(slots.Full), 0)
 	return func(ctx context.Context, a *link.Attempt, signals link.Signals) *link.Result {
-		h.clock.leaps.Add(int64(d))
+		h.clock.Leap(d)
 		return refused(ctx, a, signals)
 	}
 }
--- a/internal/mesh/gate/harness_test.go
+++ b/internal/mesh/gate/harness_test.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 
 	"buckthornlatch.example/buckthornlatch/internal/clock"
+	"buckthornlatch.example/buckthornlatch/internal/clock/clocktest"
 	"buckthornlatch.example/buckthornlatch/internal/id"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/crashes"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/dialect/dialecttest"
@@ -33,7 +34,7 @@
 	host   id.HostID
 	client *link.Client
 	// clock is the gate's clock.
-	clock *leapClock
+	clock *clocktest.Leaping
 	// evidence is the gate's evidence of crashes; listener is the target's listener.
 	evidence *crashes.Evidence
 	listener net.Listener
@@ -50,7 +51,7 @@
 
 // newHarness returns a gate whose target has two slots.
 func newHarness(serve http.HandlerFunc) *harness {
-	h := &harness{client: link.NewClient(), serve: serve, clock: &leapClock{system: clock.NewSystem()}}
+	h := &harness{client: link.NewClient(), serve: serve, clock: clocktest.NewLeaping()}
 	target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		h.mu.Lock()
 		h.seen = append(h.seen, r)
--- a/internal/mesh/gate/suspension_test.go
+++ b/internal/mesh/gate/suspension_test.go
@@ -4,40 +4,26 @@
 	"context"
 	"net/http"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"buckthornlatch.example/buckthornlatch/internal/clock"
+	"buckthornlatch.example/buckthornlatch/internal/clock/clocktest"
 	"buckthornlatch.example/buckthornlatch/internal/hop"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/hangup"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/hangup/hanguptest"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/link"
 )
 
-// leapClock is the system's clock, which leaps when a test plays a suspension of the machine: the timers of the runtime
-// do not count that time.
-type leapClock struct {
-	system *clock.System
-	leaps  atomic.Int64
-}
-
-// Now implements clock.Clock.
-func (c *leapClock) Now() clock.Time { return c.system.Now().Add(time.Duration(c.leaps.Load())) }
-
-// leap plays a suspension.
-func (c *leapClock) leap(d time.Duration) { c.leaps.Add(int64(d)) }
-
 // suspendedAtStart plays a suspension between the admission of an attempt and its dispatch.
 type suspendedAtStart struct {
-	clock   *leapClock
+	clock   *clocktest.Leaping
 	suspend time.Duration
 }
 
 // Started implements link.Signals.
-func (s suspendedAtStart) Started() { s.clock.leap(s.suspend) }
+func (s suspendedAtStart) Started() { s.clock.Leap(s.suspend) }
 
 func (suspendedAtStart) Queued()        {}
 func (suspendedAtStart) Overdue()       {}
