Match a request's path as it was sent

Cause: serve's entry asked for the route of the decoded path, and the router decoded it again. /walks%2Fpermits matched the route of /walks/permits, so that a customer's permission was checked for another route than the one whose path the target got; a path escaped twice matched what its first decoding spells.

Mesh daemons have an entry of their own, which this does not touch.

--- a/internal/entry/deps.go
+++ b/internal/entry/deps.go
@@ -37,7 +37,7 @@
 
 // Router looks up routes. The cost of a lookup must not grow with the number of routes or customers.
 type Router interface {
-	// Match returns the route and the service of a request.
+	// Match returns the route and the service of a request. The path is as the caller sent it, with its escapes.
 	Match(method, host, path string) (catalogue.Route, catalogue.Service, bool)
 	// ListsCustomer reports whether the customer may use a route that is not open to all.
 	ListsCustomer(route id.RouteID, customer id.CustomerID) bool
--- a/internal/entry/fakes_test.go
+++ b/internal/entry/fakes_test.go
@@ -32,6 +32,8 @@
 	admitted    int
 	feedbacks   []entry.Feedback
 	targets     []entry.Candidate
+	// matched is the path for which a route was last asked.
+	matched string
 }
 
 func (d *directory) Authenticate(key string, _ clock.Time) (entry.Identity, error) {
@@ -42,6 +44,9 @@
 }
 
 func (d *directory) Match(method, _, path string) (catalogue.Route, catalogue.Service, bool) {
+	d.mu.Lock()
+	d.matched = path
+	d.mu.Unlock()
 	switch path {
 	case "/browse":
 		return catalogue.Route{ID: "browse", Service: "walks", Idempotent: true, OpenToAll: true}, d.service, true
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -107,7 +107,7 @@
 
 // matchRoute finds the route and checks that it is open to the customer.
 func (e *Entry) matchRoute(q *request, r *http.Request) *Refusal {
-	route, service, ok := e.deps.Router.Match(r.Method, r.Host, r.URL.Path)
+	route, service, ok := e.deps.Router.Match(r.Method, r.Host, r.URL.EscapedPath())
 	if !ok {
 		return &Refusal{Code: problem.RouteUnknown}
 	}
--- a/internal/entry/secrecy_test.go
+++ b/internal/entry/secrecy_test.go
@@ -80,6 +80,16 @@
 		}
 	})
 
+	// Guards against a path that is decoded twice: the customer's permission would be checked for another route than the
+	// one whose path the target gets.
+	It("matches the path as it was sent", func() {
+		request := s.request(http.MethodPost, "/walks%2Fpermits", strings.NewReader("seat"))
+		Expect(s.do(request).problem.Code).To(Equal(problem.RouteUnknown))
+		s.directory.mu.Lock()
+		defer s.directory.mu.Unlock()
+		Expect(s.directory.matched).To(Equal("/walks%2Fpermits"))
+	})
+
 	DescribeTable("refusals before dispatch",
 		func(prepare func(*directory), path, key string, code problem.Code) {
 			prepare(s.directory)
