Count each upload of the memory spec once

The count of waiting bodies then passes 100, the spec waits for exactly 100 until its 50 s are over, and the bodies are refused for their pause of 30 s (504 after 30.1 s for all, in the log).

Change: an upload counts as waiting when the body of its last send waits. The bounds and what is expected stay.

--- a/internal/mesh/daemon/upload_test.go
+++ b/internal/mesh/daemon/upload_test.go
@@ -106,14 +106,28 @@
 		before := heapInUse()
 		release := make(chan struct{})
 		var all sync.WaitGroup
-		var waiting, served atomic.Int64
+		var served atomic.Int64
+		// sent holds the number of each upload's last send, reached that of the one whose body waits in its middle. A refused
+		// body may get there, too, since its connection is read on.
+		sent, reached := make([]atomic.Int64, uploads), make([]atomic.Int64, uploads)
+		waiting := func() int {
+			n := 0
+			for i := range sent {
+				if last := sent[i].Load(); last > 0 && reached[i].Load() == last {
+					n++
+				}
+			}
+			return n
+		}
 		for i := range uploads {
 			all.Go(func() {
 				defer GinkgoRecover()
 				// A refusal promises that the request has not run, and callers come back after it: a gate that does not
 				// acknowledge an attempt within 400 ms has not got it, and here is the only one.
-				for range maxSends {
-					body := &stallingBody{left: uploadBytes, stallAt: uploadBytes / 2, arrived: func() { waiting.Add(1) }, release: release}
+				for send := range int64(maxSends) {
+					sent[i].Store(send + 1)
+					arrived := func() { reached[i].Store(max(reached[i].Load(), send+1)) }
+					body := &stallingBody{left: uploadBytes, stallAt: uploadBytes / 2, arrived: arrived, release: release}
 					if upload(entryHost.callers, fmt.Sprintf("u%d", i), body, int64(uploadBytes)) != http.StatusServiceUnavailable {
 						served.Add(1)
 						return
@@ -121,7 +135,7 @@
 				}
 			})
 		}
-		Eventually(waiting.Load, "50s").Should(Equal(int64(uploads)))
+		Eventually(waiting, "50s").Should(Equal(uploads))
 		time.Sleep(100 * time.Millisecond)
 		during := heapInUse()
 		close(release)
