Show that a late copy of a refusal makes a request run twice

Cause: a response with Not-Executed or status 421 is taken for the answer of the request at hand although it carries no id, also on a connection that has carried other responses.

--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -21,6 +21,7 @@
 	"silent-store":   silentStore,
 	"lone-homes":     loneHomes,
 	"forgotten-ack":  forgottenAck,
+	"stray-refusal":  strayRefusal,
 	"double-slash":   doubleSlash,
 	"backward-start": backwardStart,
 }
