Confirm the policy and the roster by answers, not by open watches

Cause: a watch that was open counted as proof that nothing had changed. The store may leave it unanswered, or not wake it for a change. The state was called reachable meanwhile, so that no peer was asked. The roster, and hosts that follow a relay, shared the cause.

Change: only answers confirm a part, as of when the store was asked. Hosts that poll no relay let a watch of the policy last 1 s at most; an unanswered one counts as failed 1 s later. A relay holds the polls of the other hosts until it has a newer policy and tells its version and age; a host whose relay does not confirm its policy watches it for 4 s instead of 20 s. One relay a failure domain instead of two keeps the calls to the store near what they were. The age of the policy, which decides between 401 or 404 and a retryable 503, is the time since the last confirmation, and the bound is 4 s instead of 3 s of outage.

Why it works: no decision rests on silence any more, and each wait is bounded by a timeout that is below the time within which a change must be in force.

--- a/internal/mesh/entry/request.go
+++ b/internal/mesh/entry/request.go
@@ -15,9 +15,9 @@
 
 const (
 	// staleAfter is the age of the configuration from which an unknown key or route gets a retryable refusal: a newer
-	// configuration that this host has not received may contain it. It was set to twice the interval at which an idle
-	// watch of the store reported.
-	staleAfter = 3 * time.Second
+	// configuration that this host has not received may contain it. While the store answers, confirmations come more
+	// often, also those that a relay passes on.
+	staleAfter = 4 * time.Second
 	// staleRetryAfter is the Retry-After of refusals by a host that may lack recent changes.
 	staleRetryAfter = 500 * time.Millisecond
 	// noPolicyRetryAfter is the Retry-After of refusals by a host that has no configuration yet.
--- a/internal/mesh/statesync/config.go
+++ b/internal/mesh/statesync/config.go
@@ -12,16 +12,26 @@
 )
 
 const (
-	// WatchWait is the longest time that one watch lasts without a change. The probes of the store's client detect a
-	// dead connection sooner.
+	// WatchWait is the longest time that one watch of the policy lasts without a change while a relay confirms the policy.
 	WatchWait = 20 * time.Second
+	// confirmWait is that time on a host that polls no relay. An open watch proves nothing: the store may leave it
+	// unanswered, or not wake it for a change. Only answers show that the policy is the newest one. It is half of the time
+	// within which a new policy must be in force.
+	confirmWait = time.Second
+	// unconfirmedWait is that time on a host whose relay does not confirm the policy, as after a start of all hosts or while
+	// the store rejects the relay. With the timeout and the polls of peers that follow it, it stays below the time within
+	// which a new policy must be in force while the store rejects some hosts.
+	unconfirmedWait = 4 * time.Second
+	// rosterWatchWait is the longest time that one watch of the roster lasts without a change. Its answers confirm the
+	// roster: its age reaches twice this wait and the pause between two watches, which stays below maxRelayAge.
+	rosterWatchWait = 2 * time.Second
 	// recoveryWatchWait replaces WatchWait after a failure until a watch succeeds. It is short, so that the store's
 	// recovery is detected soon even if nothing has changed.
 	recoveryWatchWait = 50 * time.Millisecond
 	// callTimeout is the timeout of all other calls to the store. A slow store answers within a fraction of it.
 	callTimeout = 2 * time.Second
 	// watchSlack is added to the wait of a watch to get its timeout.
-	watchSlack = 2 * time.Second
+	watchSlack = time.Second
 	// initialBackoff and maxBackoff are the first and the longest backoff after a failure.
 	initialBackoff = 200 * time.Millisecond
 	maxBackoff     = 2 * time.Second
--- a/internal/mesh/statesync/peers.go
+++ b/internal/mesh/statesync/peers.go
@@ -72,7 +72,7 @@
 		},
 		relay: &http.Client{
 			Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: 4 * relayInterval},
-			Timeout:   peerTimeout,
+			Timeout:   relayInterval + peerTimeout,
 		},
 	}
 }
@@ -128,16 +128,20 @@
 }
 
 // ObservePolicyVersion records that a host uses a version of the policy. If that version is newer and the store does
-// not deliver it within hintDelay, it is fetched from the host: a store that rejects this host may leave a watch
-// unanswered, which cannot be told from a watch without a change.
+// not deliver it within hintDelay, it is fetched from the host.
 func (s *Syncer) ObservePolicyVersion(host id.HostID, version policy.Version) {
+	s.awaitPolicyVersion(host, version, hintDelay)
+}
+
+// awaitPolicyVersion fetches the policy of a host if its version is newer and the store does not deliver it in time.
+func (s *Syncer) awaitPolicyVersion(host id.HostID, version policy.Version, delay time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.behind(version) || s.hintPending {
 		return
 	}
 	s.hintPending = true
-	time.AfterFunc(hintDelay, func() {
+	time.AfterFunc(delay, func() {
 		s.mu.Lock()
 		s.hintPending = false
 		behind := s.behind(version)
--- a/internal/mesh/statesync/relay.go
+++ b/internal/mesh/statesync/relay.go
@@ -13,6 +13,7 @@
 	"buckthornlatch.example/buckthornlatch/internal/clock"
 	"buckthornlatch.example/buckthornlatch/internal/fault"
 	"buckthornlatch.example/buckthornlatch/internal/id"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/policy"
 	"buckthornlatch.example/buckthornlatch/internal/platform"
 )
 
@@ -22,16 +23,22 @@
 	// sinceParameter is the query parameter with the revision up to which the requester knows the roster.
 	sinceParameter = "since"
 	// watchersPerDomain is the number of hosts of a failure domain that watch the roster in the store. The others poll one
-	// of them, so that the calls to the store do not grow with the number of hosts.
-	watchersPerDomain = 2
-	// relayInterval is the time between two polls of a relay.
-	relayInterval = time.Second
+	// of them, so that the calls to the store do not grow with the number of hosts. One is enough: the next one takes its
+	// place within a poll or two, and a policy reaches those that poll as soon as the relay has it.
+	watchersPerDomain = 1
+	// haveParameter is the query parameter with the requester's policy version in hexadecimal. A relay holds a request that
+	// has it until the relay's policy is newer, for at most relayInterval.
+	haveParameter = "have"
+	// relayInterval is the time between two polls of a relay that has no newer policy, newPolicyPause that after one that
+	// has.
+	relayInterval  = time.Second
+	newPolicyPause = 250 * time.Millisecond
 	// recruitedFor is how long a host watches the store after another one has polled it.
 	recruitedFor = 4 * relayInterval
 	// avoidRelayFor is how long a relay that failed is not polled.
 	avoidRelayFor = 20 * time.Second
 	// maxRelayAge is the age of a relay's roster from which it counts as failed.
-	maxRelayAge = 3 * time.Second
+	maxRelayAge = 6 * time.Second
 	// maxRemoved bounds the deletions that are remembered for relaying.
 	maxRemoved = 1024
 )
@@ -39,17 +46,19 @@
 // followRoster keeps the roster up to date until ctx ends, from the store or from a relay.
 func (s *Syncer) followRoster(ctx context.Context) {
 	w := &watch{
-		watcher:   watcher{part: rosterPart, prefix: s.config.Keys.HostPrefix, coalesceDelay: s.rosterCoalesceDelay, apply: s.applyRoster},
-		backoff:   initialBackoff,
-		watchWait: WatchWait,
+		watcher: watcher{
+			part: rosterPart, prefix: s.config.Keys.HostPrefix, wait: func() time.Duration { return rosterWatchWait },
+			coalesceDelay: s.rosterCoalesceDelay, apply: s.applyRoster,
+		},
+		backoff: initialBackoff,
 	}
 	for ctx.Err() == nil {
 		host, relayed := s.relays.pick(time.Now(), s.View())
 		if !relayed || !w.scanned {
-			s.openWatch(w.scanned)
 			s.step(ctx, w)
 			continue
 		}
+		asked := time.Now()
 		through, err := s.pollRelay(ctx, host, w.since)
 		if err != nil {
 			if ctx.Err() == nil {
@@ -59,15 +68,18 @@
 			continue
 		}
 		w.since = max(w.since, through)
-		clock.Sleep(ctx, relayInterval)
+		clock.Sleep(ctx, s.relayPause(time.Since(asked)))
 	}
 }
 
-// openWatch records that the roster comes from the store from now on, if it was read before.
-func (s *Syncer) openWatch(scanned bool) {
+// relayPause returns the pause after a poll of a relay that took some time.
+func (s *Syncer) relayPause(took time.Duration) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.rosterDirect = s.rosterDirect || scanned
+	if s.hintPending {
+		return newPolicyPause
+	}
+	return relayInterval - took
 }
 
 // errOldRoster reports a relay whose roster was not confirmed lately.
@@ -76,10 +88,14 @@
 // pollRelay takes over what has changed in the roster of a relay since a revision. It returns the revision up to which
 // the roster is known then.
 func (s *Syncer) pollRelay(ctx context.Context, host id.HostID, since platform.Revision) (platform.Revision, error) {
-	got, err := s.peers.fetchRoster(ctx, host, since)
+	asked := time.Now()
+	got, err := s.peers.fetchRoster(ctx, host, since, s.Version())
 	if err != nil {
 		return 0, err
 	}
+	// The ages that the relay states are those at the end of the time for which it held the request.
+	asked = asked.Add(time.Duration(got.HeldMS) * time.Millisecond)
+	s.takeConfirmation(host, got, asked)
 	age := time.Duration(got.AgeMS) * time.Millisecond
 	// While this host cannot reach the store either, an old roster does not speak against the relay.
 	if age > maxRelayAge && s.policyRecovered() == nil {
@@ -88,7 +104,10 @@
 	if got.Full || len(got.Rows) > 0 || len(got.Removed) > 0 {
 		s.applyRelayed(got, since)
 	}
-	s.confirmRoster(age)
+	if age <= maxRelayAge {
+		s.markReachable(rosterPart)
+	}
+	s.confirm(rosterPart, asked.Add(-age))
 	return got.Through, nil
 }
 
@@ -145,26 +164,6 @@
 	s.removed[host] = at
 }
 
-// confirmRoster records that the roster was confirmed by the store some time ago.
-func (s *Syncer) confirmRoster(age time.Duration) {
-	if age <= maxRelayAge {
-		s.markReachable(rosterPart)
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.rosterConfirmed = time.Now().Add(-age)
-	s.rosterDirect = false
-}
-
-// rosterAge returns how long ago the roster was confirmed by the store. A watch that is open confirms it all the time.
-// The caller must hold s.mu.
-func (s *Syncer) rosterAge() time.Duration {
-	if s.rosterDirect {
-		return s.outageDuration(rosterPart)
-	}
-	return time.Since(s.rosterConfirmed)
-}
-
 // serveRoster serves RosterPath.
 func (s *Syncer) serveRoster(w http.ResponseWriter, r *http.Request) {
 	since, err := strconv.ParseUint(r.URL.Query().Get(sinceParameter), 10, 64)
@@ -173,8 +172,15 @@
 		return
 	}
 	s.relays.polled(time.Now())
+	held := s.holdForPolicy(r)
 	s.mu.Lock()
-	out := relayedRoster{Through: s.rosterThrough, AgeMS: s.rosterAge().Milliseconds()}
+	out := relayedRoster{
+		Through: s.rosterThrough, AgeMS: s.age(rosterPart).Milliseconds(), PolicyAgeMS: s.age(policyPart).Milliseconds(),
+		HeldMS: held.Milliseconds(),
+	}
+	if s.policy != nil {
+		out.Policy = s.policy.Version()
+	}
 	out.Full = platform.Revision(since) < s.relayFloor
 	for _, known := range s.records {
 		if known.revision == 0 || known.record.Host == "" {
@@ -198,10 +204,41 @@
 	_ = json.NewEncoder(w).Encode(out)
 }
 
-// fetchRoster fetches what has changed in the roster of a host since a revision.
-func (p *peerClient) fetchRoster(ctx context.Context, host id.HostID, since platform.Revision) (relayedRoster, error) {
+// holdForPolicy waits until the policy is newer than the requester's, for at most relayInterval. It returns how long it
+// has waited.
+func (s *Syncer) holdForPolicy(r *http.Request) time.Duration {
+	have, err := strconv.ParseUint(r.URL.Query().Get(haveParameter), 16, 64)
+	if err != nil {
+		// The requester does not ask for it.
+		return 0
+	}
+	began := time.Now()
+	timeout := time.NewTimer(relayInterval)
+	defer timeout.Stop()
+	for {
+		s.mu.Lock()
+		newer, changed := s.policy != nil && s.policy.Version() > policy.Version(have), s.policyChanged
+		s.mu.Unlock()
+		if newer {
+			return time.Since(began)
+		}
+		select {
+		case <-changed:
+		case <-timeout.C:
+			return time.Since(began)
+		case <-r.Context().Done():
+			return time.Since(began)
+		}
+	}
+}
+
+// fetchRoster fetches what has changed in the roster of a host since a revision, once the host has a policy that is newer
+// than have or some time has passed.
+func (p *peerClient) fetchRoster(ctx context.Context, host id.HostID, since platform.Revision, have policy.Version) (relayedRoster, error) {
 	target := url.URL{Scheme: "http", Host: string(host), Path: RosterPath}
-	target.RawQuery = url.Values{sinceParameter: {strconv.FormatUint(uint64(since), 10)}}.Encode()
+	target.RawQuery = url.Values{
+		sinceParameter: {strconv.FormatUint(uint64(since), 10)}, haveParameter: {strconv.FormatUint(uint64(have), 16)},
+	}.Encode()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target.String(), nil)
 	if err != nil {
 		return relayedRoster{}, fault.New("poll relay", string(host), err)
--- a/internal/mesh/statesync/relayedroster.go
+++ b/internal/mesh/statesync/relayedroster.go
@@ -2,6 +2,7 @@
 
 import (
 	"buckthornlatch.example/buckthornlatch/internal/id"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/policy"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/roster"
 	"buckthornlatch.example/buckthornlatch/internal/platform"
 )
@@ -19,6 +20,12 @@
 	Present []id.HostID `json:"present,omitempty"`
 	// AgeMS is how long ago the roster was confirmed by the store, in milliseconds.
 	AgeMS int64 `json:"age_ms"`
+	// Policy is the version of the relay's policy, zero if it has none or does not say. PolicyAgeMS is how long ago the
+	// store confirmed that there is no newer one, in milliseconds.
+	Policy      policy.Version `json:"policy,omitempty"`
+	PolicyAgeMS int64          `json:"policy_age_ms,omitempty"`
+	// HeldMS is how long the relay has held the request, in milliseconds.
+	HeldMS int64 `json:"held_ms,omitempty"`
 }
 
 // relayedRow is a record with the revision of its row.
--- a/internal/mesh/statesync/syncer.go
+++ b/internal/mesh/statesync/syncer.go
@@ -23,19 +23,22 @@
 	// hint passes a host with a newer policy to pollPeers.
 	hint chan id.HostID
 
-	mu            sync.Mutex
-	policy        *policy.Snapshot
+	mu     sync.Mutex
+	policy *policy.Snapshot
+	// policyChanged is closed when the policy changes, and then replaced.
+	policyChanged chan struct{}
 	view          *roster.View
 	records       map[id.HostID]storedRecord
 	storeStatuses map[part]storeStatus
 	own           ownRecord
 	restored      bool
 	relays        *relays
-	// rosterThrough is the revision up to which the roster is known. rosterDirect is set while it comes from the store;
-	// otherwise rosterConfirmed is when the store has confirmed it last.
-	rosterThrough   platform.Revision
-	rosterDirect    bool
-	rosterConfirmed time.Time
+	// rosterThrough is the revision up to which the roster is known.
+	rosterThrough platform.Revision
+	// confirmed holds the latest time at which each part is known to have been the store's.
+	confirmed map[part]time.Time
+	// relayConfirmedAt is when a relay last confirmed the policy.
+	relayConfirmedAt time.Time
 	// removed holds the revisions at which hosts were removed since relayFloor.
 	removed    map[id.HostID]platform.Revision
 	relayFloor platform.Revision
@@ -82,6 +85,7 @@
 	return &Syncer{
 		config: config, relays: newRelays(config.Self, config.Domain), removed: map[id.HostID]platform.Revision{},
 		peers: newPeerClient(), wake: make(chan struct{}, 1), hint: make(chan id.HostID, 1),
+		confirmed: map[part]time.Time{}, policyChanged: make(chan struct{}),
 		view: roster.NewView(nil), records: map[id.HostID]storedRecord{}, ignored: map[id.HostID]platform.Revision{},
 		storeStatuses: map[part]storeStatus{policyPart: unreachableFromNow(), rosterPart: unreachableFromNow()},
 	}
@@ -99,11 +103,12 @@
 	return group.Wait()
 }
 
-// Policy returns the policy in force, nil if none is known, and for how long the store has been unreachable for it.
+// Policy returns the policy in force, nil if none is known, and how long ago the store has confirmed that there is no
+// newer one.
 func (s *Syncer) Policy() (*policy.Snapshot, time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.policy, s.outageDuration(policyPart)
+	return s.policy, s.age(policyPart)
 }
 
 // outageDuration returns for how long the store has been unreachable for a part. The caller must hold s.mu.
@@ -173,6 +178,8 @@
 	invariant.Check(s.policy == nil || snapshot.Version() > s.policy.Version(), "policy-version-monotonic",
 		"policy %d replaces a newer one", snapshot.Version())
 	s.policy = snapshot
+	close(s.policyChanged)
+	s.policyChanged = make(chan struct{})
 	s.mu.Unlock()
 	s.logWarnings(snapshot)
 	s.notify()
--- a/internal/mesh/statesync/watch.go
+++ b/internal/mesh/statesync/watch.go
@@ -18,6 +18,10 @@
 type watcher struct {
 	part   part
 	prefix string
+	// wait returns the longest time of the next watch.
+	wait func() time.Duration
+	// valid reports whether an open watch may go on, or after how long to ask again. A nil func means that it always may.
+	valid func() (time.Duration, bool)
 	// coalesceDelay returns the pause between two watches; nil means none.
 	coalesceDelay func() time.Duration
 	// apply applies rows to the local state, which then is that of a revision; complete reports whether they are all rows
@@ -27,7 +31,9 @@
 
 // watchPolicy keeps the policy up to date.
 func (s *Syncer) watchPolicy(ctx context.Context) {
-	s.watch(ctx, watcher{part: policyPart, prefix: s.config.Keys.PolicyPrefix, apply: s.applyPolicy})
+	s.watch(ctx, watcher{
+		part: policyPart, prefix: s.config.Keys.PolicyPrefix, wait: s.policyWait, valid: s.longWatchValid, apply: s.applyPolicy,
+	})
 }
 
 // rosterCoalesceDelay returns the pause between two watches of the roster, which grows with the number of hosts that watch
@@ -50,15 +56,16 @@
 	watcher
 	// scanned is set once the part was read whole; since is the revision to watch from then. A separate flag is needed
 	// because revision zero is valid: it is the revision of an empty store.
-	scanned   bool
-	since     platform.Revision
-	backoff   time.Duration
-	watchWait time.Duration
+	scanned bool
+	since   platform.Revision
+	backoff time.Duration
+	// recovering is set after a failure until a call succeeds.
+	recovering bool
 }
 
 // watch scans a part and then watches it for changes until ctx ends.
 func (s *Syncer) watch(ctx context.Context, part watcher) {
-	w := &watch{watcher: part, backoff: initialBackoff, watchWait: WatchWait}
+	w := &watch{watcher: part, backoff: initialBackoff}
 	for ctx.Err() == nil {
 		s.step(ctx, w)
 	}
@@ -66,10 +73,12 @@
 
 // step makes one call to the store, and waits for the next one to be due.
 func (s *Syncer) step(ctx context.Context, w *watch) {
+	asked := time.Now()
 	through, err := s.scanOrWatch(ctx, w)
 	switch {
 	case err == nil:
-		w.scanned, w.since, w.backoff, w.watchWait = true, through, initialBackoff, WatchWait
+		w.scanned, w.since, w.backoff, w.recovering = true, through, initialBackoff, false
+		s.confirm(w.part, asked)
 		s.markReachable(w.part)
 		if w.coalesceDelay != nil {
 			clock.Sleep(ctx, w.coalesceDelay())
@@ -77,13 +86,15 @@
 		return
 	case ctx.Err() != nil:
 		return
+	case errors.Is(err, errWatchInvalid):
+		return
 	case errors.Is(err, platform.ErrHistoryLost):
 		s.config.Log.Info().Str("part", string(w.part)).Uint64("since", uint64(w.since)).Msg("sync: store lost its change history; scanning again")
 		w.scanned = false
 		return
 	}
 	s.markUnreachable(w.part, err)
-	w.watchWait = recoveryWatchWait
+	w.recovering = true
 	// The jitter of half the backoff keeps the daemons from returning to a recovered store all at once.
 	if s.waitToRetry(ctx, w.part, w.backoff/2+rand.N(w.backoff/2)) {
 		w.backoff = min(2*w.backoff, maxBackoff)
@@ -121,10 +132,22 @@
 	if !w.scanned {
 		return s.scanAll(ctx, w.watcher)
 	}
-	ctx, cancel := context.WithTimeout(ctx, w.watchWait+watchSlack)
+	wait := recoveryWatchWait
+	if !w.recovering {
+		wait = w.wait()
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+watchSlack)
 	defer cancel()
-	rows, err := s.config.Store.Watch(ctx, w.prefix, w.since, w.watchWait)
+	ctx, end := context.WithCancelCause(ctx)
+	defer end(nil)
+	if w.valid != nil && wait == WatchWait {
+		go w.endWhenInvalid(ctx, end)
+	}
+	rows, err := s.config.Store.Watch(ctx, w.prefix, w.since, wait)
 	if err != nil {
+		if errors.Is(context.Cause(ctx), errWatchInvalid) {
+			err = errWatchInvalid
+		}
 		return 0, err
 	}
 	if len(rows.Rows) > 0 || w.part == rosterPart {
@@ -133,6 +156,23 @@
 	return rows.Through, nil
 }
 
+// errWatchInvalid ends a watch that may no longer stay open.
+var errWatchInvalid = errors.New("nothing else confirms the state any more")
+
+// endWhenInvalid ends an open watch once it is no longer valid.
+func (w *watch) endWhenInvalid(ctx context.Context, end context.CancelCauseFunc) {
+	for {
+		again, valid := w.valid()
+		if !valid {
+			end(errWatchInvalid)
+			return
+		}
+		if !clock.Sleep(ctx, again) {
+			return
+		}
+	}
+}
+
 // scanAll reads all rows of a part. It returns the revision of the first page, so that the first watch also returns the
 // changes that were made between two pages.
 func (s *Syncer) scanAll(ctx context.Context, w watcher) (platform.Revision, error) {
@@ -175,7 +215,7 @@
 // applyRoster applies rows of hosts. It wakes the publisher if the store does not hold the current record of this host.
 func (s *Syncer) applyRoster(rows []platform.Row, through platform.Revision, complete bool) {
 	s.mu.Lock()
-	s.rosterThrough, s.rosterDirect = max(s.rosterThrough, through), true
+	s.rosterThrough = max(s.rosterThrough, through)
 	if len(rows) == 0 && !complete {
 		s.mu.Unlock()
 		return
