Use a target only after it has announced itself to this process

Cause: the store rejected the host, so that the acknowledgement was given without the record. The restarted daemon took the earlier record, "serving", for the present state of its target.

Change: a record, of the store or of a peer, can keep a target out of use; only an announcement to this process brings it into use.

Why it works: a target that has deregistered sends no announcement any more, and one that drains says so, whatever the store holds.

"uses its target again after a restart" now has one host only, so that no other target can answer.

--- a/internal/mesh/daemon/daemon_test.go
+++ b/internal/mesh/daemon/daemon_test.go
@@ -116,15 +116,39 @@
 		Expect(failed.Load()).To(BeZero())
 	})
 
-	// Guards against a restarted daemon that does not use its target before the target's next announcement.
 	It("uses its target again after a restart", func() {
-		f := newFleet(2)
+		f := newFleet(1)
 		f.hosts[0].stop()
 		Eventually(f.hosts[0].ended, "5s").Should(BeClosed())
 		f.start(f.hosts[0])
 		Eventually(func() int { return f.hosts[0].get("/browse/1", "school-key").status }, "5s").Should(Equal(http.StatusOK))
 	})
 
+	// Guards against a restarted daemon that uses a target whose leaving its earlier process has acknowledged. The store
+	// was out of reach then, so that its record still says that the target is serving.
+	It("does not use a target after a restart whose leaving was acknowledged", func() {
+		f := newFleet(2)
+		leaving := f.hosts[0]
+		f.store.setDown(true)
+		Expect(leaving.daemon.Announce(gate.Announcement{Target: roster.TargetIncarnation{ID: "t", StartedMS: 1}, State: roster.Gone})).To(Succeed())
+		leaving.stop()
+		Eventually(leaving.ended, "5s").Should(BeClosed())
+		f.store.setDown(false)
+		f.startUnannounced(leaving)
+		Eventually(leaving.ready, "5s").Should(BeTrue())
+		leaving.mu.Lock()
+		before := len(leaving.runs)
+		leaving.mu.Unlock()
+		// Longer than it takes until the host has read its record and others know the host.
+		for i := range 60 {
+			Expect(f.hosts[i%2].post("school-key", fmt.Sprintf("r%d", i)).status).To(Equal(http.StatusOK))
+			time.Sleep(50 * time.Millisecond)
+		}
+		leaving.mu.Lock()
+		defer leaving.mu.Unlock()
+		Expect(leaving.runs).To(HaveLen(before))
+	})
+
 	// Guards against callers that wait for a hanging target.
 	It("avoids a target that hangs", func() {
 		f := newFleet(3)
--- a/internal/mesh/daemon/harness_test.go
+++ b/internal/mesh/daemon/harness_test.go
@@ -105,6 +105,12 @@
 
 // start starts a host's daemon and announces its target.
 func (f *fleet) start(h *host) {
+	f.startUnannounced(h)
+	h.announce(roster.Serving, 1)
+}
+
+// startUnannounced starts a host's daemon. Its target does not announce itself.
+func (f *fleet) startUnannounced(h *host) {
 	lines := logging.New(GinkgoWriter, string(h.address))
 	h.daemon = daemon.New(daemon.Config{
 		Host: h.address, Domain: "north", Service: h.service, TargetAddress: strings.TrimPrefix(h.target.URL, "http://"),
@@ -139,7 +145,6 @@
 		cancel()
 		Eventually(ended, "10s").Should(BeClosed())
 	})
-	h.announce(roster.Serving, 1)
 }
 
 // announce announces the host's target.
--- a/internal/mesh/gate/gate.go
+++ b/internal/mesh/gate/gate.go
@@ -147,7 +147,7 @@
 		g.replace(a.Target)
 	}
 	t := g.target
-	t.state, t.sequence, t.misdirected = a.State, max(t.sequence, a.Sequence), false
+	t.state, t.sequence, t.announced, t.misdirected = a.State, max(t.sequence, a.Sequence), true, false
 	if a.State != roster.Gone {
 		t.slots = a.Slots
 	}
@@ -166,7 +166,7 @@
 // updateAdmission opens or closes the slots according to the state of the gate and its target.
 func (g *Gate) updateAdmission() {
 	t := g.target
-	if g.draining || t.misdirected || t.state != roster.Serving {
+	if g.draining || !t.acceptsAttempts() {
 		g.deliver(g.slots.Close())
 		return
 	}
@@ -174,7 +174,8 @@
 }
 
 // Restore takes over the record that an earlier process on this host wrote, if it is later than what the target has
-// announced to this process: an announcement that was delayed on its way must not undo that the target is leaving.
+// announced to this process: an announcement that was delayed on its way must not undo that the target is leaving. A
+// target that the record says is serving gets no attempts before it announces itself.
 func (g *Gate) Restore(r roster.Record) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/mesh/gate/target.go
+++ b/internal/mesh/gate/target.go
@@ -11,6 +11,10 @@
 	sequence    uint64
 	state       roster.State
 	slots       int
+	// announced is set once the target has announced itself to this process. A record of an earlier process proves no more
+	// than that the target was serving when it was written: that process may have acknowledged its leaving since, while
+	// the store was out of reach.
+	announced bool
 	// misdirected is set when another process responded at the address; an announcement clears it.
 	misdirected bool
 	pool        *targetconn.Pool
