Let no late announcement undo that a target is leaving

Cause: after a restart the gate knows from its host's record that the target is draining, but not the sequence number of that announcement. An announcement from before, delayed on its way, therefore passed for a newer one and brought the target back into use.

Change: an announcement never takes one incarnation of a target back to an earlier state. A new start has another start time and applies as before.

Evidence: the entry "draining" of "keeps a target out of use that a restored record says is leaving" fails without the change; the attempt ran. The entry "gone" passed before, too.

--- a/internal/mesh/gate/gate_test.go
+++ b/internal/mesh/gate/gate_test.go
@@ -208,13 +208,23 @@
 		Expect(restarted.Do(ctx, attempt("seats"), &signals{}).Verdict).To(Equal(hop.Ran))
 	})
 
-	// Guards against a restarted daemon that uses a target which has announced its leaving.
-	It("keeps a target out of use that a restored record says is leaving", func() {
-		h := newHarness(respond)
-		restarted := gate.New(h.gate.Config())
-		restarted.Restore(h.record(roster.Draining))
-		Expect(restarted.Do(ctx, attempt("seats"), &signals{}).Verdict).To(Equal(hop.NotRun))
-	})
+	// Guards against a restarted daemon that uses a target which has announced its leaving, because of an announcement that
+	// was delayed on its way and reached the new process after the record.
+	DescribeTable("keeps a target out of use that a restored record says is leaving",
+		func(state roster.State) {
+			h := newHarness(respond)
+			restarted := gate.New(h.gate.Config())
+			restarted.Restore(h.record(state))
+			Expect(restarted.Do(ctx, attempt("seats"), &signals{}).Verdict).To(Equal(hop.NotRun))
+			Expect(restarted.Announce(h.announcement(roster.Serving, 1, 9))).To(Succeed())
+			Expect(restarted.Do(ctx, attempt("seats"), &signals{}).Verdict).To(Equal(hop.NotRun))
+			Expect(h.requests()).To(BeEmpty())
+			Expect(restarted.Announce(h.announcement(roster.Serving, 2, 1))).To(Succeed())
+			Expect(restarted.Do(ctx, attempt("seats"), &signals{}).Verdict).To(Equal(hop.Ran))
+		},
+		Entry("draining", roster.Draining),
+		Entry("gone", roster.Gone),
+	)
 
 	// Guards against a target that is in use again after a restart, because an announcement that was delayed on its way
 	// reached the new process before the record of the earlier one.
--- a/internal/mesh/gate/target.go
+++ b/internal/mesh/gate/target.go
@@ -33,5 +33,9 @@
 	if a.Target.ID != t.incarnation.ID || t.state == roster.Gone {
 		return true
 	}
+	if t.state.Follows(a.State) {
+		// The sequence number of the announcement of leaving is unknown if a record told of it.
+		return true
+	}
 	return a.State != roster.Gone && a.Sequence <= t.sequence
 }
