Do not reuse a connection after a target's refusal

Callers saw: a booking ran at two hosts, or a caller could be told that it had not run while it did.

Cause: refusals of targets carry no request id, and one without an id was accepted on any connection.

Change: a connection that has carried a refusal (not run, or 421) is closed. All other responses must echo the id, so that a refusal without one belongs to the request that waits.

Three entries of "does not take a second copy of a refusal for the answer to the next request" fail on: the refusal was returned for the second request.

--- a/internal/mesh/gate/exchange.go
+++ b/internal/mesh/gate/exchange.go
@@ -61,13 +61,12 @@
 	return &targetconn.Request{
 		Method: a.Method, URI: a.URI, Host: a.Host, Header: header,
 		Body: a.Body.Data, Rest: a.Body.Rest, Length: a.Body.Length,
-		IDHeader: headers.RequestID, AcceptWithoutID: e.acceptWithoutID, Fresh: !a.Idempotent,
+		IDHeader: headers.RequestID, IsRefusal: e.isRefusal, Fresh: !a.Idempotent,
 	}
 }
 
-// acceptWithoutID reports whether a response is accepted although it does not carry the request's id. Only refusals to
-// run are.
-func (e *execution) acceptWithoutID(r *http.Response) bool {
+// isRefusal reports whether a response says that the target has not run the request.
+func (e *execution) isRefusal(r *http.Response) bool {
 	_, notRun := r.Header[e.gate.config.Headers.NotRun]
 	return notRun || r.StatusCode == http.StatusMisdirectedRequest
 }
--- a/internal/mesh/targetconn/do.go
+++ b/internal/mesh/targetconn/do.go
@@ -77,10 +77,11 @@
 	if r.Method == http.MethodHead {
 		out.Length = httpResponse.ContentLength
 	}
-	return out, pending.finished() && !httpResponse.Close && c.reader.Buffered() == 0, nil
+	reusable = pending.finished() && !httpResponse.Close && c.reader.Buffered() == 0 && !r.IsRefusal(httpResponse)
+	return out, reusable, nil
 }
 
-// readResponse returns the response that carries the request's id, or one that is accepted without it.
+// readResponse returns the response that carries the request's id, or a refusal without one.
 func (p *Pool) readResponse(c *conn, r *Request) (*http.Response, error) {
 	request := &http.Request{Method: r.Method}
 	wantID := r.Header.Get(r.IDHeader)
@@ -93,7 +94,7 @@
 			continue
 		}
 		gotID := response.Header.Get(r.IDHeader)
-		if gotID == wantID || (gotID == "" && r.AcceptWithoutID(response)) {
+		if gotID == wantID || (gotID == "" && r.IsRefusal(response)) {
 			if response.Header.Get("Content-Encoding") != "" {
 				return nil, ErrContentEncoding
 			}
--- a/internal/mesh/targetconn/do_test.go
+++ b/internal/mesh/targetconn/do_test.go
@@ -26,7 +26,9 @@
 	return &targetconn.Request{
 		Method: "POST", URI: "/a/b?c=%2F", Host: "trails.example", Header: http.Header{"Request-Id": {id}},
 		Body: []byte("seats"), Length: 5, IDHeader: "Request-Id",
-		AcceptWithoutID: func(r *http.Response) bool { return r.StatusCode == http.StatusMisdirectedRequest },
+		IsRefusal: func(r *http.Response) bool {
+			return r.StatusCode == http.StatusMisdirectedRequest || r.Header.Get("Not-Run") != ""
+		},
 	}
 }
 
@@ -91,6 +93,34 @@
 		Expect(int(target.accepted.Load())).To(Equal(1))
 	})
 
+	// Guards against a request that is taken for refused while it runs: a target writes an earlier refusal once more where
+	// the answer to the next request is due.
+	DescribeTable("does not take a second copy of a refusal for the answer to the next request",
+		func(refusal string) {
+			target := newRawTarget(func(conn net.Conn, r *http.Request, n int) bool {
+				if r.Header.Get("Request-Id") == "1" {
+					_, _ = io.WriteString(conn, refusal)
+					return true
+				}
+				if n > 0 {
+					_, _ = io.WriteString(conn, refusal)
+				}
+				writeResponse(conn, r.Header.Get("Request-Id"), "done")
+				return true
+			})
+			pool := targetconn.New(target.listener.Addr().String())
+			response, err := pool.Do(ctx, newRequest("1"))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(response.Status).NotTo(Equal(http.StatusOK))
+			response, err = pool.Do(ctx, newRequest("2"))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(string(response.Body)).To(Equal("done"))
+		},
+		Entry("without an id", "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"),
+		Entry("with a body", "HTTP/1.1 429 Too Many Requests\r\nNot-Run: 1\r\nContent-Length: 4\r\n\r\nfull"),
+		Entry("from another process", "HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n"),
+	)
+
 	// Guards against truncated or invalid responses that are taken for complete ones.
 	DescribeTable("reports what is no complete answer as sent",
 		func(response string, clean bool) {
--- a/internal/mesh/targetconn/request.go
+++ b/internal/mesh/targetconn/request.go
@@ -21,8 +21,10 @@
 	Length int64
 	// IDHeader names the header with the request's id. The target echoes it, which identifies the response.
 	IDHeader string
-	// AcceptWithoutID reports whether a response that does not echo the id is accepted nevertheless.
-	AcceptWithoutID func(*http.Response) bool
+	// IsRefusal reports whether a response says that the target has not run the request. A refusal is accepted although it
+	// does not echo the id. Nothing tells a second, late copy of it from the refusal of a later request, so that the
+	// connection is not used again.
+	IsRefusal func(*http.Response) bool
 	// Fresh requires a connection that was idle for less than FreshIdleLimit, or a new one.
 	Fresh bool
 }
