Refuse requests that come late in a planned stop

Callers saw: a booking whose body arrived late in the grace period was passed on, ran, and was answered with 502 when the period ended; a request on a connection on which nothing had been sent before was read and dropped without an answer.

Cause: 2.6 s after the stop signal the server of the callers was shut down. That closes idle connections, but neither those on which a request is being read nor those on which none has been sent, and the entry took what came there like any other request.

Change: from then on the entry refuses what comes with 503 (draining), and once more after it has read the body. The listener is closed first; Shutdown, after which net/http drops requests that it has read, is called when no connection is left or the grace period ends.

--- a/internal/mesh/callerconn/conn.go
+++ b/internal/mesh/callerconn/conn.go
@@ -55,6 +55,8 @@
 	pipelined bool
 	// bodyUnread is set if the last answer may have been given before the body of its request was read.
 	bodyUnread bool
+	// closed is set once the server has closed the connection.
+	closed bool
 	// lingering is set once the connection is being closed in two steps.
 	lingering bool
 	// watching is true while a goroutine reads ahead.
@@ -347,6 +349,10 @@
 	if c.left == nil {
 		c.leave(net.ErrClosed)
 	}
+	if !c.closed {
+		c.closed = true
+		c.front.open.Add(-1)
+	}
 	lingering := c.lingering
 	c.changed.Broadcast()
 	c.mu.Unlock()
--- a/internal/mesh/callerconn/front.go
+++ b/internal/mesh/callerconn/front.go
@@ -32,6 +32,8 @@
 	// is written or their connection ends.
 	aheadBytes  atomic.Int64
 	servedAhead atomic.Int64
+	// open counts the connections that the server has not closed.
+	open atomic.Int64
 }
 
 // Listener returns a listener whose connections are Conns.
@@ -51,6 +53,7 @@
 	if err != nil {
 		return nil, err
 	}
+	l.front.open.Add(1)
 	return newConn(inner, l.front), nil
 }
 
@@ -119,6 +122,11 @@
 	}
 }
 
+// OpenConns returns the number of connections that the server has not closed.
+func (f *Front) OpenConns() int {
+	return int(f.open.Load())
+}
+
 // closingWriter sets "Connection: close" on an answer whose connection should end with it.
 type closingWriter struct {
 	http.ResponseWriter
--- a/internal/mesh/daemon/daemon.go
+++ b/internal/mesh/daemon/daemon.go
@@ -42,6 +42,8 @@
 	front    *callerconn.Front
 	servers  []*server
 	draining atomic.Bool
+	// refusing is set when new requests of callers are refused.
+	refusing atomic.Bool
 	stopping chan struct{}
 	ending   chan struct{}
 }
@@ -80,7 +82,7 @@
 	d.entry = entry.New(entry.Config{
 		Service: d.config.Service, Headers: d.config.Headers, Policy: d.syncer, Limits: d.limits, CrashEvidence: d.evidence,
 		Chooser: d.chooser, Sender: &sender{self: d.config.Host, gate: d.gate, client: d.client, syncer: d.syncer},
-		Clock: d.clock, Pauses: d.pauses, Random: rand.Float64, Draining: d.draining.Load, Stopping: d.stopping, Ending: d.ending, Log: d.config.Loggers.Decisions, Metrics: d.meters,
+		Clock: d.clock, Pauses: d.pauses, Random: rand.Float64, Draining: d.draining.Load, Refusing: d.refusing.Load, Stopping: d.stopping, Ending: d.ending, Log: d.config.Loggers.Decisions, Metrics: d.meters,
 	})
 	d.front = &callerconn.Front{Handler: d.entry, MayServeAhead: d.entry.MayServeAhead, Draining: d.draining.Load}
 	return d.listen()
--- a/internal/mesh/daemon/drain.go
+++ b/internal/mesh/daemon/drain.go
@@ -34,6 +34,7 @@
 		d.syncer.Leave()
 	}
 	time.Sleep(min(callerDrainTime, max(grace/2, 0)))
+	d.refusing.Store(true)
 	deadline := started.Add(max(grace-exitMargin, 0))
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
@@ -44,18 +45,31 @@
 		d.gate.CancelRunning()
 	})
 	defer cancelAll.Stop()
-	for _, s := range d.servers {
-		if s.name == callersServer {
-			d.front.WaitServedAhead(ctx)
-			s.shutdown(ctx, d.config.Loggers.Events)
-		}
-	}
+	d.closeCallers(ctx)
 	for !d.idle() && ctx.Err() == nil {
 		time.Sleep(drainPollInterval)
 	}
 	d.config.Loggers.Events.Info().Bool("complete", d.idle()).Dur("took", time.Since(started)).Msg("daemon: stopped")
 }
 
+// closeCallers closes the callers' connections, each with its last answer. Requests that still come are refused: callers may
+// hold connections on which they have sent nothing yet, and net/http drops without an answer what it reads there once
+// Shutdown was called. So that is called last.
+func (d *Daemon) closeCallers(ctx context.Context) {
+	for _, s := range d.servers {
+		if s.name != callersServer {
+			continue
+		}
+		s.stopAccepting(d.config.Loggers.Events)
+		d.front.WaitServedAhead(ctx)
+		s.http.SetKeepAlivesEnabled(false)
+		for d.front.OpenConns() > 0 && ctx.Err() == nil {
+			time.Sleep(drainPollInterval)
+		}
+		s.shutdown(ctx, d.config.Loggers.Events)
+	}
+}
+
 // idle reports whether neither the entry nor the gate has work in flight.
 func (d *Daemon) idle() bool {
 	return d.meters.inFlight.idle() && d.gate.Idle()
--- a/internal/mesh/daemon/server.go
+++ b/internal/mesh/daemon/server.go
@@ -101,6 +101,13 @@
 	return fault.New("serve "+s.name, s.listener.Addr().String(), err)
 }
 
+// stopAccepting closes the listener. Open connections are served on.
+func (s *server) stopAccepting(log zerolog.Logger) {
+	if err := s.listener.Close(); err != nil {
+		log.Warn().Err(err).Str("server", s.name).Msg("daemon: listener not closed")
+	}
+}
+
 // shutdown closes the listener and idle connections and waits for active requests until ctx ends.
 func (s *server) shutdown(ctx context.Context, log zerolog.Logger) {
 	if err := s.http.Shutdown(ctx); err != nil {
--- a/internal/mesh/entry/config.go
+++ b/internal/mesh/entry/config.go
@@ -34,6 +34,8 @@
 	Random func() float64
 	// Draining reports whether callers should move to another connection.
 	Draining func() bool
+	// Refusing reports whether new requests are refused, because the process may end before they are answered.
+	Refusing func() bool
 	// Stopping is closed some time before the process ends; it cancels the attempts that are not running by then.
 	// Ending is closed right before the process ends; it cancels all others, and each request is answered with what is
 	// known of its outcome.
@@ -44,8 +46,8 @@
 
 // PolicySource provides the operator's configuration.
 type PolicySource interface {
-	// Policy returns the configuration in force, nil when none is known, and for how long the store has been
-	// unreachable; zero while it is reachable.
+	// Policy returns the configuration in force, nil when none is known, and how long ago the store has confirmed that there
+	// is no newer one.
 	Policy() (*policy.Snapshot, time.Duration)
 }
 
--- a/internal/mesh/entry/handler.go
+++ b/internal/mesh/entry/handler.go
@@ -61,6 +61,9 @@
 
 // serve answers a request or returns the refusal to send.
 func (e *Entry) serve(w http.ResponseWriter, r *http.Request, req *request, inbound *hop.InboundBody) (*refusal, []attemptRecord) {
+	if e.config.Refusing() {
+		return drainingRefusal(), nil
+	}
 	if refused := e.authorise(req); refused != nil {
 		return refused, nil
 	}
@@ -74,6 +77,10 @@
 	if refused := req.readBody(w, r); refused != nil {
 		return refused, nil
 	}
+	if e.config.Refusing() {
+		// The body took long to arrive.
+		return drainingRefusal(), nil
+	}
 	if e.quarantined(req) {
 		return quarantinedRefusal(), nil
 	}
@@ -99,6 +106,11 @@
 	return e.config.CrashEvidence.Quarantined(quarantine.Fingerprint(req.customerID(), req.route.ID, req.httpRequest.Method, path, req.body.Data))
 }
 
+// drainingRefusal refuses a request that arrived too late before the end of the process.
+func drainingRefusal() *refusal {
+	return &refusal{code: problem.Draining, retryAfter: defaultRetryAfter}
+}
+
 // quarantinedRefusal refuses a quarantined request. Its status guarantees that the request has not run. Retry-After is
 // the full length of a quarantine, which ends by then unless the request is linked to another crash.
 func quarantinedRefusal() *refusal {
--- a/internal/mesh/entry/harness_test.go
+++ b/internal/mesh/entry/harness_test.go
@@ -94,7 +94,7 @@
 	h.chooser = choose.NewShared(chooser, h.clock)
 	h.entry = entry.New(entry.Config{
 		Service: "desk", Headers: headers, Policy: h, Limits: h, Chooser: h.chooser, Sender: h,
-		Clock: h.clock, Pauses: h, Random: func() float64 { return 0 }, Draining: func() bool { return false }, Stopping: h.stopping, Ending: h.ending,
+		Clock: h.clock, Pauses: h, Random: func() float64 { return 0 }, Draining: func() bool { return false }, Refusing: func() bool { return false }, Stopping: h.stopping, Ending: h.ending,
 		Log: zerolog.Nop(), Metrics: noMetrics{}, CrashEvidence: h,
 	})
 	return h
