Match the responses of serve's targets by the attempt id

A second, late copy of a target's response, refusal or answer, was taken for the response to the next attempt on the connection.

Cause: targets of serve's own interface did not say to which request a response belongs.

Change: requests to targets carry X-Attempt-Id, which callers cannot set. A response on a connection that has carried another request must echo it; otherwise the outcome is unknown and the connection is closed. The connections of a target that has not echoed an id yet carry one request each. The emulated targets echo it.

--- a/internal/emulator/target/target.go
+++ b/internal/emulator/target/target.go
@@ -20,6 +20,8 @@
 	RequestIDHeader = "X-Request-Id"
 	// NotRunHeader on a refusal states that the work did not start.
 	NotRunHeader = "Bl-Not-Run"
+	// AttemptHeader carries the gate's id of the attempt, which responses echo.
+	AttemptHeader = "X-Attempt-Id"
 	// AnswerBytesHeader asks for an answer body of that many bytes.
 	AnswerBytesHeader = "X-Answer-Bytes"
 	// maxAnswerBytes bounds the answers that a caller may ask for.
@@ -141,6 +143,7 @@
 		t.crash()
 		panic(http.ErrAbortHandler)
 	}
+	w.Header().Set(AttemptHeader, r.Header.Get(AttemptHeader))
 	mode := t.currentMode()
 	if mode == Shedding {
 		w.Header().Set(NotRunHeader, "true")
--- a/internal/gate/answer.go
+++ b/internal/gate/answer.go
@@ -89,6 +89,7 @@
 	hop.StripConnection(response.Header)
 	hop.StripHop(response.Header)
 	delete(response.Header, "Content-Length")
+	delete(response.Header, hop.HeaderTargetAttempt)
 	header := d.reply.W.Header()
 	for name, values := range response.Header {
 		header[name] = values
--- a/internal/gate/dispatch.go
+++ b/internal/gate/dispatch.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -37,7 +38,9 @@
 	sentAt    clock.Time
 	deadline  clock.Time
 	connected bool
-	reused    bool
+	// conn is the connection to the target; reused tells whether it has carried an earlier attempt.
+	conn   net.Conn
+	reused bool
 }
 
 // run sends the request and streams the response.
@@ -58,6 +61,11 @@
 		return
 	}
 	defer response.Body.Close()
+	if err := d.checkEcho(response); err != nil {
+		_ = d.conn.Close()
+		d.endWithError(ctx, err)
+		return
+	}
 	d.forwardResponse(ctx, response)
 }
 
@@ -79,6 +87,7 @@
 	header := r.Header.Clone()
 	hop.StripConnection(header)
 	hop.StripReserved(header)
+	header[hop.HeaderTargetAttempt] = []string{d.request.Attempt.String()}
 	header[hop.HeaderTargetCustomer] = []string{string(d.request.Customer)}
 	deadline, _ := ctx.Deadline()
 	left := max(time.Until(deadline).Milliseconds(), 1)
@@ -88,6 +97,7 @@
 	}
 	checkOutbound(header, d.request.Attempt)
 	request := &http.Request{Method: r.Method, URL: target, Host: r.Host, Header: header, ContentLength: r.ContentLength}
+	request.Close = !d.lease.target.echoes.Load()
 	if r.ContentLength != 0 {
 		d.upload = hop.NewUpload(r.Body, d.watchdog)
 		request.Body = io.NopCloser(d.upload)
@@ -97,8 +107,26 @@
 }
 
 // gotConnection records that a connection is ready and whether it was used before.
-func (d *dispatch) gotConnection(reused bool) {
-	d.connected, d.reused = true, reused
+func (d *dispatch) gotConnection(conn net.Conn, reused bool) {
+	d.connected, d.conn, d.reused = true, conn, reused
+}
+
+// errForeignAnswer reports a response that is not that of the attempt.
+var errForeignAnswer = errors.New("the response does not echo the attempt id")
+
+// checkEcho checks that a response belongs to the attempt. A faulty target may send an earlier response once more where
+// that of the next attempt is due. Only the first response on a connection therefore needs no echo, and the connections of
+// a target are reused only once it has shown that it echoes ids.
+func (d *dispatch) checkEcho(response *http.Response) error {
+	echo := response.Header.Get(hop.HeaderTargetAttempt)
+	switch {
+	case echo == d.request.Attempt.String():
+		d.lease.target.echoes.Store(true)
+		return nil
+	case echo == "" && !d.reused:
+		return nil
+	}
+	return errForeignAnswer
 }
 
 // permit makes the final check before the first byte is written and records the dispatch.
--- a/internal/gate/target.go
+++ b/internal/gate/target.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sync/atomic"
 
 	"buckthornlatch.example/buckthornlatch/internal/clock"
 	"buckthornlatch.example/buckthornlatch/internal/id"
@@ -16,11 +17,13 @@
 	instance string
 	// transport holds the connections to this target process.
 	transport *http.Transport
-	slots     int
-	inFlight  int
-	state     targetapi.State
-	lastSeen  clock.Time
-	removed   bool
+	// echoes is set once the target has echoed an attempt id.
+	echoes   atomic.Bool
+	slots    int
+	inFlight int
+	state    targetapi.State
+	lastSeen clock.Time
+	removed  bool
 }
 
 // serves reports whether new attempts may be dispatched to the target.
--- a/internal/hop/exchange.go
+++ b/internal/hop/exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
@@ -36,7 +37,7 @@
 
 // request builds the HTTP request.
 func (x *exchange) request(scheme string, call Call) *http.Request {
-	trace := Trace(func(bool) { x.watchdog.Progress() }, x.markSent)
+	trace := Trace(func(net.Conn, bool) { x.watchdog.Progress() }, x.markSent)
 	trace.Got1xxResponse = func(int, textproto.MIMEHeader) error {
 		x.watchdog.Progress()
 		return nil
--- a/internal/hop/guard.go
+++ b/internal/hop/guard.go
@@ -30,10 +30,10 @@
 
 // Trace returns a client trace that calls check before the first byte of a request is written to a guarded
 // connection, and connected when the connection is ready. It panics on a connection that is not guarded.
-func Trace(connected func(reused bool), check func() error) *httptrace.ClientTrace {
+func Trace(connected func(conn net.Conn, reused bool), check func() error) *httptrace.ClientTrace {
 	return &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
-			connected(info.Reused)
+			connected(info.Conn, info.Reused)
 			info.Conn.(*guardedConn).check.Store(&check)
 		},
 	}
--- a/internal/hop/header.go
+++ b/internal/hop/header.go
@@ -35,6 +35,8 @@
 const (
 	HeaderTargetCustomer = "X-Customer-Id"
 	HeaderTargetTimeout  = "X-Request-Timeout-Ms"
+	// HeaderTargetAttempt carries the attempt id, which the target echoes in its response.
+	HeaderTargetAttempt = "X-Attempt-Id"
 )
 
 // headerPrefix is the prefix of every hop header.
@@ -89,5 +91,5 @@
 	if strings.HasPrefix(name, headerPrefix) || strings.HasPrefix(name, "X-Forwarded-") {
 		return true
 	}
-	return name == HeaderTargetCustomer || name == HeaderTargetTimeout
+	return name == HeaderTargetCustomer || name == HeaderTargetTimeout || name == HeaderTargetAttempt
 }
--- a/internal/mesh/link/client.go
+++ b/internal/mesh/link/client.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
@@ -124,7 +125,7 @@
 			r.ContentLength, r.TransferEncoding = -1, []string{"chunked"}
 		}
 	}
-	trace := hop.Trace(func(bool) {}, c.markSent)
+	trace := hop.Trace(func(net.Conn, bool) {}, c.markSent)
 	trace.Got1xxResponse = func(code int, _ textproto.MIMEHeader) error {
 		switch code {
 		case StatusOverdue:
