Pass request targets on byte for byte

Cause: the request target was given to net/http as an opaque URL, of which it makes an absolute URL if it begins with two slashes. The gate, and then the target, took that URL's host.

Change: targetconn writes the request line itself; between hosts such a request target travels in a header. The entry refuses all forms but the origin form with 400, "OPTIONS *" included, which net/http answered itself. serve refuses a request target that it would have encoded anew.

--- a/internal/entry/fakes_test.go
+++ b/internal/entry/fakes_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -55,6 +56,9 @@
 	case "/listed":
 		return catalogue.Route{ID: "listed", Service: "walks", Idempotent: true}, d.service, true
 	}
+	if strings.Contains(path, "forms") {
+		return catalogue.Route{ID: "forms", Service: "walks", Idempotent: true, OpenToAll: true}, d.service, true
+	}
 	return catalogue.Route{}, catalogue.Service{}, false
 }
 
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -82,6 +82,9 @@
 	switch {
 	case r.Method == http.MethodConnect, r.Method == http.MethodTrace, !strings.HasPrefix(q.uri, "/"):
 		return &Refusal{Code: problem.BadRequest, Detail: "the request form is not supported"}
+	case strings.HasPrefix(r.RequestURI, "/") && q.uri != r.RequestURI:
+		// It would not reach the target byte for byte.
+		return &Refusal{Code: problem.BadRequest, Detail: "the request URI has characters that must be percent-encoded"}
 	case !hop.ValidURI(q.uri):
 		return &Refusal{Code: problem.BadRequest, Detail: "the request URI is too long or malformed"}
 	case ambiguousPath(r.URL.Path):
--- a/internal/entry/serve_test.go
+++ b/internal/entry/serve_test.go
@@ -1,8 +1,10 @@
 package entry_test
 
 import (
+	"bufio"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 
@@ -30,4 +32,34 @@
 			Expect(name).NotTo(HavePrefix("Bl-"))
 		}
 	})
+
+	// Guards against a request target that reaches the target with other bytes than the caller's.
+	DescribeTable("passes a request target on byte for byte, or refuses it",
+		func(line string, want string) {
+			s := newStack(ginkgoCleaner{})
+			s.addGate("t1", 2, func(w http.ResponseWriter, r *http.Request) {
+				fmt.Fprintf(w, "%s at %s", r.RequestURI, r.Host)
+			})
+			conn, err := net.Dial("tcp", s.front.Listener.Addr().String())
+			Expect(err).NotTo(HaveOccurred())
+			defer func() { _ = conn.Close() }()
+			_, err = fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: trails.example\r\nAuthorization: Bearer %s\r\n\r\n", line, validKey)
+			Expect(err).NotTo(HaveOccurred())
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			Expect(err).NotTo(HaveOccurred())
+			body, err := io.ReadAll(response.Body)
+			Expect(err).NotTo(HaveOccurred())
+			if want == "" {
+				Expect(response.StatusCode).To(Equal(http.StatusBadRequest), string(body))
+				return
+			}
+			Expect(string(body)).To(Equal(want))
+		},
+		Entry("two slashes at the beginning", "//forms/1", "//forms/1 at trails.example"),
+		Entry("empty segments", "/forms//1?a=//b", "/forms//1?a=//b at trails.example"),
+		Entry("percent signs", "/forms/%2F%2f%41?", "/forms/%2F%2f%41? at trails.example"),
+		Entry("an absolute form", "http://trails.example/forms/1", "/forms/1 at trails.example"),
+		Entry("characters that must be encoded", "/forms/a|b", ""),
+		Entry("an asterisk", "*", ""),
+	)
 })
--- a/internal/mesh/daemon/server.go
+++ b/internal/mesh/daemon/server.go
@@ -62,7 +62,9 @@
 			return fault.New("listen for "+s.name, s.address, err)
 		}
 		server := &server{name: s.name, listener: listener, http: &http.Server{
-			Handler: s.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
+			// Otherwise net/http answers "OPTIONS *" itself.
+			DisableGeneralOptionsHandler: true,
+			Handler:                      s.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
 		}}
 		switch s.name {
 		case callersServer:
--- a/internal/mesh/entry/request.go
+++ b/internal/mesh/entry/request.go
@@ -56,6 +56,10 @@
 	if req.policy == nil {
 		return &refusal{code: problem.KeysStale, retryAfter: noPolicyRetryAfter}
 	}
+	if !strings.HasPrefix(req.httpRequest.RequestURI, "/") {
+		// An absolute URL would select the host that the target sees.
+		return &refusal{code: problem.BadRequest}
+	}
 	path, _, _ := strings.Cut(req.httpRequest.RequestURI, "?")
 	req.route = req.policy.Match(req.httpRequest.Host, path)
 	if req.route == nil {
--- a/internal/mesh/link/client.go
+++ b/internal/mesh/link/client.go
@@ -10,6 +10,7 @@
 	"net/http/httptrace"
 	"net/textproto"
 	"net/url"
+	"strings"
 	"sync"
 	"sync/atomic"
 
@@ -112,8 +113,14 @@
 		// An empty value keeps net/http from adding its default.
 		header["User-Agent"] = []string{""}
 	}
+	uri := a.URI
+	if strings.HasPrefix(uri, "//") {
+		// net/http would make an absolute URL of it.
+		header[headerURI] = []string{uri}
+		uri = "/"
+	}
 	r := &http.Request{
-		Method: a.Method, URL: &url.URL{Scheme: "http", Host: address, Opaque: a.URI}, Host: a.Host,
+		Method: a.Method, URL: &url.URL{Scheme: "http", Host: address, Opaque: uri}, Host: a.Host,
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Header: header,
 	}
 	if !a.Idempotent || !a.Body.Empty() || a.HoldBody {
--- a/internal/mesh/link/encode.go
+++ b/internal/mesh/link/encode.go
@@ -20,6 +20,8 @@
 	HeaderAttempt = "Bl-Attempt"
 	// HeaderResult carries the fields of a result.
 	HeaderResult = "Bl-Result"
+	// headerURI carries the URI of an attempt that begins with two slashes.
+	headerURI = "Bl-Uri"
 )
 
 const (
@@ -58,10 +60,15 @@
 	}, " ")}
 }
 
-// DecodeAttempt reads an attempt from a request and removes HeaderAttempt from it.
+// DecodeAttempt reads an attempt from a request and removes its own headers from it.
 func DecodeAttempt(r *http.Request) (*Attempt, error) {
 	fields := strings.Fields(r.Header.Get(HeaderAttempt))
 	delete(r.Header, HeaderAttempt)
+	uri := r.RequestURI
+	if values := r.Header[headerURI]; len(values) == 1 {
+		uri = values[0]
+	}
+	delete(r.Header, headerURI)
 	if len(fields) != attemptFields {
 		return nil, ErrMalformed
 	}
@@ -76,7 +83,7 @@
 		Nested:     strings.IndexByte(fields[5], flagNested) >= 0,
 		Remaining:  p.millis(fields[6]), Objective: p.millis(fields[7]), MaxQueueWait: p.millis(fields[8]),
 		Policy: policy.Version(p.number(fields[9], 16)), OverdueAfter: p.millis(fields[10]),
-		Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: r.Header,
+		Method: r.Method, URI: uri, Host: r.Host, Header: r.Header,
 		Body: &Body{Length: r.ContentLength},
 	}
 	if r.Body != nil && r.ContentLength != 0 {
--- a/internal/mesh/targetconn/request.go
+++ b/internal/mesh/targetconn/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"io"
 	"net/http"
 	"net/url"
@@ -29,10 +30,38 @@
 	Fresh bool
 }
 
-// encode converts the request to one that net/http can write.
+// requestLineWriter replaces the request line of a request that net/http writes, because net/http changes some request
+// targets: one that begins with two slashes would become an absolute URL.
+type requestLineWriter struct {
+	out io.Writer
+	// line is the request line to write; it is nil once it was written.
+	line []byte
+}
+
+// requestLine returns the request line.
+func (r *Request) requestLine() []byte {
+	return fmt.Appendf(nil, "%s %s HTTP/1.1\r\n", r.Method, r.URI)
+}
+
+// Write implements io.Writer.
+func (w *requestLineWriter) Write(p []byte) (int, error) {
+	if w.line == nil {
+		return w.out.Write(p)
+	}
+	end := bytes.IndexByte(p, '\n')
+	if end < 0 {
+		return len(p), nil
+	}
+	line := w.line
+	w.line = nil
+	n, err := w.out.Write(append(line, p[end+1:]...))
+	return max(n-len(line)+end+1, 0), err
+}
+
+// encode converts the request to one that net/http can write, but for its request line.
 func (r *Request) encode() *http.Request {
 	out := &http.Request{
-		Method: r.Method, URL: &url.URL{Opaque: r.URI}, Host: r.Host,
+		Method: r.Method, URL: &url.URL{Path: "/"}, Host: r.Host,
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Header: r.Header,
 	}
 	if _, named := r.Header["User-Agent"]; !named {
--- a/internal/mesh/targetconn/write.go
+++ b/internal/mesh/targetconn/write.go
@@ -29,7 +29,7 @@
 // writeRequest sends the request, in the background if the body is long or not entirely in memory.
 func (p *Pool) writeRequest(c *conn, r *Request) *pendingWrite {
 	w := &pendingWrite{done: make(chan struct{}), tracker: &trackingWriter{conn: c}}
-	c.writer.Reset(w.tracker)
+	c.writer.Reset(&requestLineWriter{out: w.tracker, line: r.requestLine()})
 	request := r.encode()
 	send := func() {
 		defer close(w.done)
