Divide no rate by a roster that is not known to be whole

Cause: a host that had not read the roster knew its own record only, and took itself for the only home of each customer.

Change: a view says whether it is whole. Before that a host assigns itself no share of a rate and no part of the allowance for repeats. The first shares of a process come into force at once only if its host's record was in the roster; those of a new host wait like any other change.

The other specs of limits play restarted hosts, as they did without saying so.

--- a/internal/mesh/daemon/daemon.go
+++ b/internal/mesh/daemon/daemon.go
@@ -65,7 +65,7 @@
 	d.chooser = choose.NewShared(choose.New(d.config.Host, d.config.Domain, rand.Uint64()), d.clock)
 	d.syncer = statesync.New(statesync.Config{
 		Self: d.config.Host, Domain: d.config.Domain, Store: d.config.Store, Keys: d.config.Keys, Decode: d.config.DecodePolicy,
-		Seeds: d.config.Seeds, OnChange: d.stateChanged, OnRestored: func(r roster.Record) { d.gate.Restore(r) }, Log: d.config.Loggers.Events,
+		Seeds: d.config.Seeds, OnChange: d.stateChanged, OnRestored: d.restored, Log: d.config.Loggers.Events,
 		Metrics: d.meters,
 	})
 	d.pauses = pause.New(d.clock)
@@ -102,17 +102,26 @@
 	}
 }
 
+// restored takes over the record that an earlier process of this host has published.
+func (d *Daemon) restored(r roster.Record) {
+	d.gate.Restore(r)
+	d.limits.Continue()
+}
+
 // repeatBudgetShare is the fraction of the fleet's repeat budget that the gates hand out. The rest is a reserve for the
 // calls that a repeated run makes: they count as repeats too, but no gate can recognise them.
 const repeatBudgetShare = 0.75
 
-// repeatBudget returns the local gate's part of the repeat budget of its service.
+// repeatBudget returns the local gate's part of the repeat budget of its service. It has no part of the allowance before the
+// roster is whole, since it cannot know among how many gates that is divided.
 func (d *Daemon) repeatBudget() slots.RepeatBudget {
 	b := d.config.Bounds()
-	gates := max(d.chooser.ServingTargets(d.config.Service), 1)
-	return slots.RepeatBudget{
-		Ratio: repeatBudgetShare * b.RepeatRatio, Allowance: repeatBudgetShare * b.RepeatSlack / float64(gates), Window: b.RepeatWindow,
+	budget := slots.RepeatBudget{Ratio: repeatBudgetShare * b.RepeatRatio, Window: b.RepeatWindow}
+	if d.syncer.View().Whole() {
+		gates := max(d.chooser.ServingTargets(d.config.Service), 1)
+		budget.Allowance = repeatBudgetShare * b.RepeatSlack / float64(gates)
 	}
+	return budget
 }
 
 // distance orders hosts: those of the local failure domain come first.
--- a/internal/mesh/limits/limits.go
+++ b/internal/mesh/limits/limits.go
@@ -43,6 +43,8 @@
 	assigned  map[id.CustomerID]ratelimit.Share
 	// initialized is set once this process has assigned shares by a roster with members.
 	initialized bool
+	// continues is set if an earlier process of this host was part of the current division.
+	continues bool
 }
 
 // New returns limits that admit nothing before the first Update.
@@ -75,14 +77,23 @@
 	return err
 }
 
+// Continue records that an earlier process of this host was part of the current division, so that the first shares of this
+// one change nothing for the other homes. It must be called before the first Update.
+func (l *Limits) Continue() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.continues = true
+}
+
 // Tick puts shares in force that waited for the grants of an older division to end. It must be called every TickPeriod.
 func (l *Limits) Tick(now clock.Time) {
 	l.holder.Do(func(h *ratelimit.Home) { h.Tick(now) })
 }
 
-// Update applies a policy and a view of the roster. It does nothing without a policy.
+// Update applies a policy and a view of the roster. It does nothing without a policy or before the roster is whole: to
+// know of no other home is not the same as to be the only one.
 func (l *Limits) Update(now clock.Time, p *policy.Snapshot, view *roster.View) {
-	if p == nil {
+	if p == nil || !view.Whole() {
 		return
 	}
 	var members []ownership.Member
@@ -116,9 +127,9 @@
 		}
 		current[customer] = true
 		share := ratelimit.NewShare(limit, index, len(homes), catalogue.Revision(1))
-		// The first shares of a restarted process are in force at once, since they continue the current division. Only a
-		// change of the division must wait until no other home grants under the old one.
-		share.First = !l.initialized
+		// The first shares of a restarted process are in force at once, since they continue the current division. A change
+		// of the division, as by a new host, must wait until no other home grants under the old one.
+		share.First = !l.initialized && l.continues
 		if before, known := l.assigned[customer]; known && before.Limit == share.Limit && before.Index == index && before.Homes == len(homes) {
 			continue
 		}
--- a/internal/mesh/limits/limits_test.go
+++ b/internal/mesh/limits/limits_test.go
@@ -48,14 +48,38 @@
 	return f
 }
 
+// restarted makes the hosts restarted ones, which were part of the current division before.
+func (f *fleet) restarted() *fleet {
+	for _, l := range f.members {
+		l.Continue()
+	}
+	return f
+}
+
 // set puts a rate in force at all hosts.
 func (f *fleet) set(version policy.Version, rate float64, burst int) {
+	view := roster.NewView(f.records)
+	f.setWith(version, rate, burst, func(int) *roster.View { return view })
+}
+
+// setWith is set with the view that each host has.
+func (f *fleet) setWith(version policy.Version, rate float64, burst int, view func(host int) *roster.View) {
 	snapshot, err := policy.Build(policy.Document{
 		Version: version, Customers: []policy.Customer{{ID: "school", RatePerSecond: rate, Burst: burst}},
 	})
 	Expect(err).NotTo(HaveOccurred())
-	for _, l := range f.members {
-		l.Update(f.clock.Now(), snapshot, roster.NewView(f.records))
+	for i, l := range f.members {
+		l.Update(f.clock.Now(), snapshot, view(i))
+	}
+}
+
+// settle lets new shares come into force.
+func (f *fleet) settle() {
+	for range 4 {
+		f.clock.Advance(limits.TickPeriod)
+		for _, l := range f.members {
+			l.Tick(f.clock.Now())
+		}
 	}
 }
 
@@ -75,7 +99,7 @@
 var _ = Describe("Limits", func() {
 	// Guards against admitting more than the customer's rate and burst over all hosts together, or much less.
 	It("admit the rate and the burst over all hosts together", func() {
-		f := newFleet(4)
+		f := newFleet(4).restarted()
 		f.set(1, 10, 20)
 		f.clock.Advance(10 * time.Second)
 		Expect(f.admitted(60)).To(BeNumerically("~", 20, 1))
@@ -85,7 +109,7 @@
 
 	// Guards against a limit that is exceeded when hosts cannot reach each other.
 	It("admit no more when a home is unreachable", func() {
-		f := newFleet(4)
+		f := newFleet(4).restarted()
 		f.set(1, 10, 20)
 		f.clock.Advance(10 * time.Second)
 		f.servers[0].CloseClientConnections()
@@ -96,7 +120,7 @@
 	})
 
 	It("report the time until the next token", func() {
-		f := newFleet(1)
+		f := newFleet(1).restarted()
 		f.set(1, 10, 2)
 		f.clock.Advance(10 * time.Second)
 		Expect(f.admitted(2)).To(Equal(2))
@@ -108,10 +132,38 @@
 	})
 
 	It("put a lower rate in force at once", func() {
-		f := newFleet(2)
+		f := newFleet(2).restarted()
 		f.set(1, 100, 100)
 		f.clock.Advance(10 * time.Second)
 		f.set(2, 1, 4)
 		Expect(f.admitted(40)).To(BeNumerically("<=", 4))
 	})
+
+	// Guards against hosts that start while they cannot read the roster, and each take themselves for the only home.
+	It("admit nothing at hosts that do not know the roster", func() {
+		f := newFleet(300).restarted()
+		f.setWith(1, 10, 20, func(host int) *roster.View { return roster.NewPartialView(f.records[host : host+1]) })
+		f.settle()
+		f.clock.Advance(10 * time.Second)
+		Expect(f.admitted(300)).To(BeZero())
+		f.set(1, 10, 20)
+		f.clock.Advance(10 * time.Second)
+		admitted := f.admitted(300)
+		Expect(admitted).To(BeNumerically("<=", 20))
+		Expect(admitted).To(BeNumerically(">=", 10))
+	})
+
+	// Guards against hosts that start at once for the first time: the roster is whole for each of them and holds no other.
+	It("admit nothing at new hosts until a division has settled", func() {
+		f := newFleet(300)
+		f.setWith(1, 10, 20, func(host int) *roster.View { return roster.NewView(f.records[host : host+1]) })
+		f.clock.Advance(time.Second)
+		Expect(f.admitted(300)).To(BeZero())
+		f.set(1, 10, 20)
+		f.settle()
+		f.clock.Advance(10 * time.Second)
+		admitted := f.admitted(300)
+		Expect(admitted).To(BeNumerically("<=", 20))
+		Expect(admitted).To(BeNumerically(">=", 10))
+	})
 })
--- a/internal/mesh/roster/view.go
+++ b/internal/mesh/roster/view.go
@@ -10,15 +10,28 @@
 // View is an immutable set of records.
 type View struct {
 	hosts []Record
+	// whole is set if the view has all records that the store held when it was read.
+	whole bool
 }
 
-// NewView returns a view of the records, ordered by host.
+// NewView returns a whole view of the records, ordered by host.
 func NewView(records []Record) *View {
+	view := NewPartialView(records)
+	view.whole = true
+	return view
+}
+
+// NewPartialView returns a view of the records of which others may be missing. No count, rank or share of hosts can be
+// taken from it.
+func NewPartialView(records []Record) *View {
 	hosts := slices.Clone(records)
 	slices.SortFunc(hosts, func(a, b Record) int { return strings.Compare(string(a.Host), string(b.Host)) })
 	return &View{hosts: hosts}
 }
 
+// Whole reports whether the view had no record missing when the roster was read.
+func (v *View) Whole() bool { return v.whole }
+
 // Hosts returns all records ordered by host. The slice must not be modified.
 func (v *View) Hosts() []Record { return v.hosts }
 
--- a/internal/mesh/statesync/peers.go
+++ b/internal/mesh/statesync/peers.go
@@ -53,6 +53,8 @@
 	// Policy is the raw policy; empty if it is not newer than the requester's.
 	Policy  []byte          `json:"policy,omitempty"`
 	Records []roster.Record `json:"records,omitempty"`
+	// Whole is set if Records are all that the store held when the peer read them.
+	Whole bool `json:"whole,omitempty"`
 }
 
 // peerClient fetches state from peers.
@@ -116,7 +118,7 @@
 	s.mu.Lock()
 	var out stateResponse
 	if records || err != nil {
-		out.Records = s.view.Hosts()
+		out.Records, out.Whole = s.view.Hosts(), s.view.Whole()
 	}
 	if s.policy != nil && s.policy.Version() > policy.Version(have) {
 		out.Policy = s.policy.Raw()
@@ -279,7 +281,7 @@
 	if len(got.Policy) > 0 {
 		s.setPolicy(got.Policy, string(host))
 	}
-	if s.merge(got.Records) {
+	if s.merge(got.Records, got.Whole) {
 		s.notify()
 	}
 	s.restoreFromPeer(got.Records)
@@ -300,14 +302,15 @@
 }
 
 // merge adopts records of later target incarnations and of unknown hosts while the store is unreachable. It reports
-// whether any record changed.
-func (s *Syncer) merge(records []roster.Record) bool {
+// whether anything changed. The records are whole if the peer's are.
+func (s *Syncer) merge(records []roster.Record, whole bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.outageDuration(rosterPart) == 0 {
 		return false
 	}
-	merged := false
+	merged := whole && !s.rosterWhole
+	s.rosterWhole = s.rosterWhole || whole
 	for _, r := range records {
 		known, found := s.records[r.Host]
 		if r.Host == s.config.Self || !r.Valid(time.Now()) || (found && r.Target.StartedMS <= known.record.Target.StartedMS) {
--- a/internal/mesh/statesync/store_test.go
+++ b/internal/mesh/statesync/store_test.go
@@ -25,6 +25,8 @@
 	historyLost bool
 	// silent leaves calls unanswered, those that were waiting when it was set, too.
 	silent bool
+	// downPrefix makes the calls for keys with a prefix fail; empty for none.
+	downPrefix string
 	// deaf makes watches miss changes: what they answer at the end of their wait is right.
 	deaf    bool
 	scans   int
@@ -132,7 +134,7 @@
 	if f.silent {
 		return platform.Rows{}, f.hang(ctx, "scan")
 	}
-	if f.down {
+	if f.down || (f.downPrefix != "" && prefix == f.downPrefix) {
 		return platform.Rows{}, &platform.NotDoneError{Step: "scan", Err: errDown}
 	}
 	return f.memory.Table().Scan(ctx, prefix, after, limit)
--- a/internal/mesh/statesync/syncer.go
+++ b/internal/mesh/statesync/syncer.go
@@ -32,7 +32,9 @@
 	storeStatuses map[part]storeStatus
 	own           ownRecord
 	restored      bool
-	relays        *relays
+	// rosterWhole is set once the roster was read whole, from the store or from a peer that has read it whole.
+	rosterWhole bool
+	relays      *relays
 	// rosterThrough is the revision up to which the roster is known.
 	rosterThrough platform.Revision
 	// confirmed holds the latest time at which each part is known to have been the store's.
@@ -86,7 +88,7 @@
 		config: config, relays: newRelays(config.Self, config.Domain), removed: map[id.HostID]platform.Revision{},
 		peers: newPeerClient(), wake: make(chan struct{}, 1), hint: make(chan id.HostID, 1),
 		confirmed: map[part]time.Time{}, policyChanged: make(chan struct{}),
-		view: roster.NewView(nil), records: map[id.HostID]storedRecord{}, ignored: map[id.HostID]platform.Revision{},
+		view: roster.NewPartialView(nil), records: map[id.HostID]storedRecord{}, ignored: map[id.HostID]platform.Revision{},
 		storeStatuses: map[part]storeStatus{policyPart: unreachableFromNow(), rosterPart: unreachableFromNow()},
 	}
 }
--- a/internal/mesh/statesync/watch.go
+++ b/internal/mesh/statesync/watch.go
@@ -221,6 +221,7 @@
 		return
 	}
 	if complete {
+		s.rosterWhole = true
 		s.records = map[id.HostID]storedRecord{}
 		// Which rows were deleted is not known; those that ask with an earlier revision get the whole roster.
 		clear(s.removed)
@@ -300,5 +301,9 @@
 		// The record to publish is at least as new as the one in the store.
 		records = append(records, s.own.record)
 	}
-	s.view = roster.NewView(records)
+	if s.rosterWhole {
+		s.view = roster.NewView(records)
+	} else {
+		s.view = roster.NewPartialView(records)
+	}
 }
