Count pauses in a row as one

Cause: the detector kept the last pause only, so that what arrived during the first one was taken to be as old as the second.

Change: pauses between which the process ran for less than the time that it may need to read what arrived count from the beginning of the first.

Evidence: TestAgeAfterPausesInARow and TestAgeAfterManyPauses fail on: 2 s instead of 14 s, 4 s instead of 8 s.

--- a/internal/mesh/pause/detector.go
+++ b/internal/mesh/pause/detector.go
@@ -24,7 +24,8 @@
 	mu sync.Mutex
 	// alive is when the process last showed that it runs.
 	alive clock.Time
-	// began and ended tell the last pause; ended is zero before the first one.
+	// began and ended tell the last pause; ended is zero before the first one. Pauses between which the process ran for less
+	// than backlogTime count as one, since what arrived during the first one may still be unread.
 	began, ended clock.Time
 }
 
@@ -56,7 +57,10 @@
 func (d *Detector) observe() clock.Time {
 	now := d.clock.Now()
 	if now.Sub(d.alive) >= minPause {
-		d.began, d.ended = d.alive, now
+		if d.ended == 0 || d.alive.Sub(d.ended) >= backlogTime {
+			d.began = d.alive
+		}
+		d.ended = now
 	}
 	d.alive = now
 	return now
--- a/internal/mesh/pause/detector_test.go
+++ b/internal/mesh/pause/detector_test.go
@@ -46,3 +46,43 @@
 		t.Fatalf("the age is %v", age)
 	}
 }
+
+// TestAgeAfterPausesInARow guards against requests that were sent before a first pause and are taken to be as old as a second
+// one only, because the process ran between the two for too short a time to read them.
+func TestAgeAfterPausesInARow(t *testing.T) {
+	for _, c := range []struct {
+		ran  time.Duration
+		want time.Duration
+	}{
+		{0, 14 * time.Second},
+		{100 * time.Millisecond, 14100 * time.Millisecond},
+		{time.Second, 2 * time.Second},
+	} {
+		now := &clock.Fake{}
+		d := pause.New(now)
+		now.Advance(12 * time.Second)
+		d.Tick()
+		now.Advance(c.ran)
+		d.Tick()
+		now.Advance(2 * time.Second)
+		if age := d.Age(); age != c.want {
+			t.Errorf("after %v between two pauses the age is %v instead of %v", c.ran, age, c.want)
+		}
+	}
+}
+
+// TestAgeAfterManyPauses checks that a series of pauses counts from its beginning, and only as long as it lasts.
+func TestAgeAfterManyPauses(t *testing.T) {
+	now := &clock.Fake{}
+	d := pause.New(now)
+	for n := range 8 {
+		now.Advance(4 * time.Second)
+		if age, want := d.Age(), time.Duration(n+1)*4*time.Second; age != want {
+			t.Fatalf("after pause %d the age is %v instead of %v", n, age, want)
+		}
+	}
+	now.Advance(300 * time.Millisecond)
+	if age := d.Age(); age != 0 {
+		t.Fatalf("300 ms after the last pause the age is %v", age)
+	}
+}
