Let the leaving of a target bind whatever its start time says

Cause: the target had started again while its machine's time of day had jumped back. Its announcements were taken for late messages of an earlier start, ignored, and acknowledged.

Change: an announcement of leaving with an earlier start time closes the gate until the known start announces itself again. A start with an earlier start time takes the known one's place after three announcements over 2 s without one of the known start.

Why it works: a late message of an earlier start costs the present one a heartbeat at most, and cannot come three times over 2 s while the present one announces itself.

--- a/internal/mesh/gate/admit.go
+++ b/internal/mesh/gate/admit.go
@@ -113,5 +113,5 @@
 
 // acceptsAttempts reports whether attempts may be sent to the target.
 func (t *target) acceptsAttempts() bool {
-	return t.state == roster.Serving && t.announced && !t.misdirected
+	return t.state == roster.Serving && t.announced && !t.misdirected && !t.leavingElsewhere
 }
--- a/internal/mesh/gate/gate.go
+++ b/internal/mesh/gate/gate.go
@@ -86,8 +86,7 @@
 		return err
 	}
 	g.mu.Lock()
-	if g.target != nil && g.target.supersedes(a) {
-		g.clearMisdirected(a)
+	if g.target != nil && g.target.supersedes(a) && !g.noteStale(a) {
 		g.mu.Unlock()
 		return nil
 	}
@@ -148,6 +147,7 @@
 	}
 	t := g.target
 	t.state, t.sequence, t.announced, t.misdirected = a.State, max(t.sequence, a.Sequence), true, false
+	t.leavingElsewhere, t.earlier = false, earlierStart{}
 	if a.State != roster.Gone {
 		t.slots = a.Slots
 	}
--- a/internal/mesh/gate/gate_test.go
+++ b/internal/mesh/gate/gate_test.go
@@ -186,6 +186,55 @@
 			Entry("an unknown state", func(a *gate.Announcement) { a.State = "" }),
 		)
 
+		// Guards against a target that drains in vain: it started again while its machine's time of day had jumped back, so
+		// that its announcements looked like those of an earlier start.
+		It("of leaving bind although their start time is earlier", func() {
+			h := newHarness(respond)
+			Expect(h.announce(roster.Serving, 5000, 9)).To(Succeed())
+			Expect(h.announce(roster.Serving, 3000, 1)).To(Succeed())
+			result, _ := h.sendRemote(ctx, attempt("seats"))
+			Expect(result.Verdict).To(Equal(hop.Ran))
+			Expect(h.announce(roster.Draining, 3000, 2)).To(Succeed())
+			result, _ = h.sendRemote(ctx, attempt("seats"))
+			Expect(result.Verdict).To(Equal(hop.NotRun))
+			Expect(h.requests()).To(HaveLen(1))
+		})
+
+		// Guards against late messages of an earlier start that end the use of the present one for good.
+		It("of leaving of an earlier start are undone by the present one", func() {
+			h := newHarness(respond)
+			Expect(h.announce(roster.Serving, 5000, 9)).To(Succeed())
+			Expect(h.announce(roster.Draining, 3000, 50)).To(Succeed())
+			Expect(h.announce(roster.Serving, 5000, 8)).To(Succeed())
+			result, _ := h.sendRemote(ctx, attempt("seats"))
+			Expect(result.Verdict).To(Equal(hop.NotRun))
+			Expect(h.announce(roster.Serving, 5000, 10)).To(Succeed())
+			result, _ = h.sendRemote(ctx, attempt("seats"))
+			Expect(result.Verdict).To(Equal(hop.Ran))
+		})
+
+		// Guards against a target that is never used again after it started with an earlier start time, and against late
+		// messages of an earlier start that bring it back while the present one leaves.
+		It("of a start with an earlier start time count once only it announces itself", func() {
+			h := newHarness(respond)
+			Expect(h.announce(roster.Serving, 5000, 9)).To(Succeed())
+			Expect(h.announce(roster.Draining, 5000, 10)).To(Succeed())
+			for sequence := uint64(40); sequence < 50; sequence += 2 {
+				Expect(h.announce(roster.Serving, 3000, sequence)).To(Succeed())
+				Expect(h.announce(roster.Serving, 3000, sequence)).To(Succeed())
+				h.clock.Leap(1500 * time.Millisecond)
+				Expect(h.announce(roster.Draining, 5000, sequence)).To(Succeed())
+			}
+			result, _ := h.sendRemote(ctx, attempt("seats"))
+			Expect(result.Verdict).To(Equal(hop.NotRun))
+			for sequence := uint64(1); sequence < 4; sequence++ {
+				Expect(h.announce(roster.Serving, 3000, sequence)).To(Succeed())
+				h.clock.Leap(1500 * time.Millisecond)
+			}
+			result, _ = h.sendRemote(ctx, attempt("seats"))
+			Expect(result.Verdict).To(Equal(hop.Ran))
+		})
+
 		It("are published when they change something", func() {
 			h := newHarness(respond)
 			Expect(h.announce(roster.Serving, 1, 2)).To(Succeed())
