Accept no key once the last customer is gone

Cause: without a customer no request needed a key, so that an empty table of customers was taken for none.

Change: a configuration with the table requires keys.

--- a/internal/mesh/entry/entry_test.go
+++ b/internal/mesh/entry/entry_test.go
@@ -87,6 +87,24 @@
 			Entry("unknown key while a customer is missing", "/good/1", "other"),
 		)
 
+		// Guards against keys, withdrawn and invented ones, that are accepted after the last customer is gone.
+		It("accepts no key once the last customer is gone", func() {
+			h := newHarness(1)
+			snapshot, err := policy.Build(policy.Document{
+				Version: 8, Services: []string{"walks"}, KeysRequired: true,
+				Routes: []policy.Route{
+					{ID: "browse", Host: "trails.example", Prefix: "/browse/", MaxAttempts: 1, Services: []policy.WeightedService{{Service: "walks", Weight: 1}}},
+				},
+			})
+			Expect(err).NotTo(HaveOccurred())
+			h.snapshot = snapshot
+			for _, key := range []string{"school-key", "invented"} {
+				response := h.do("GET", "/browse/1", "", func(r *http.Request) { r.Header.Set("Authorization", "Bearer "+key) })
+				Expect(response.Code).To(Equal(http.StatusUnauthorized))
+			}
+			Expect(h.attempts()).To(BeEmpty())
+		})
+
 		// Guards against a final denial by a host that has no configuration yet.
 		It("answers 503 before the first configuration", func() {
 			h := newHarness(1)
--- a/internal/mesh/entry/request.go
+++ b/internal/mesh/entry/request.go
@@ -69,7 +69,7 @@
 		return invalidConfiguration()
 	}
 	key, given := bearerToken(req.httpRequest.Header)
-	if !req.route.Public && req.policy.HasCustomers() {
+	if !req.route.Public && req.policy.KeysRequired() {
 		if !given {
 			return req.denied(problem.KeyMissing)
 		}
--- a/internal/mesh/policy/document.go
+++ b/internal/mesh/policy/document.go
@@ -7,6 +7,8 @@
 	Services  []string
 	Customers []Customer
 	Bounds    Bounds
+	// KeysRequired is set if requests need a key even if there is no customer left, whose keys would be valid.
+	KeysRequired bool
 	// CustomersMissing is set if a customer could not be decoded, so that an unknown key may belong to it.
 	CustomersMissing bool
 	// Warnings lists the parts that the decoder left out or replaced.
--- a/internal/mesh/policy/snapshot.go
+++ b/internal/mesh/policy/snapshot.go
@@ -21,6 +21,7 @@
 	services         map[id.ServiceName]bool
 	customers        map[id.CustomerID]*Customer
 	customersMissing bool
+	keysRequired     bool
 	keys             map[string]*Customer
 	warnings         []Warning
 }
@@ -38,6 +39,7 @@
 		services:         map[id.ServiceName]bool{},
 		customers:        map[id.CustomerID]*Customer{},
 		customersMissing: d.CustomersMissing,
+		keysRequired:     d.KeysRequired || d.CustomersMissing || len(d.Customers) > 0,
 		keys:             map[string]*Customer{},
 		warnings:         slices.Clone(d.Warnings),
 	}
@@ -175,8 +177,8 @@
 // Warnings returns the parts that are not in force as the operator wrote them.
 func (s *Snapshot) Warnings() []Warning { return s.warnings }
 
-// HasCustomers reports whether the configuration has any customer; without one, no request needs a key.
-func (s *Snapshot) HasCustomers() bool { return len(s.customers) > 0 || s.customersMissing }
+// KeysRequired reports whether requests need a key, unless their route is public.
+func (s *Snapshot) KeysRequired() bool { return s.keysRequired }
 
 // CustomersMissing reports whether a customer could not be decoded, so that an unknown key may belong to it.
 func (s *Snapshot) CustomersMissing() bool { return s.customersMissing }
