--- a/internal/mesh/statesync/confirmation.go
+++ b/internal/mesh/statesync/confirmation.go
@@ -48,9 +48,11 @@
 	s.relayConfirmedAt = time.Now()
 }
 
-// policyWait returns the longest time of the next watch of the policy.
+// policyWait returns the longest time of the next watch of the policy. Before the roster is known, this host cannot tell
+// whether there is a relay.
 func (s *Syncer) policyWait() time.Duration {
-	if _, relayed := s.relays.pick(time.Now(), s.View()); !relayed {
+	view := s.View()
+	if _, relayed := s.relays.pick(time.Now(), view); !relayed && view.Whole() {
 		return confirmWait
 	}
 	if _, valid := s.longWatchValid(); valid {
