--- a/internal/mesh/statesync/config.go
+++ b/internal/mesh/statesync/config.go
@@ -15,11 +15,11 @@
 	// WatchWait is the longest time that one watch of the policy lasts without a change while a relay confirms the policy.
 	WatchWait = 20 * time.Second
 	// confirmWait is that time on a host that polls no relay. An open watch proves nothing: the store may leave it
-	// unanswered, or not wake it for a change. Only answers show that the policy is the newest one. It is half of the time
-	// within which a new policy must be in force.
-	confirmWait = time.Second
-	// unconfirmedWait is that time on a host that does not know the roster yet, or whose relay does not confirm the policy, as
-	// after a start of all hosts or while the store rejects the relay. With the timeout and the polls of peers that follow it, it stays below the time within
+	// unanswered, or not wake it for a change. Only answers show that the policy is the newest one. The age of
+	// the policy reaches twice this wait, which stays below the time within which a new policy must be in force.
+	confirmWait = 900 * time.Millisecond
+	// unconfirmedWait is that time on a host whose relay does not confirm the policy, as after a start of all hosts or while
+	// the store rejects the relay. With the timeout and the polls of peers that follow it, it stays below the time within
 	// which a new policy must be in force while the store rejects some hosts.
 	unconfirmedWait = 4 * time.Second
 	// rosterWatchWait is the longest time that one watch of the roster lasts without a change. Its answers confirm the
--- a/internal/mesh/statesync/confirmation.go
+++ b/internal/mesh/statesync/confirmation.go
@@ -48,11 +48,9 @@
 	s.relayConfirmedAt = time.Now()
 }
 
-// policyWait returns the longest time of the next watch of the policy. Before the roster is known, this host cannot tell
-// whether there is a relay.
+// policyWait returns the longest time of the next watch of the policy.
 func (s *Syncer) policyWait() time.Duration {
-	view := s.View()
-	if _, relayed := s.relays.pick(time.Now(), view); !relayed && view.Whole() {
+	if _, relayed := s.relays.pick(time.Now(), s.View()); !relayed {
 		return confirmWait
 	}
 	if _, valid := s.longWatchValid(); valid {
