--- a/internal/mesh/daemon/daemon.go
+++ b/internal/mesh/daemon/daemon.go
@@ -187,15 +187,7 @@
 
 // watchPauses shows the detector of pauses that the process runs, until ctx ends.
 func (d *Daemon) watchPauses(ctx context.Context) {
-	ticker := time.NewTicker(pause.Period)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-			d.pauses.Tick()
-		case <-ctx.Done():
-			return
-		}
+	for clock.Sleep(ctx, d.pauses.Tick()) {
 	}
 }
 
