Keep a relay's confirmation for 3 s, and hold no poll while one is missing

Now a confirmation lasts until another relay can have taken over, and a relay answers the first poll at once instead of holding it. A host whose relay does not confirm its policy watches it for 3 s instead of 4 s, so that the bound while the store rejects some hosts is kept.

--- a/internal/mesh/statesync/config.go
+++ b/internal/mesh/statesync/config.go
@@ -21,7 +21,7 @@
 	// unconfirmedWait is that time on a host whose relay does not confirm the policy, as after a start of all hosts or while
 	// the store rejects the relay. With the timeout and the polls of peers that follow it, it stays below the time within
 	// which a new policy must be in force while the store rejects some hosts.
-	unconfirmedWait = 4 * time.Second
+	unconfirmedWait = 3 * time.Second
 	// rosterWatchWait is the longest time that one watch of the roster lasts without a change. Its answers confirm the
 	// roster: its age reaches twice this wait and the pause between two watches, which stays below maxRelayAge.
 	rosterWatchWait = 2 * time.Second
--- a/internal/mesh/statesync/confirmation.go
+++ b/internal/mesh/statesync/confirmation.go
@@ -10,8 +10,10 @@
 	// maxRelayedPolicyAge is the age of a relay's policy from which the relay does not confirm that of this host.
 	maxRelayedPolicyAge = 3 * time.Second
 	// relayConfirmationValid is how long the confirmation of a relay spares this host from asking the store itself. The
-	// next one comes after relayInterval, and newPolicyPause later if the policy has changed.
-	relayConfirmationValid = 2 * time.Second
+	// next one comes after relayInterval, or from another relay after the timeout of a poll.
+	relayConfirmationValid = 3 * time.Second
+	// maxHeldAge is the age of the latest confirmation up to which a relay may hold the next poll.
+	maxHeldAge = relayInterval + peerTimeout/2
 	// relayHintDelay is how long to wait for the store to deliver a policy that a relay uses before it is fetched from the
 	// relay. The relay usually has it from the same store a moment earlier.
 	relayHintDelay = 100 * time.Millisecond
@@ -59,6 +61,13 @@
 	return unconfirmedWait
 }
 
+// mayHold reports whether a relay may hold the next poll. It may not if this host waits for a confirmation.
+func (s *Syncer) mayHold() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Since(s.relayConfirmedAt) < maxHeldAge
+}
+
 // longWatchValid reports whether a watch of the policy may stay open for long because a relay confirms the policy
 // meanwhile, and for how long that is known.
 func (s *Syncer) longWatchValid() (time.Duration, bool) {
--- a/internal/mesh/statesync/relay.go
+++ b/internal/mesh/statesync/relay.go
@@ -89,7 +89,7 @@
 // the roster is known then.
 func (s *Syncer) pollRelay(ctx context.Context, host id.HostID, since platform.Revision) (platform.Revision, error) {
 	asked := time.Now()
-	got, err := s.peers.fetchRoster(ctx, host, since, s.Version())
+	got, err := s.peers.fetchRoster(ctx, host, since, s.Version(), s.mayHold())
 	if err != nil {
 		return 0, err
 	}
@@ -232,13 +232,15 @@
 	}
 }
 
-// fetchRoster fetches what has changed in the roster of a host since a revision, once the host has a policy that is newer
-// than have or some time has passed.
-func (p *peerClient) fetchRoster(ctx context.Context, host id.HostID, since platform.Revision, have policy.Version) (relayedRoster, error) {
+// fetchRoster fetches what has changed in the roster of a host since a revision. If hold is set, the host answers once its
+// policy is newer than have or some time has passed.
+func (p *peerClient) fetchRoster(ctx context.Context, host id.HostID, since platform.Revision, have policy.Version, hold bool) (relayedRoster, error) {
 	target := url.URL{Scheme: "http", Host: string(host), Path: RosterPath}
-	target.RawQuery = url.Values{
-		sinceParameter: {strconv.FormatUint(uint64(since), 10)}, haveParameter: {strconv.FormatUint(uint64(have), 16)},
-	}.Encode()
+	query := url.Values{sinceParameter: {strconv.FormatUint(uint64(since), 10)}}
+	if hold {
+		query.Set(haveParameter, strconv.FormatUint(uint64(have), 16))
+	}
+	target.RawQuery = query.Encode()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target.String(), nil)
 	if err != nil {
 		return relayedRoster{}, fault.New("poll relay", string(host), err)
