Do not depend on speed in the spec on endless bodies

It now reads 32 MiB and a byte however long that takes, and closes the connection; the target must then be told to stop, as before. The bounds are unchanged.

--- a/internal/gate/endless_test.go
+++ b/internal/gate/endless_test.go
@@ -71,25 +71,25 @@
 			request, err := http.NewRequest(http.MethodGet, server.URL+hop.Path, nil)
 			Expect(err).NotTo(HaveOccurred())
 			hop.Request{
-				Attempt: id.AttemptID{1}, Remaining: time.Second, Customer: "alpha", Service: "walks",
+				Attempt: id.AttemptID{1}, Remaining: time.Minute, Customer: "alpha", Service: "walks",
 				Class: hop.Once, KeyID: "key-1", ValidUntil: g.Clock(), URI: "/",
 			}.Encode(request.Header)
 			var before, after runtime.MemStats
 			runtime.ReadMemStats(&before)
 			response, err := http.DefaultClient.Do(request)
 			Expect(err).NotTo(HaveOccurred())
-			passed, err := io.Copy(io.Discard, response.Body)
+			// More than could be kept, if it does not end by itself.
+			passed, err := io.CopyN(io.Discard, response.Body, maxHeap+1)
 			Expect(response.Body.Close()).To(Succeed())
 			runtime.ReadMemStats(&after)
 			Eventually(ended, "5s").Should(BeClosed())
 			Expect(after.HeapSys).To(BeNumerically("<", before.HeapSys+maxHeap))
 			if endsByItself {
-				Expect(err).NotTo(HaveOccurred())
+				Expect(err).To(MatchError(io.EOF))
 				Expect(written.Load()).To(BeNumerically("<", kernelBuffers))
 				Expect(response.Header.Get(hop.HeaderVerdict)).To(Equal("unknown"))
 			} else {
-				// The attempt has run out of time.
-				Expect(err).To(HaveOccurred())
+				Expect(err).NotTo(HaveOccurred())
 				Expect(passed).To(BeNumerically(">", maxHeap))
 			}
 		},
