--- a/internal/emulator/target/target.go
+++ b/internal/emulator/target/target.go
@@ -21,7 +21,7 @@
 	// NotRunHeader on a refusal states that the work did not start.
 	NotRunHeader = "Bl-Not-Run"
 	// AttemptHeader carries the gate's id of the attempt, which responses echo.
-	AttemptHeader = "X-Attempt-Id"
+	AttemptHeader = "X-Attempt"
 	// AnswerBytesHeader asks for an answer body of that many bytes.
 	AnswerBytesHeader = "X-Answer-Bytes"
 	// maxAnswerBytes bounds the answers that a caller may ask for.
--- a/internal/gate/endless_test.go
+++ b/internal/gate/endless_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"bufio"
-	"context"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -15,13 +13,9 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
-	"github.com/rs/zerolog"
 
-	"buckthornlatch.example/buckthornlatch/internal/clock"
-	"buckthornlatch.example/buckthornlatch/internal/gate"
 	"buckthornlatch.example/buckthornlatch/internal/hop"
 	"buckthornlatch.example/buckthornlatch/internal/id"
-	"buckthornlatch.example/buckthornlatch/internal/targetapi"
 )
 
 // Guards against a process that runs out of memory because a target sends bytes without end, until its caller closes the
@@ -56,16 +50,7 @@
 					written.Add(int64(n))
 				}
 			}()
-			w := &fakeDeps{admit: gate.AdmitAll}
-			g := gate.New(gate.Config{Host: "h", Incarnation: 7, ProgressTimeout: time.Second}, gate.Deps{
-				Quarantine: noQuarantine{},
-				Clock:      &clock.Fake{}, Catalogue: w, Revocations: w, Health: w, Order: gate.NewFIFO(), Log: zerolog.Nop(),
-			})
-			ctx, cancel := context.WithCancel(context.Background())
-			DeferCleanup(cancel)
-			go func() { _ = g.Run(ctx) }()
-			announcement := fmt.Sprintf(`{"name":"t1","service":"walks","address":%q,"slots":2,"state":"serving"}`, listener.Addr())
-			g.Announce(httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, targetapi.AnnouncePath, strings.NewReader(announcement)))
+			g := startGate(listener.Addr())
 			server := httptest.NewServer(g)
 			DeferCleanup(server.Close)
 			request, err := http.NewRequest(http.MethodGet, server.URL+hop.Path, nil)
--- a/internal/gate/secondcopy_test.go
+++ b/internal/gate/secondcopy_test.go
@@ -2,25 +2,18 @@
 
 import (
 	"bufio"
-	"context"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"strings"
 	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
-	"github.com/rs/zerolog"
 
-	"buckthornlatch.example/buckthornlatch/internal/clock"
-	"buckthornlatch.example/buckthornlatch/internal/gate"
 	"buckthornlatch.example/buckthornlatch/internal/hop"
 	"buckthornlatch.example/buckthornlatch/internal/id"
-	"buckthornlatch.example/buckthornlatch/internal/targetapi"
 )
 
 // copyingTarget sends each response once more where the one to the next request on the connection is due.
@@ -64,7 +57,7 @@
 		}
 		header := ""
 		if t.echo {
-			header = "X-Attempt-Id: " + request.Header.Get("X-Attempt-Id") + "\r\n"
+			header = "X-Attempt: " + request.Header.Get("X-Attempt") + "\r\n"
 		}
 		response := "HTTP/1.1 200 OK\r\n" + header + "Content-Length: 4\r\n\r\ndone"
 		if t.refuse.Swap(false) {
@@ -82,18 +75,7 @@
 // Guards against an attempt that is taken for refused, or for answered, by a response to an earlier one.
 var _ = Describe("A second copy of a response", func() {
 	run := func(t *copyingTarget) func(number byte) string {
-		w := &fakeDeps{admit: gate.AdmitAll}
-		g := gate.New(gate.Config{Host: "h", Incarnation: 7}, gate.Deps{
-			Quarantine: noQuarantine{},
-			Clock:      &clock.Fake{}, Catalogue: w, Revocations: w, Health: w, Order: gate.NewFIFO(), Log: zerolog.Nop(),
-		})
-		ctx, cancel := context.WithCancel(context.Background())
-		DeferCleanup(cancel)
-		go func() { _ = g.Run(ctx) }()
-		announcement := fmt.Sprintf(`{"name":"t1","service":"walks","address":%q,"slots":2,"state":"serving"}`, t.listener.Addr())
-		recorder := httptest.NewRecorder()
-		g.Announce(recorder, httptest.NewRequest(http.MethodPost, targetapi.AnnouncePath, strings.NewReader(announcement)))
-		Expect(recorder.Code).To(Equal(http.StatusNoContent))
+		g := startGate(t.listener.Addr())
 		return func(number byte) string {
 			request := httptest.NewRequest(http.MethodGet, hop.Path, nil)
 			hop.Request{
--- a/internal/hop/header.go
+++ b/internal/hop/header.go
@@ -36,7 +36,7 @@
 	HeaderTargetCustomer = "X-Customer-Id"
 	HeaderTargetTimeout  = "X-Request-Timeout-Ms"
 	// HeaderTargetAttempt carries the attempt id, which the target echoes in its response.
-	HeaderTargetAttempt = "X-Attempt-Id"
+	HeaderTargetAttempt = "X-Attempt"
 )
 
 // headerPrefix is the prefix of every hop header.
--- a/internal/targetapi/doc.go
+++ b/internal/targetapi/doc.go
@@ -8,6 +8,6 @@
 // A target that sheds a request without running it responds with 503, the header "Bl-Not-Run: true" and, if it
 // can tell when to retry, Retry-After. It must not set the header when any part of the request took effect.
 //
-// A request carries the id of its attempt in the header X-Attempt-Id. A target should echo it in every response: it shows
+// A request carries the id of its attempt in the header X-Attempt. A target should echo it in every response: it shows
 // to which request a response belongs. The connections of a target that does not echo it carry one request each.
 package targetapi
