Log how a policy came in and how long a change may have been missed

The line 'policy in force' named the source only. It now tells the relay that the host follows and for how long the earlier policy had not been confirmed, which tells the hypotheses of a failed relay, an unanswered watch of the host's own and a late turn apart.

--- a/internal/mesh/statesync/syncer.go
+++ b/internal/mesh/statesync/syncer.go
@@ -179,13 +179,19 @@
 	}
 	invariant.Check(s.policy == nil || snapshot.Version() > s.policy.Version(), "policy-version-monotonic",
 		"policy %d replaces a newer one", snapshot.Version())
+	unconfirmed := s.age(policyPart)
+	if s.policy == nil {
+		unconfirmed = 0
+	}
 	s.policy = snapshot
 	close(s.policyChanged)
 	s.policyChanged = make(chan struct{})
 	s.mu.Unlock()
 	s.logWarnings(snapshot)
 	s.notify()
-	s.config.Log.Info().Uint64("policy", uint64(snapshot.Version())).Str("source", source).Msg("sync: policy in force")
+	relay, _ := s.relays.pick(time.Now(), s.View())
+	s.config.Log.Info().Uint64("policy", uint64(snapshot.Version())).Str("source", source).Str("relay", string(relay)).
+		Dur("unconfirmed", unconfirmed).Msg("sync: policy in force")
 }
 
 // decodePolicy decodes and validates a policy.
