--- a/internal/mesh/statesync/store_test.go
+++ b/internal/mesh/statesync/store_test.go
@@ -28,9 +28,11 @@
 	// downPrefix makes the calls for keys with a prefix fail; empty for none.
 	downPrefix string
 	// deaf makes watches miss changes: what they answer at the end of their wait is right.
-	deaf    bool
-	scans   int
-	watches int
+	deaf bool
+	// stranding counts the calls of strand.
+	stranding int
+	scans     int
+	watches   int
 	// watchesOf counts the watches of each prefix.
 	watchesOf map[string]int
 	commits   int
@@ -146,8 +148,9 @@
 	f.mu.Lock()
 	f.watches++
 	f.watchesOf[prefix]++
+	stranding := f.stranding
 	for {
-		if f.silent {
+		if f.silent || f.stranding != stranding {
 			defer f.mu.Unlock()
 			return platform.Rows{}, f.hang(ctx, "watch")
 		}
@@ -175,7 +178,7 @@
 		case <-timeout:
 			f.mu.Lock()
 			defer f.mu.Unlock()
-			if f.silent {
+			if f.silent || f.stranding != stranding {
 				return platform.Rows{}, f.hang(ctx, "watch")
 			}
 			return f.memory.Table().Changes(ctx, prefix, since, 100)
@@ -186,6 +189,11 @@
 	}
 }
 
+// strand leaves the watches that are open now without an answer. The store serves all later calls.
+func (f *fakeStore) strand() {
+	f.set(func(f *fakeStore) { f.stranding++ })
+}
+
 // hang leaves a call unanswered until its caller gives up. The caller must hold f.mu, which is released meanwhile.
 func (f *fakeStore) hang(ctx context.Context, step string) error {
 	f.mu.Unlock()
