Refuse unknown keys and routes for good by the bound of the configuration

Cause: a configuration that was not confirmed for 4 s counted as one that may lack a change, whatever the bound is. With a bound of 7 s hosts confirm it every 4.2 to 5.3 s, so that a wrong key would get a retryable 503 for ever instead of 401.

Change: twice the bound, which is 4 s for the users' 2 s.

--- a/internal/mesh/daemon/daemon.go
+++ b/internal/mesh/daemon/daemon.go
@@ -63,10 +63,11 @@
 	d.exporter, d.meters = exporter, newMeters(exporter.Scope)
 	d.client = link.NewClient()
 	d.chooser = choose.NewShared(choose.New(d.config.Host, d.config.Domain, rand.Uint64()), d.clock)
+	policyBound := func() time.Duration { return d.config.Bounds().Policy }
 	d.syncer = statesync.New(statesync.Config{
 		Self: d.config.Host, Domain: d.config.Domain, Store: d.config.Store, Keys: d.config.Keys, Decode: d.config.DecodePolicy,
 		Seeds: d.config.Seeds, OnChange: d.stateChanged, OnRestored: d.restored, Log: d.config.Loggers.Events,
-		PolicyBound: func() time.Duration { return d.config.Bounds().Policy }, Metrics: d.meters,
+		PolicyBound: policyBound, Metrics: d.meters,
 	})
 	d.pauses = pause.New(d.clock)
 	d.evidence = crashes.New(d.config.Host, id.Incarnation(rand.Uint64()), d.clock)
@@ -80,7 +81,7 @@
 		Self: d.config.Host, Clock: d.clock, HTTP: newControlClient(), Distance: d.distance, Incarnation: id.Epoch(rand.Uint64()),
 	})
 	d.entry = entry.New(entry.Config{
-		Service: d.config.Service, Headers: d.config.Headers, Policy: d.syncer, Limits: d.limits, CrashEvidence: d.evidence,
+		Service: d.config.Service, Headers: d.config.Headers, Policy: d.syncer, PolicyBound: policyBound, Limits: d.limits, CrashEvidence: d.evidence,
 		Chooser: d.chooser, Sender: &sender{self: d.config.Host, gate: d.gate, client: d.client, syncer: d.syncer},
 		Clock: d.clock, Pauses: d.pauses, Random: rand.Float64, Draining: d.draining.Load, Refusing: d.refusing.Load, Stopping: d.stopping, Ending: d.ending, Log: d.config.Loggers.Decisions, Metrics: d.meters,
 	})
--- a/internal/mesh/entry/config.go
+++ b/internal/mesh/entry/config.go
@@ -21,9 +21,11 @@
 	Service id.ServiceName
 	Headers dialect.Headers
 	Policy  PolicySource
-	Limits  Admitter
-	Chooser *choose.Shared
-	Sender  Sender
+	// PolicyBound returns the time within which a new configuration must be in force.
+	PolicyBound func() time.Duration
+	Limits      Admitter
+	Chooser     *choose.Shared
+	Sender      Sender
 	// CrashEvidence identifies quarantined requests, which crash targets and are refused.
 	CrashEvidence CrashEvidence
 	// Pauses tells how old a request may be that was just read.
--- a/internal/mesh/entry/harness_test.go
+++ b/internal/mesh/entry/harness_test.go
@@ -43,8 +43,10 @@
 	sent []sentAttempt
 	// policyAge is how long the store has been unreachable, snapshot the policy in force.
 	policyAge time.Duration
-	snapshot  *policy.Snapshot
-	denied    error
+	// policyBound is the time within which a new policy must be in force.
+	policyBound time.Duration
+	snapshot    *policy.Snapshot
+	denied      error
 	// paused is the length of the pause that has just ended.
 	paused time.Duration
 	// poison is the fingerprint of a quarantined request.
@@ -59,7 +61,7 @@
 
 // newHarness returns a harness with the given number of hosts, named h0, h1 and so on, whose gates answer 200.
 func newHarness(hosts int) *harness {
-	h := &harness{clock: clocktest.NewLeaping(), stopping: make(chan struct{}), ending: make(chan struct{}), gates: map[id.HostID]gateFunc{}}
+	h := &harness{policyBound: 2 * time.Second, clock: clocktest.NewLeaping(), stopping: make(chan struct{}), ending: make(chan struct{}), gates: map[id.HostID]gateFunc{}}
 	snapshot, err := policy.Build(policy.Document{
 		Version:  7,
 		Services: []string{"walks"},
@@ -93,7 +95,7 @@
 	chooser.SetView(roster.NewView(records))
 	h.chooser = choose.NewShared(chooser, h.clock)
 	h.entry = entry.New(entry.Config{
-		Service: "desk", Headers: headers, Policy: h, Limits: h, Chooser: h.chooser, Sender: h,
+		Service: "desk", Headers: headers, Policy: h, PolicyBound: func() time.Duration { return h.policyBound }, Limits: h, Chooser: h.chooser, Sender: h,
 		Clock: h.clock, Pauses: h, Random: func() float64 { return 0 }, Draining: func() bool { return false }, Refusing: func() bool { return false }, Stopping: h.stopping, Ending: h.ending,
 		Log: zerolog.Nop(), Metrics: noMetrics{}, CrashEvidence: h,
 	})
--- a/internal/mesh/entry/request.go
+++ b/internal/mesh/entry/request.go
@@ -14,10 +14,10 @@
 )
 
 const (
-	// staleAfter is the age of the configuration from which an unknown key or route gets a retryable refusal: a newer
-	// configuration that this host has not received may contain it. While the store answers, confirmations come more
-	// often, also those that a relay passes on.
-	staleAfter = 4 * time.Second
+	// staleBounds times the bound on the delay of a configuration is its age from which an unknown key or route gets a retryable
+	// refusal: a newer configuration that this host has not received may contain it. While the store answers, the age stays
+	// below one bound.
+	staleBounds = 2
 	// staleRetryAfter is the Retry-After of refusals by a host that may lack recent changes.
 	staleRetryAfter = 500 * time.Millisecond
 	// noPolicyRetryAfter is the Retry-After of refusals by a host that has no configuration yet.
@@ -63,7 +63,7 @@
 	path, _, _ := strings.Cut(req.httpRequest.RequestURI, "?")
 	req.route = req.policy.Match(req.httpRequest.Host, path)
 	if req.route == nil {
-		return req.denied(problem.RouteUnknown)
+		return e.denied(req, problem.RouteUnknown)
 	}
 	if req.route.Unservable != "" {
 		return invalidConfiguration()
@@ -71,10 +71,10 @@
 	key, given := bearerToken(req.httpRequest.Header)
 	if !req.route.Public && req.policy.KeysRequired() {
 		if !given {
-			return req.denied(problem.KeyMissing)
+			return e.denied(req, problem.KeyMissing)
 		}
 		if req.customer = req.policy.ByKey(key); req.customer == nil {
-			return req.denied(problem.KeyInvalid)
+			return e.denied(req, problem.KeyInvalid)
 		}
 		if req.customer.Unservable != "" {
 			return invalidConfiguration()
@@ -97,11 +97,11 @@
 
 // denied refuses a request for its route or key. If the configuration may be out of date, or lacks the customer that
 // the key may belong to, the refusal is retryable.
-func (req *request) denied(code problem.Code) *refusal {
+func (e *Entry) denied(req *request, code problem.Code) *refusal {
 	if code == problem.KeyInvalid && req.policy.CustomersMissing() {
 		return invalidConfiguration()
 	}
-	if req.policyAge > staleAfter {
+	if req.policyAge > staleBounds*e.config.PolicyBound() {
 		return &refusal{code: problem.KeysStale, retryAfter: staleRetryAfter}
 	}
 	return &refusal{code: code}
