Let a relay tell of each version of the policy once

A host that cannot read a policy its relay uses (daemons of two versions during an upgrade) would be answered at once by each poll, ten times a second. It now states the newest version that it was told of, and learns the policy by its own question to the store or from the relay's state.

--- a/internal/mesh/statesync/relay.go
+++ b/internal/mesh/statesync/relay.go
@@ -97,7 +97,7 @@
 		*seen = confirmationsSeen{relay: host}
 	}
 	got, err := s.peers.fetchRoster(ctx, host, rosterPoll{
-		since: since, have: s.Version(), seen: seen.number, timeout: s.share(pollShare),
+		since: since, have: s.newestKnown(), seen: seen.number, timeout: s.share(pollShare),
 	})
 	if err != nil {
 		return 0, err
@@ -126,6 +126,17 @@
 	return got.Through, nil
 }
 
+// newestKnown returns the newest version of the policy that this host has or has been told of, so that a relay tells of each
+// version once: a policy that this host cannot read must not end each poll at once.
+func (s *Syncer) newestKnown() policy.Version {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.policy == nil {
+		return s.newestSeen
+	}
+	return max(s.policy.Version(), s.newestSeen)
+}
+
 // applyRelayed merges a relayed roster. Rows that are not newer than the known ones change nothing.
 func (s *Syncer) applyRelayed(got relayedRoster, since platform.Revision) {
 	s.mu.Lock()
