Ask before and after each write to a target whether the attempt may still run

Cause: the gate checked the caller, the deadline and the target once, before it looked for a connection, dialled one if none was fresh, and encoded the request. A process that is frozen anywhere in between sends afterwards. A long body was not checked again at all: its end could leave seconds after the deadline, and a target that reads the whole body begins only then.

Change: the last check moves to the system call. targetconn asks for permission right before each call that hands bytes to the kernel, also when it goes on after the target has made room, and right after it. A refusal before the first byte is a truthful "not run"; after it the connection is closed at once, which tells the target to stop, and the result is "unknown". Neither counts against the target. The clock is read last. The time that the target is given is computed once there is a connection.

Considered: holding back the last byte leaves the same window, one check and one system call, since no call both checks a time and sends; the kernel's transmit times need a queueing discipline that the machine does not have; an io_uring chain goes on when a condition has come true, not while it has not.

What remains is a pause between the reading of the clock and the system call behind it.

--- a/internal/mesh/gate/admit.go
+++ b/internal/mesh/gate/admit.go
@@ -89,26 +89,44 @@
 	return nil
 }
 
-// recheck checks right before dispatch that ctx, the gate and the target still permit the attempt. They may have
-// changed since the attempt was queued or admitted.
+// recheck checks before dispatch that ctx, the gate and the target still permit the attempt. They may have changed since
+// the attempt was queued or admitted.
 func (e *execution) recheck(ctx context.Context) *link.Result {
+	if reason, hindered := e.hindrance(ctx, false); hindered {
+		return newRefusal(reason, 0)
+	}
+	return nil
+}
+
+// hindrance returns why the attempt may not be sent, or not be sent on if it has begun. The clock comes last, since what is
+// sent after a pause behind it is sent late.
+func (e *execution) hindrance(ctx context.Context, began bool) (reason link.Reason, hindered bool) {
 	g := e.gate
-	// After a pause of the process, the timer of ctx may not have fired yet; it does not count a suspension at all.
-	if ctx.Err() != nil || !g.config.Clock.Now().Before(e.expires) {
-		return newRefusal(link.OutOfTime, 0)
+	left := hangup.Left(ctx)
+	if !began {
+		reason, hindered = g.closedFor(e.target)
 	}
-	if hangup.Left(ctx) {
-		return newRefusal(link.Ended, 0)
+	// After a pause of the process, the timer of ctx may not have fired yet; it does not count a suspension at all.
+	switch {
+	case ctx.Err() != nil || !g.config.Clock.Now().Before(e.expires):
+		return link.OutOfTime, true
+	case left:
+		return link.Ended, true
 	}
+	return reason, hindered
+}
+
+// closedFor returns why no attempt may be sent to a target.
+func (g *Gate) closedFor(t *target) (reason link.Reason, closed bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.draining {
-		return newRefusal(link.GateDraining, 0)
-	}
-	if g.target != e.target || !g.target.acceptsAttempts() {
-		return newRefusal(link.Reason(slots.NoTarget), 0)
+	switch {
+	case g.draining:
+		return link.GateDraining, true
+	case g.target != t || !g.target.acceptsAttempts():
+		return link.Reason(slots.NoTarget), true
 	}
-	return nil
+	return "", false
 }
 
 // acceptsAttempts reports whether attempts may be sent to the target.
--- a/internal/mesh/gate/classify.go
+++ b/internal/mesh/gate/classify.go
@@ -87,7 +87,11 @@
 	if sent {
 		result.Verdict = hop.Unknown
 	}
+	var forbidden *forbiddenError
 	switch {
+	case errors.As(err, &forbidden):
+		e.releaseSlot(slots.Cancelled)
+		result.Reason = forbidden.reason
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		e.releaseSlot(slots.TimedOut)
 		result.Reason = link.OutOfTime
--- a/internal/mesh/gate/exchange.go
+++ b/internal/mesh/gate/exchange.go
@@ -18,7 +18,7 @@
 		err      error
 	}
 	outcomes := make(chan outcome, 1)
-	request := e.request()
+	request := e.request(ctx)
 	go func() {
 		response, err := e.target.pool.Do(ctx, request)
 		outcomes <- outcome{response, err}
@@ -44,12 +44,10 @@
 }
 
 // request builds the request to the target.
-func (e *execution) request() *targetconn.Request {
+func (e *execution) request(ctx context.Context) *targetconn.Request {
 	a, headers := e.attempt, e.gate.config.Headers
 	header := a.Header.Clone()
 	headers.StripUntrusted(header)
-	left := e.expires.Sub(e.gate.config.Clock.Now()) - deadlineMargin
-	header[headers.Deadline] = []string{strconv.FormatInt(max(left.Milliseconds(), 1), 10)}
 	header[headers.Target] = []string{e.target.incarnation.ID}
 	header[headers.Caller] = []string{string(a.Caller)}
 	if a.Customer != "" {
@@ -57,12 +55,30 @@
 	}
 	_, hasKey := header["Authorization"]
 	invariant.Check(!hasKey, "no-key-at-target", "attempt of request %s carries a key", a.RequestID)
-	a.Body.MarkSent()
 	return &targetconn.Request{
 		Method: a.Method, URI: a.URI, Host: a.Host, Header: header,
 		Body: a.Body.Data, Rest: a.Body.Rest, Length: a.Body.Length,
 		IDHeader: headers.RequestID, IsRefusal: e.isRefusal, Fresh: !a.Idempotent,
+		Stamp: e.stamp, Permit: func(began bool) error { return e.permit(ctx, began) },
+	}
+}
+
+// stamp tells the target how much time is left. Connecting may have taken some of it.
+func (e *execution) stamp(header http.Header) {
+	left := e.expires.Sub(e.gate.config.Clock.Now()) - deadlineMargin
+	header[e.gate.config.Headers.Deadline] = []string{strconv.FormatInt(max(left.Milliseconds(), 1), 10)}
+}
+
+// permit returns an error if no more of the attempt may be handed to the target. What the gate and the target permit is
+// asked only until the target has got a byte of it: then the attempt runs on.
+func (e *execution) permit(ctx context.Context, began bool) error {
+	if reason, hindered := e.hindrance(ctx, began); hindered {
+		return &forbiddenError{reason: reason}
+	}
+	if !began {
+		e.attempt.Body.MarkSent()
 	}
+	return nil
 }
 
 // isRefusal reports whether a response says that the target has not run the request.
--- a/internal/mesh/gate/harness_test.go
+++ b/internal/mesh/gate/harness_test.go
@@ -47,6 +47,25 @@
 	seen []*http.Request
 	// serve handles the target's requests.
 	serve http.HandlerFunc
+	// dispatched, if set, is called between the last check of an attempt at the gate and the connection to the target.
+	dispatched func()
+}
+
+// watchedEvidence calls a function when an attempt is dispatched.
+type watchedEvidence struct {
+	*crashes.Evidence
+	h *harness
+}
+
+// Started implements gate.CrashEvidence.
+func (w watchedEvidence) Started(fingerprint string) {
+	w.Evidence.Started(fingerprint)
+	w.h.mu.Lock()
+	dispatched := w.h.dispatched
+	w.h.mu.Unlock()
+	if dispatched != nil {
+		dispatched()
+	}
 }
 
 // newHarness returns a gate whose target has two slots.
@@ -81,7 +100,7 @@
 			}
 			return written
 		},
-		AttemptLog: zerolog.Nop(), EventLog: zerolog.Nop(), Metrics: noMetrics{}, CrashEvidence: h.evidence,
+		AttemptLog: zerolog.Nop(), EventLog: zerolog.Nop(), Metrics: noMetrics{}, CrashEvidence: watchedEvidence{h.evidence, h},
 	})
 	h.gate.SetRepeatBudget(slots.RepeatBudget{Allowance: 10, Window: 10 * time.Second})
 	server := &http.Server{Handler: h.gate}
--- a/internal/mesh/hangup/hanguptest/closed.go
+++ b/internal/mesh/hangup/hanguptest/closed.go
@@ -1,4 +1,4 @@
-// Package hanguptest provides the connection of a caller that has left, for tests.
+// Package hanguptest provides connections of callers that leave, for tests.
 package hanguptest
 
 import (
@@ -11,17 +11,30 @@
 
 // Closed returns a connection that its other side has closed.
 func Closed() (net.Conn, error) {
+	accepted, dialled, err := Open()
+	if err == nil {
+		Close(dialled)
+	}
+	return accepted, err
+}
+
+// Close closes one side of a connection and waits until the other side can know.
+func Close(side net.Conn) {
+	_ = side.Close()
+	time.Sleep(settle)
+}
+
+// Open returns both sides of a connection.
+func Open() (accepted, dialled net.Conn, err error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	defer func() { _ = listener.Close() }()
-	dialled, err := net.Dial("tcp", listener.Addr().String())
+	dialled, err = net.Dial("tcp", listener.Addr().String())
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
-	accepted, err := listener.Accept()
-	_ = dialled.Close()
-	time.Sleep(settle)
-	return accepted, err
+	accepted, err = listener.Accept()
+	return accepted, dialled, err
 }
--- a/internal/mesh/targetconn/do.go
+++ b/internal/mesh/targetconn/do.go
@@ -57,11 +57,15 @@
 // request.
 func (p *Pool) exchange(c *conn, r *Request) (response *Response, reusable bool, err error) {
 	pending := p.writeRequest(c, r)
-	if pending.failure() != nil && !pending.sent() {
-		return nil, false, &Error{Step: "send request", Peer: p.address, Err: pending.failure()}
+	if err := pending.failure(); err != nil && (!pending.sent() || pending.forbidden() != nil) {
+		return nil, false, &Error{Step: "send request", Peer: p.address, Sent: pending.sent(), Err: err}
 	}
 	httpResponse, err := p.readResponse(c, r)
 	if err != nil {
+		if cause := pending.forbidden(); cause != nil {
+			// The connection was closed for that reason while the response was awaited.
+			return nil, false, &Error{Step: "send request", Peer: p.address, Sent: pending.sent(), Err: cause}
+		}
 		return nil, false, &Error{Step: "read response", Peer: p.address, Sent: true, Err: err}
 	}
 	out := &Response{Status: httpResponse.StatusCode, Header: httpResponse.Header, Length: httpResponse.ContentLength}
--- a/internal/mesh/targetconn/request.go
+++ b/internal/mesh/targetconn/request.go
@@ -26,6 +26,12 @@
 	// does not echo the id. Nothing tells a second, late copy of it from the refusal of a later request, so that the
 	// connection is not used again.
 	IsRefusal func(*http.Response) bool
+	// Stamp sets the headers that depend on the time, once there is a connection. It may be nil.
+	Stamp func(http.Header)
+	// Permit returns an error once the request must not be sent any more. It is called right before each system call that
+	// hands bytes of the request to the kernel, and right after it; began says whether one has handed over any before. It
+	// may be nil.
+	Permit func(began bool) error
 	// Fresh requires a connection that was idle for less than FreshIdleLimit, or a new one.
 	Fresh bool
 }
--- a/internal/mesh/targetconn/write.go
+++ b/internal/mesh/targetconn/write.go
@@ -1,35 +1,19 @@
 package targetconn
 
-import (
-	"sync/atomic"
-)
-
 // pendingWrite is the transmission of one request, which may still be in progress.
 type pendingWrite struct {
 	done    chan struct{}
 	err     error
-	tracker *trackingWriter
-}
-
-// trackingWriter records whether a byte was written to the connection.
-type trackingWriter struct {
-	conn    *conn
-	written atomic.Bool
-}
-
-// Write implements io.Writer.
-func (w *trackingWriter) Write(b []byte) (int, error) {
-	n, err := w.conn.Conn.Write(b)
-	if n > 0 {
-		w.written.Store(true)
-	}
-	return n, err
+	guarded *guardedWriter
 }
 
 // writeRequest sends the request, in the background if the body is long or not entirely in memory.
 func (p *Pool) writeRequest(c *conn, r *Request) *pendingWrite {
-	w := &pendingWrite{done: make(chan struct{}), tracker: &trackingWriter{conn: c}}
-	c.writer.Reset(&requestLineWriter{out: w.tracker, line: r.requestLine()})
+	w := &pendingWrite{done: make(chan struct{}), guarded: &guardedWriter{conn: c.Conn, permit: r.Permit}}
+	if r.Stamp != nil {
+		r.Stamp(r.Header)
+	}
+	c.writer.Reset(&requestLineWriter{out: w.guarded, line: r.requestLine()})
 	request := r.encode()
 	send := func() {
 		defer close(w.done)
@@ -59,17 +43,25 @@
 	}
 }
 
-// failure returns the error that ended the write, nil while the write is in progress.
+// failure returns the error that ended the write, or is about to; nil while the write is in progress.
 func (w *pendingWrite) failure() error {
 	select {
 	case <-w.done:
 		return w.err
 	default:
-		return nil
+		return w.forbidden()
+	}
+}
+
+// forbidden returns the error with which the request was no longer permitted, nil if it is permitted.
+func (w *pendingWrite) forbidden() error {
+	if failure := w.guarded.forbidden.Load(); failure != nil {
+		return *failure
 	}
+	return nil
 }
 
 // sent reports whether a byte of the request may have reached the target.
 func (w *pendingWrite) sent() bool {
-	return w.tracker.written.Load()
+	return w.guarded.began.Load()
 }
