Take the age of what is read from the kernel, however short the pause was

Cause: the age of a request was guessed from gaps of 1.5 s or more between signs of life. After a shorter pause a request that had lain in the socket counted as new, and each pause of a series could add its length. A gate did not ask for the age of an attempt at all: one that it read after a pause got its whole time again, and if its entry was paused too, no one ended it.

Change: the kernel tells how long ago the last bytes of a connection came (TCP_INFO). callerconn counts a request from then, and a gate takes that time off an attempt. The detector of pauses stays for suspensions, which the kernel's figure leaves out, and for bytes that came before the last ones of a pause; the earlier of both counts. Before, both were added up, so that a request that came late in a pause was taken to be older than the pause.

--- a/internal/mesh/callerconn/conn.go
+++ b/internal/mesh/callerconn/conn.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"buckthornlatch.example/buckthornlatch/internal/mesh/arrival"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/hangup"
 )
 
@@ -141,13 +142,14 @@
 	if c.left == nil && len(c.in) == 0 {
 		c.mu.Unlock()
 		n, err := c.Conn.Read(p)
+		at := c.arrivedAt()
 		c.mu.Lock()
 		if n == 0 || c.passesThrough(lookAhead) {
-			c.received.last = time.Now()
+			c.received.last = at
 			c.mu.Unlock()
 			return n, err
 		}
-		c.receive(p[:n])
+		c.receive(p[:n], at)
 	}
 	defer c.mu.Unlock()
 	if c.left != nil {
@@ -166,11 +168,16 @@
 	return !c.searching && !lookAhead && c.left == nil
 }
 
+// arrivedAt returns when the bytes that were just read arrived, at the latest.
+func (c *Conn) arrivedAt() time.Time {
+	return time.Now().Add(-arrival.Age(c.Conn))
+}
+
 // receive adds bytes to those that the server has not read, and finds the requests in them. The caller must hold c.mu.
-func (c *Conn) receive(data []byte) {
+func (c *Conn) receive(data []byte, at time.Time) {
 	c.in = append(c.in, data...)
 	c.front.aheadBytes.Add(int64(len(data)))
-	c.received.add(len(data), time.Now())
+	c.received.add(len(data), at)
 	c.findRequests()
 	c.startAhead()
 }
@@ -285,18 +292,18 @@
 	data := make([]byte, readSize)
 	for {
 		n, err := c.Conn.Read(data)
-		if !c.store(data[:n], err) {
+		if !c.store(data[:n], err, c.arrivedAt()) {
 			return
 		}
 	}
 }
 
 // store keeps what was read ahead and reports whether to go on.
-func (c *Conn) store(data []byte, err error) bool {
+func (c *Conn) store(data []byte, err error, at time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(data) > 0 && c.left == nil {
-		c.receive(data)
+		c.receive(data, at)
 	}
 	if err != nil && c.left == nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 		c.leave(err)
--- a/internal/mesh/entry/handler.go
+++ b/internal/mesh/entry/handler.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"strings"
+	"time"
 
 	"buckthornlatch.example/buckthornlatch/internal/hop"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/callerconn"
@@ -36,7 +37,7 @@
 	inbound := hop.NewInboundBody(w, r)
 	defer inbound.Done()
 	req := &request{requestID: r.Header.Get(e.config.Headers.RequestID), httpRequest: r}
-	req.started = callerconn.Received(r.Context()).Add(-e.config.Pauses.Age())
+	req.started = e.arrivedAt(r.Context())
 	refused, attempts := e.serve(w, r, req, inbound)
 	if refused == nil {
 		return
@@ -47,6 +48,17 @@
 	e.log(req, attempts, status, string(refused.code), refused.retryAfter)
 }
 
+// arrivedAt returns when a request arrived, as far as that is known: at the time that the kernel tells, or when a pause
+// began whose backlog may still be being read.
+func (e *Entry) arrivedAt(ctx context.Context) time.Time {
+	received := callerconn.Received(ctx)
+	age := e.config.Pauses.Age()
+	if paused := time.Now().Add(-age); age > 0 && paused.Before(received) {
+		return paused
+	}
+	return received
+}
+
 // MayServeAhead reports whether a request may be served before the earlier ones of its connection are answered. Only
 // requests that may run more than once are: their caller sends them again if the connection closes before their answer.
 func (e *Entry) MayServeAhead(r *http.Request) bool {
--- a/internal/mesh/gate/execution.go
+++ b/internal/mesh/gate/execution.go
@@ -68,6 +68,9 @@
 
 // run admits the attempt and sends it to the target.
 func (e *execution) run(ctx context.Context) *link.Result {
+	if e.attempt.Remaining <= 0 {
+		return newRefusal(link.OutOfTime, 0)
+	}
 	if refusal := e.admit(ctx); refusal != nil {
 		return refusal
 	}
--- a/internal/mesh/gate/handler.go
+++ b/internal/mesh/gate/handler.go
@@ -4,6 +4,8 @@
 	"net/http"
 
 	"buckthornlatch.example/buckthornlatch/internal/hop"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/arrival"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/hangup"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/link"
 )
 
@@ -18,6 +20,10 @@
 		return
 	}
 	a.RequestID = r.Header.Get(g.config.Headers.RequestID)
+	if conn, ok := hangup.ConnOf(r.Context()); ok {
+		// Its entry may be paused and not end an attempt that waited unread until its time had run out.
+		a.Remaining -= arrival.Age(conn)
+	}
 	reply := &reply{w: w}
 	result := g.Do(r.Context(), a, reply)
 	defer result.Close()
--- a/internal/mesh/gate/harness_test.go
+++ b/internal/mesh/gate/harness_test.go
@@ -19,6 +19,7 @@
 	"buckthornlatch.example/buckthornlatch/internal/mesh/crashes"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/dialect/dialecttest"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/gate"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/hangup"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/link"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/policy"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/roster"
@@ -103,7 +104,7 @@
 		AttemptLog: zerolog.Nop(), EventLog: zerolog.Nop(), Metrics: noMetrics{}, CrashEvidence: watchedEvidence{h.evidence, h},
 	})
 	h.gate.SetRepeatBudget(slots.RepeatBudget{Allowance: 10, Window: 10 * time.Second})
-	server := &http.Server{Handler: h.gate}
+	server := &http.Server{Handler: h.gate, ConnContext: hangup.WithConn}
 	go func() { _ = server.Serve(listener) }()
 	DeferCleanup(server.Close)
 	Expect(h.announce(roster.Serving, 1, 1)).To(Succeed())
--- a/internal/mesh/hangup/hangup.go
+++ b/internal/mesh/hangup/hangup.go
@@ -17,10 +17,16 @@
 	return context.WithValue(ctx, connKey{}, conn)
 }
 
+// ConnOf returns the connection of a request, and false if WithConn was not used.
+func ConnOf(ctx context.Context) (net.Conn, bool) {
+	conn, ok := ctx.Value(connKey{}).(net.Conn)
+	return conn, ok
+}
+
 // Left reports whether the sender of a request has closed its connection, or the writing side of it: no caller of this
 // protocol goes on waiting after that. It returns false if WithConn was not used.
 func Left(ctx context.Context) bool {
-	conn, ok := ctx.Value(connKey{}).(net.Conn)
+	conn, ok := ConnOf(ctx)
 	return ok && closed(conn)
 }
 
