Release no body after the deadline of its request

Cause: a body that a gate asks for was released unless the entry had given the attempt up. After a pause the timer of the deadline may fire later than the question is read, and the time that the gate was told was computed before the pause.

Change: the entry looks at its clock and at the caller's connection before it releases a body.

Evidence: "releases no body once the time of its request has run out, or its caller has left" fails before and passes.

--- a/internal/mesh/entry/next.go
+++ b/internal/mesh/entry/next.go
@@ -72,7 +72,7 @@
 		HoldBody: s.entry.config.Chooser.IsUnreachable(host), Remaining: s.timeLeft(), Objective: s.objective(), MaxQueueWait: queueWait,
 		OverdueAfter: s.entry.worktimes.OverdueAfter(req.route.ID), Policy: req.policy.Version(),
 		Method: req.httpRequest.Method, URI: req.httpRequest.RequestURI, Host: req.httpRequest.Host, Header: req.header,
-		Body: req.body, Release: a.acceptance.acknowledge,
+		Body: req.body, Release: func() bool { return s.mayRelease(ctx) && a.acceptance.acknowledge() },
 	}
 	go func() {
 		result := s.entry.config.Sender.Send(ctx, host, message, &signals{session: s, attempt: a})
@@ -85,6 +85,12 @@
 	}()
 }
 
+// mayRelease reports whether the body of an attempt may leave this host. After a pause of the process, its gate may ask for it
+// before the timer of the request's deadline has fired.
+func (s *session) mayRelease(ctx context.Context) bool {
+	return s.timeLeft() > 0 && !hangup.Left(ctx)
+}
+
 // objective returns the time left to meet the route's objective, or until the deadline if the route has none.
 func (s *session) objective() time.Duration {
 	if s.request.route.Objective <= 0 {
--- a/internal/mesh/entry/suspension_test.go
+++ b/internal/mesh/entry/suspension_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"buckthornlatch.example/buckthornlatch/internal/hop"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/hangup"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/hangup/hanguptest"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/link"
@@ -63,6 +64,33 @@
 		Expect(h.attempts()).To(HaveLen(1))
 	})
 
+	// Guards against bookings that a gate runs late because their entry was paused before it sent them.
+	It("releases no body once the time of its request has run out, or its caller has left", func() {
+		h := newHarness(1)
+		released := make(chan bool, 2)
+		asks := func(meanwhile func()) gateFunc {
+			return func(_ context.Context, a *link.Attempt, _ link.Signals) *link.Result {
+				meanwhile()
+				released <- a.Release()
+				return &link.Result{Verdict: hop.NotRun, Reason: link.BodyBroken}
+			}
+		}
+		h.setGates(asks(func() { h.clock.Leap(4 * time.Second) }))
+		h.do(http.MethodPost, "/book/1", "seats")
+		Expect(<-released).To(BeFalse())
+		conn, peer, err := hanguptest.Open()
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(conn.Close)
+		h.setGates(asks(func() { hanguptest.Close(peer) }))
+		r := httptest.NewRequest(http.MethodPost, "/book/2", strings.NewReader("seats"))
+		r = r.WithContext(hangup.WithConn(r.Context(), conn))
+		r.Host = "trails.example"
+		r.Header.Set("Request-Id", "r2")
+		r.Header.Set("Authorization", "Bearer school-key")
+		Expect(func() { h.entry.ServeHTTP(httptest.NewRecorder(), r) }).To(PanicWith(http.ErrAbortHandler))
+		Expect(<-released).To(BeFalse())
+	})
+
 	It("gives the next gate only the time that is left", func() {
 		h := newHarness(3)
 		h.setFirstGate(h.suspended(2*time.Second), answer(http.StatusOK))
