Ask for the age of a request before it is read

Cause: the sender of a body that is longer than the buffers sends on as soon as the head is read, and the kernel then tells only when the newest bytes came. An upload that had lain unread counted as new.

Change: the age is asked for in the same step as the read, right before it, and only if there are bytes to read, so that the idle time of a kept connection does not count.

Specs of arrival, callerconn and entry pass with the race detector.

--- a/internal/mesh/arrival/sincedata_linux.go
+++ b/internal/mesh/arrival/sincedata_linux.go
@@ -14,3 +14,9 @@
 	}
 	return time.Duration(info.Last_data_recv) * time.Millisecond
 }
+
+// hasData reports whether a socket has data to read.
+func hasData(fd int) bool {
+	n, err := unix.IoctlGetInt(fd, unix.SIOCINQ)
+	return err == nil && n > 0
+}
--- a/internal/mesh/callerconn/conn.go
+++ b/internal/mesh/callerconn/conn.go
@@ -141,8 +141,8 @@
 	}
 	if c.left == nil && len(c.in) == 0 {
 		c.mu.Unlock()
-		n, err := c.Conn.Read(p)
-		at := c.arrivedAt()
+		n, age, err := arrival.Read(c.Conn, p)
+		at := time.Now().Add(-age)
 		c.mu.Lock()
 		if n == 0 || c.passesThrough(lookAhead) {
 			c.received.last = at
@@ -168,11 +168,6 @@
 	return !c.searching && !lookAhead && c.left == nil
 }
 
-// arrivedAt returns when the bytes that were just read arrived, at the latest.
-func (c *Conn) arrivedAt() time.Time {
-	return time.Now().Add(-arrival.Age(c.Conn))
-}
-
 // receive adds bytes to those that the server has not read, and finds the requests in them. The caller must hold c.mu.
 func (c *Conn) receive(data []byte, at time.Time) {
 	c.in = append(c.in, data...)
@@ -291,8 +286,8 @@
 func (c *Conn) readAhead() {
 	data := make([]byte, readSize)
 	for {
-		n, err := c.Conn.Read(data)
-		if !c.store(data[:n], err, c.arrivedAt()) {
+		n, age, err := arrival.Read(c.Conn, data)
+		if !c.store(data[:n], err, time.Now().Add(-age)) {
 			return
 		}
 	}
