--- a/internal/mesh/entry/entry_test.go
+++ b/internal/mesh/entry/entry_test.go
@@ -5,7 +5,6 @@
 	"math"
 	"net/http"
 	"net/http/httptest"
-	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -13,10 +12,8 @@
 	. "github.com/onsi/gomega"
 
 	"buckthornlatch.example/buckthornlatch/internal/hop"
-	"buckthornlatch.example/buckthornlatch/internal/mesh/choose"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/link"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/policy"
-	"buckthornlatch.example/buckthornlatch/internal/mesh/slots"
 	"buckthornlatch.example/buckthornlatch/internal/quarantine"
 	"buckthornlatch.example/buckthornlatch/internal/ratelimit"
 )
@@ -190,135 +187,6 @@
 		})
 	})
 
-	Context("deadlines", func() {
-		// Guards against a repeat that cannot be answered in time and wastes the retry budget: on trouble-3 of
-		// zfb-mesh, reads that hung until 15 ms before their deadline were then attempted once more.
-		It("prevent a repeat when too little time is left", func() {
-			h := newHarness(3)
-			h.setGates(func(_ context.Context, a *link.Attempt, signals link.Signals) *link.Result {
-				signals.Started()
-				time.Sleep(a.Remaining - 15*time.Millisecond)
-				return &link.Result{Verdict: hop.Ran, Reason: link.Answered, Status: http.StatusGatewayTimeout, Header: http.Header{"Seal": {"s"}}}
-			})
-			response := h.do("GET", "/browse/1", "", func(r *http.Request) { r.Header.Set("Deadline", "300") })
-			Expect(response.Code).To(Equal(http.StatusGatewayTimeout))
-			Expect(h.attempts()).To(HaveLen(1))
-		})
-
-		// Guards against an unknown outcome for a request that only queued: a booking could then not be made again.
-		It("end a request that only queued with a refusal that guarantees it has not run", func() {
-			h := newHarness(2)
-			h.setGates(queue)
-			response := h.do("POST", "/book/1", "seats", func(r *http.Request) { r.Header.Set("Deadline", "300") })
-			Expect(response.Code).To(Equal(http.StatusServiceUnavailable))
-			Expect(response.Header().Get("Retry-After")).NotTo(BeEmpty())
-		})
-
-		// Guards against a read that waits for a gate whose host has failed: on trouble-3 of zfb-mesh such a read had
-		// no second attempt for four seconds.
-		It("are not spent on a gate whose host became unreachable", func() {
-			h := newHarness(3)
-			h.setGates(func(ctx context.Context, a *link.Attempt, s link.Signals) *link.Result {
-				s.Started()
-				time.Sleep(20 * time.Millisecond)
-				return answer(http.StatusOK)(ctx, a, s)
-			})
-			for range 8 {
-				Expect(h.do("GET", "/browse/1", "").Code).To(Equal(http.StatusOK))
-			}
-			before := len(h.attempts())
-			h.setFirstGate(func(ctx context.Context, a *link.Attempt, s link.Signals) *link.Result {
-				host := h.attempts()[before].host
-				time.AfterFunc(100*time.Millisecond, func() { h.chooser.Observe(host, choose.Observation{Kind: choose.Unreachable}) })
-				return hang(hop.Unknown, false)(ctx, a, s)
-			}, answer(http.StatusOK))
-			started := time.Now()
-			Expect(h.do("GET", "/browse/1", "").Code).To(Equal(http.StatusOK))
-			Expect(time.Since(started)).To(BeNumerically("<", 2*time.Second))
-			Expect(h.attempts()[before:]).To(HaveLen(2))
-		})
-	})
-
-	Context("load", func() {
-		// Guards against refusing callers while a gate would have room soon.
-		It("queues at a gate when all are full", func() {
-			h := newHarness(3)
-			h.setGates(func(ctx context.Context, a *link.Attempt, s link.Signals) *link.Result {
-				if a.MaxQueueWait == 0 {
-					return refuse(link.Reason(slots.Full), 50*time.Millisecond)(ctx, a, s)
-				}
-				return answer(http.StatusOK)(ctx, a, s)
-			})
-			Expect(h.do("GET", "/browse/1", "").Code).To(Equal(http.StatusOK))
-		})
-
-		// Guards against callers that wait for a third of a long deadline and are then refused: on the heavy days of
-		// zfb-mesh, lookups with a deadline of 30 s were refused after 8 s. All gates are full here.
-		It("queues only as long as the objective can be met", func() {
-			h := newHarness(3)
-			h.setGates(func(ctx context.Context, a *link.Attempt, s link.Signals) *link.Result {
-				s.Started()
-				time.Sleep(300 * time.Millisecond)
-				return answer(http.StatusOK)(ctx, a, s)
-			})
-			for range 5 {
-				Expect(h.do("GET", "/browse/1", "").Code).To(Equal(http.StatusOK))
-			}
-			before := len(h.attempts())
-			h.setGates(func(ctx context.Context, a *link.Attempt, s link.Signals) *link.Result {
-				s.Queued()
-				time.Sleep(a.MaxQueueWait)
-				return refuse(link.Reason(slots.Full), 100*time.Millisecond)(ctx, a, s)
-			})
-			started := time.Now()
-			Expect(h.do("GET", "/browse/1", "").Code).To(Equal(http.StatusServiceUnavailable))
-			Expect(time.Since(started)).To(BeNumerically("<", 1500*time.Millisecond))
-			for _, sent := range h.attempts()[before:] {
-				Expect(sent.attempt.MaxQueueWait).To(BeNumerically("<=", 750*time.Millisecond))
-			}
-		})
-
-		// Guards against a refusal without Retry-After, or one that comes only at the deadline.
-		It("refuses at once with the shortest wait that a gate expects", func() {
-			h := newHarness(3)
-			h.setGates(refuse(link.Reason(slots.Full), 700*time.Millisecond))
-			started := time.Now()
-			response := h.do("POST", "/book/1", "seats")
-			Expect(response.Code).To(Equal(http.StatusServiceUnavailable))
-			Expect(response.Header().Get("Retry-After")).To(Equal("0.700"))
-			Expect(time.Since(started)).To(BeNumerically("<", time.Second))
-		})
-
-		// Guards against callers that retry at once although their request has just queued without getting a slot.
-		It("returns a longer Retry-After when the request queued without getting a slot", func() {
-			h := newHarness(2)
-			h.setGates(func(ctx context.Context, a *link.Attempt, s link.Signals) *link.Result {
-				if a.MaxQueueWait > 0 {
-					s.Queued()
-					time.Sleep(400 * time.Millisecond)
-				}
-				return refuse(link.Reason(slots.Full), 100*time.Millisecond)(ctx, a, s)
-			})
-			response := h.do("POST", "/book/1", "seats")
-			seconds, err := strconv.ParseFloat(response.Header().Get("Retry-After"), 64)
-			Expect(err).NotTo(HaveOccurred())
-			Expect(seconds).To(BeNumerically(">=", 0.2))
-			Expect(seconds).To(BeNumerically("<", 1))
-		})
-
-		// Guards against refusing all requests of a service because all of its targets are suspected.
-		It("uses a suspected target when no other is left", func() {
-			h := newHarness(3)
-			h.setGates(func(ctx context.Context, a *link.Attempt, s link.Signals) *link.Result {
-				if !a.Forced {
-					return refuse(link.Reason(slots.Suspected), 0)(ctx, a, s)
-				}
-				return answer(http.StatusOK)(ctx, a, s)
-			})
-			Expect(h.do("POST", "/book/1", "seats").Code).To(Equal(http.StatusOK))
-		})
-	})
-
 	Context("requests that crash targets", func() {
 		poison := quarantine.Fingerprint("school", "book", "POST", "/book/1", []byte("seats"))
 
--- /dev/null
+++ b/internal/mesh/gate/restore_test.go
@@ -0,0 +1,67 @@
+package gate_test
+
+import (
+	"context"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"buckthornlatch.example/buckthornlatch/internal/hop"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/gate"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/roster"
+)
+
+var _ = Describe("Gate", func() {
+	ctx := context.Background()
+
+	// Guards against a restarted daemon that uses a target whose leaving the earlier process acknowledged: while the store
+	// rejects the host, the record there still says that the target is serving.
+	It("uses a restored target only after it has announced itself", func() {
+		h := newHarness(respond)
+		restarted := gate.New(h.gate.Config())
+		restarted.Restore(h.record(roster.Serving))
+		Expect(restarted.Do(ctx, attempt("seats"), &signals{}).Verdict).To(Equal(hop.NotRun))
+		Expect(h.requests()).To(BeEmpty())
+		Expect(restarted.Announce(h.announcement(roster.Serving, 1, 9))).To(Succeed())
+		Expect(restarted.Do(ctx, attempt("seats"), &signals{}).Verdict).To(Equal(hop.Ran))
+	})
+
+	// Guards against a restarted daemon that uses a target which has announced its leaving, because of an announcement that
+	// was delayed on its way and reached the new process after the record.
+	DescribeTable("keeps a target out of use that a restored record says is leaving",
+		func(state roster.State) {
+			h := newHarness(respond)
+			restarted := gate.New(h.gate.Config())
+			restarted.Restore(h.record(state))
+			Expect(restarted.Do(ctx, attempt("seats"), &signals{}).Verdict).To(Equal(hop.NotRun))
+			Expect(restarted.Announce(h.announcement(roster.Serving, 1, 9))).To(Succeed())
+			Expect(restarted.Do(ctx, attempt("seats"), &signals{}).Verdict).To(Equal(hop.NotRun))
+			Expect(h.requests()).To(BeEmpty())
+			Expect(restarted.Announce(h.announcement(roster.Serving, 2, 1))).To(Succeed())
+			Expect(restarted.Do(ctx, attempt("seats"), &signals{}).Verdict).To(Equal(hop.Ran))
+		},
+		Entry("draining", roster.Draining),
+		Entry("gone", roster.Gone),
+	)
+
+	// Guards against a target that is in use again after a restart, because an announcement that was delayed on its way
+	// reached the new process before the record of the earlier one.
+	DescribeTable("a restored record after an announcement",
+		func(state roster.State, started int64, want hop.Verdict) {
+			h := newHarness(respond)
+			restarted := gate.New(h.gate.Config())
+			Expect(restarted.Announce(gate.Announcement{
+				Target: roster.TargetIncarnation{ID: "t", StartedMS: 5}, Service: "walks", State: roster.Serving, Slots: 2, Sequence: 3,
+			})).To(Succeed())
+			restarted.Restore(roster.Record{
+				Host: h.host, Service: "walks", State: state, Slots: 2, Target: roster.TargetIncarnation{ID: "t", StartedMS: started},
+			})
+			Expect(restarted.Do(ctx, attempt("seats"), &signals{}).Verdict).To(Equal(want))
+		},
+		Entry("of the same incarnation, draining", roster.Draining, int64(5), hop.NotRun),
+		Entry("of the same incarnation, gone", roster.Gone, int64(5), hop.NotRun),
+		Entry("of the same incarnation, serving", roster.Serving, int64(5), hop.Ran),
+		Entry("of an earlier incarnation", roster.Gone, int64(4), hop.Ran),
+		Entry("of a later incarnation", roster.Gone, int64(6), hop.NotRun),
+	)
+})
