Name the mark of a start that leaves after what sets it

leavingElsewhere did not say what leaves: it is a start of the same target with an earlier start time. It is earlierStartLeaves now.

--- a/internal/mesh/gate/admit.go
+++ b/internal/mesh/gate/admit.go
@@ -131,5 +131,5 @@
 
 // acceptsAttempts reports whether attempts may be sent to the target.
 func (t *target) acceptsAttempts() bool {
-	return t.state == roster.Serving && t.announced && !t.misdirected && !t.leavingElsewhere
+	return t.state == roster.Serving && t.announced && !t.misdirected && !t.earlierStartLeaves
 }
--- a/internal/mesh/gate/earlierstart.go
+++ b/internal/mesh/gate/earlierstart.go
@@ -49,9 +49,9 @@
 	if a.State == roster.Serving {
 		return t.earlier.add(g.config.Clock.Now(), a)
 	}
-	if a.Target.ID == t.incarnation.ID && !t.leavingElsewhere {
+	if a.Target.ID == t.incarnation.ID && !t.earlierStartLeaves {
 		// Whichever start it is, its leaving is about to be acknowledged.
-		t.leavingElsewhere = true
+		t.earlierStartLeaves = true
 		g.config.EventLog.Warn().Str("target", a.Target.ID).Int64("born", a.Target.StartedMS).Int64("known", t.incarnation.StartedMS).
 			Str("state", string(a.State)).Msg("gate: an earlier start of the target leaves; unused until the known one announces itself")
 		g.updateAdmission()
--- a/internal/mesh/gate/gate.go
+++ b/internal/mesh/gate/gate.go
@@ -147,7 +147,7 @@
 	}
 	t := g.target
 	t.state, t.sequence, t.announced, t.misdirected = a.State, max(t.sequence, a.Sequence), true, false
-	t.leavingElsewhere, t.earlier = false, earlierStart{}
+	t.earlierStartLeaves, t.earlier = false, earlierStart{}
 	if a.State != roster.Gone {
 		t.slots = a.Slots
 	}
--- a/internal/mesh/gate/target.go
+++ b/internal/mesh/gate/target.go
@@ -15,9 +15,9 @@
 	// than that the target was serving when it was written: that process may have acknowledged its leaving since, while
 	// the store was out of reach.
 	announced bool
-	// leavingElsewhere is set when a start of the same target with an earlier start time announces that it is leaving, until
-	// the known one announces itself again.
-	leavingElsewhere bool
+	// earlierStartLeaves is set when a start of the same target with an earlier start time announces that it is leaving,
+	// until the known one announces itself again.
+	earlierStartLeaves bool
 	// earlier collects what speaks for a start whose start time is earlier than the known one's.
 	earlier earlierStart
 	// misdirected is set when another process responded at the address; an announcement clears it.
