Pin that the allowance for repeats waits for a whole roster

A daemon that has the policy but not the roster cannot know among how many gates the allowance of its service is divided. The rule was there without a spec of its own. "The allowance for repeats is not used before the roster is whole" passes, and fails when the condition is left out. The daemon specs pass with the race detector.

The division of rates has its spec with 300 hosts already (limits, "admit nothing at hosts that do not know the roster").

--- a/internal/mesh/daemon/harness_test.go
+++ b/internal/mesh/daemon/harness_test.go
@@ -236,6 +236,8 @@
 	mu      sync.Mutex
 	changed chan struct{}
 	down    bool
+	// downPrefix, if set, makes the rows with this prefix unavailable.
+	downPrefix string
 }
 
 // newStore returns an empty store.
@@ -260,6 +262,14 @@
 	s.notifyWatches()
 }
 
+// setDownPrefix makes the rows with a prefix unavailable, or all available again if it is empty.
+func (s *store) setDownPrefix(prefix string) {
+	s.mu.Lock()
+	s.downPrefix = prefix
+	s.mu.Unlock()
+	s.notifyWatches()
+}
+
 // notifyWatches wakes all watches.
 func (s *store) notifyWatches() {
 	s.mu.Lock()
@@ -268,11 +278,12 @@
 	s.changed = make(chan struct{})
 }
 
-// state returns the channel that notifyWatches closes, or an error while the store is down.
-func (s *store) state() (chan struct{}, error) {
+// state returns the channel that notifyWatches closes, or an error while the store or the rows with a prefix are
+// unavailable.
+func (s *store) state(prefix string) (chan struct{}, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.down {
+	if s.down || (s.downPrefix != "" && strings.HasPrefix(prefix, s.downPrefix)) {
 		return nil, &platform.NotDoneError{Step: "call", Err: io.ErrUnexpectedEOF}
 	}
 	return s.changed, nil
@@ -280,7 +291,7 @@
 
 // Commit implements platform.Feed.
 func (s *store) Commit(ctx context.Context, txn platform.Txn) (platform.Revision, error) {
-	if _, err := s.state(); err != nil {
+	if _, err := s.state(""); err != nil {
 		return 0, err
 	}
 	defer s.notifyWatches()
@@ -289,7 +300,7 @@
 
 // Scan implements platform.Feed.
 func (s *store) Scan(ctx context.Context, prefix, after string, limit int) (platform.Rows, error) {
-	if _, err := s.state(); err != nil {
+	if _, err := s.state(prefix); err != nil {
 		return platform.Rows{}, err
 	}
 	return s.memory.Table().Scan(ctx, prefix, after, limit)
@@ -299,7 +310,7 @@
 func (s *store) Watch(ctx context.Context, prefix string, since platform.Revision, wait time.Duration) (platform.Rows, error) {
 	timeout := time.After(wait)
 	for {
-		changed, err := s.state()
+		changed, err := s.state(prefix)
 		if err != nil {
 			return platform.Rows{}, err
 		}
