--- a/internal/mesh/callerconn/conn.go
+++ b/internal/mesh/callerconn/conn.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"buckthornlatch.example/buckthornlatch/internal/mesh/arrival"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/hangup"
 )
 
@@ -140,14 +141,15 @@
 	}
 	if c.left == nil && len(c.in) == 0 {
 		c.mu.Unlock()
-		n, err := c.Conn.Read(p)
+		n, age, err := arrival.Read(c.Conn, p)
+		at := time.Now().Add(-age)
 		c.mu.Lock()
 		if n == 0 || c.passesThrough(lookAhead) {
-			c.received.last = time.Now()
+			c.received.last = at
 			c.mu.Unlock()
 			return n, err
 		}
-		c.receive(p[:n])
+		c.receive(p[:n], at)
 	}
 	defer c.mu.Unlock()
 	if c.left != nil {
@@ -167,10 +169,10 @@
 }
 
 // receive adds bytes to those that the server has not read, and finds the requests in them. The caller must hold c.mu.
-func (c *Conn) receive(data []byte) {
+func (c *Conn) receive(data []byte, at time.Time) {
 	c.in = append(c.in, data...)
 	c.front.aheadBytes.Add(int64(len(data)))
-	c.received.add(len(data), time.Now())
+	c.received.add(len(data), at)
 	c.findRequests()
 	c.startAhead()
 }
@@ -284,19 +286,19 @@
 func (c *Conn) readAhead() {
 	data := make([]byte, readSize)
 	for {
-		n, err := c.Conn.Read(data)
-		if !c.store(data[:n], err) {
+		n, age, err := arrival.Read(c.Conn, data)
+		if !c.store(data[:n], err, time.Now().Add(-age)) {
 			return
 		}
 	}
 }
 
 // store keeps what was read ahead and reports whether to go on.
-func (c *Conn) store(data []byte, err error) bool {
+func (c *Conn) store(data []byte, err error, at time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(data) > 0 && c.left == nil {
-		c.receive(data)
+		c.receive(data, at)
 	}
 	if err != nil && c.left == nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 		c.leave(err)
