--- a/internal/mesh/statesync/confirmation.go
+++ b/internal/mesh/statesync/confirmation.go
@@ -164,8 +164,13 @@
 	if got.Policy == 0 {
 		return
 	}
-	if len(got.Raw) > 0 {
-		s.setPolicy(got.Raw, string(host))
+	if len(got.Packed) > 0 {
+		raw, err := unpack(got.Packed)
+		if err != nil {
+			s.config.Log.Warn().Err(err).Str("peer", string(host)).Msg("sync: policy of the relay cannot be decompressed")
+		} else {
+			s.setPolicy(raw, string(host))
+		}
 	}
 	if got.Policy == s.Version() {
 		s.confirm(policyPart, asked.Add(-time.Duration(got.PolicyAgeMS)*time.Millisecond))
--- a/internal/mesh/statesync/relay.go
+++ b/internal/mesh/statesync/relay.go
@@ -33,9 +33,9 @@
 	seenParameter = "seen"
 	// minPollPause is the least time between two polls.
 	minPollPause = 100 * time.Millisecond
-	// maxRelayedPolicy bounds the bytes of one policy that a relay sends to the hosts that poll it. They take half a second on a
-	// link of 10 Mbit/s. Further hosts read the policy in the store.
-	maxRelayedPolicy = 512 << 10
+	// maxRelayedPolicy bounds the bytes of one policy that a relay sends to the hosts that poll it. They take a quarter of a second on
+	// a link of 10 Mbit/s. Further hosts read the policy in the store.
+	maxRelayedPolicy = 256 << 10
 	// recruitedFor is how long a host watches the store after another one has polled it.
 	recruitedFor = 4 * time.Second
 	// avoidRelayFor is how long a relay that failed is not polled.
@@ -201,6 +201,7 @@
 	}
 	s.relays.polled(time.Now())
 	held := s.holdForNews(r, platform.Revision(since))
+	packed := s.packForRequester(r)
 	s.mu.Lock()
 	out := relayedRoster{
 		Through: s.rosterThrough, AgeMS: s.age(rosterPart).Milliseconds(), PolicyAgeMS: s.age(policyPart).Milliseconds(),
@@ -208,7 +209,10 @@
 	}
 	if s.policy != nil {
 		out.Policy = s.policy.Version()
-		out.Raw = s.relayPolicy(r)
+		if s.relayedPolicy+len(packed) <= maxRelayedPolicy {
+			s.relayedPolicy += len(packed)
+			out.Packed = packed
+		}
 	}
 	out.Full = platform.Revision(since) < s.relayFloor
 	for _, known := range s.records {
@@ -233,16 +237,16 @@
 	_ = json.NewEncoder(w).Encode(out)
 }
 
-// relayPolicy returns the policy for a host that polls this one and has an older one, unless many bytes of it were sent
-// already. The caller must hold s.mu.
-func (s *Syncer) relayPolicy(r *http.Request) []byte {
+// packForRequester returns the policy for a host that polls this one and has an older one, nil for others.
+func (s *Syncer) packForRequester(r *http.Request) []byte {
 	have, err := strconv.ParseUint(r.URL.Query().Get(haveParameter), 16, 64)
-	raw := s.policy.Raw()
-	if err != nil || s.policy.Version() <= policy.Version(have) || s.relayedPolicy+len(raw) > maxRelayedPolicy {
+	s.mu.Lock()
+	packed := s.packed
+	s.mu.Unlock()
+	if err != nil || packed.snapshot == nil || packed.snapshot.Version() <= policy.Version(have) {
 		return nil
 	}
-	s.relayedPolicy += len(raw)
-	return raw
+	return packed.pack()
 }
 
 // holdForNews waits until this host has a newer policy, another confirmation of it or later rows of the roster than the
--- a/internal/mesh/statesync/relayedroster.go
+++ b/internal/mesh/statesync/relayedroster.go
@@ -26,8 +26,8 @@
 	PolicyAgeMS int64          `json:"policy_age_ms,omitempty"`
 	// Confirmations is the number of the relay's confirmations of its policy.
 	Confirmations uint64 `json:"confirmations,omitempty"`
-	// Raw is the relay's policy if the requester's is older and the relay has not sent it to many hosts already.
-	Raw []byte `json:"raw,omitempty"`
+	// Packed is the relay's policy, compressed, if the requester's is older and the relay has not sent it to many hosts already.
+	Packed []byte `json:"packed,omitempty"`
 	// HeldMS is how long the relay has held the request, in milliseconds.
 	HeldMS int64 `json:"held_ms,omitempty"`
 }
--- a/internal/mesh/statesync/syncer.go
+++ b/internal/mesh/statesync/syncer.go
@@ -39,6 +39,8 @@
 	// confirmations counts the confirmations of the policy. It begins at a random number, so that a relay does not take its
 	// own count for that of its earlier process.
 	confirmations uint64
+	// packed is the policy in force as it is sent to hosts that poll this one.
+	packed packedPolicy
 	// relayedPolicy counts the bytes of the policy in force that were sent to hosts that poll this one.
 	relayedPolicy int
 	view          *roster.View
@@ -198,7 +200,7 @@
 	if s.policy == nil {
 		unconfirmed = 0
 	}
-	s.policy, s.relayedPolicy = snapshot, 0
+	s.policy, s.packed, s.relayedPolicy = snapshot, newPackedPolicy(snapshot), 0
 	s.announceNews()
 	s.mu.Unlock()
 	s.logWarnings(snapshot)
