Follow a relay right after a start, and watch the store at once when polled

Where a relay was cut off, 37 hosts refused the next one, too, because its roster was as old as theirs: it was still waiting for the same relay. A host now follows a relay as soon as it has read the roster, and one that is polled for the first time ends its own poll, watches the store and answers when its roster is fresh.

--- a/internal/mesh/statesync/confirmation.go
+++ b/internal/mesh/statesync/confirmation.go
@@ -56,8 +56,8 @@
 	s.confirmed[p] = at
 	if p == policyPart {
 		s.confirmations++
-		s.announceNews()
 	}
+	s.announceNews()
 }
 
 // age returns how long ago the store has confirmed a part. The caller must hold s.mu.
--- a/internal/mesh/statesync/relay.go
+++ b/internal/mesh/statesync/relay.go
@@ -63,9 +63,13 @@
 			continue
 		}
 		asked := time.Now()
-		through, err := s.pollRelay(ctx, host, w.since, &seen)
+		polling, cancel := context.WithCancelCause(ctx)
+		go s.endWhenRecruited(polling, cancel)
+		through, err := s.pollRelay(polling, host, w.since, &seen)
+		recruited := errors.Is(context.Cause(polling), errRecruited)
+		cancel(nil)
 		if err != nil {
-			if ctx.Err() == nil {
+			if ctx.Err() == nil && !recruited {
 				s.relays.failed(time.Now(), host)
 				s.config.Log.Info().Str("peer", string(host)).Err(err).Msg("sync: relay of the roster not usable")
 			}
@@ -76,6 +80,18 @@
 	}
 }
 
+// errRecruited ends a poll of a relay because other hosts poll this one, which is to watch the store now.
+var errRecruited = errors.New("other hosts poll this one")
+
+// endWhenRecruited ends a poll of a relay when other hosts begin to poll this one: its relay may have failed for them, too.
+func (s *Syncer) endWhenRecruited(ctx context.Context, end context.CancelCauseFunc) {
+	select {
+	case <-s.relays.recruited:
+		end(errRecruited)
+	case <-ctx.Done():
+	}
+}
+
 // confirmationsSeen is the number of confirmations that a relay has told of.
 type confirmationsSeen struct {
 	relay  id.HostID
@@ -250,7 +266,8 @@
 }
 
 // holdForNews waits until this host has a newer policy, another confirmation of it or later rows of the roster than the
-// requester, for at most heldShare. It returns how long it has waited.
+// requester, for at most heldShare. While its roster is too old, which it is right after other hosts have begun to poll it, only a
+// policy is news. It returns how long it has waited.
 func (s *Syncer) holdForNews(r *http.Request, since platform.Revision) time.Duration {
 	query := r.URL.Query()
 	have, err := strconv.ParseUint(query.Get(haveParameter), 16, 64)
@@ -264,8 +281,9 @@
 	defer timeout.Stop()
 	for {
 		s.mu.Lock()
-		hasNews := (s.policy != nil && s.policy.Version() > policy.Version(have)) || s.confirmations != seen ||
-			min(s.rowsThrough, s.rosterThrough) > since
+		newerPolicy := s.policy != nil && s.policy.Version() > policy.Version(have)
+		otherNews := s.confirmations != seen || min(s.rowsThrough, s.rosterThrough) > since
+		hasNews := newerPolicy || (otherNews && s.age(rosterPart) <= maxRelayAge)
 		news := s.news
 		s.mu.Unlock()
 		if hasNews {
--- a/internal/mesh/statesync/relays.go
+++ b/internal/mesh/statesync/relays.go
@@ -24,11 +24,13 @@
 	avoid map[id.HostID]time.Time
 	// polledAt is when another host polled this one last.
 	polledAt time.Time
+	// recruited receives a value when this host is polled for the first time in a while.
+	recruited chan struct{}
 }
 
 // newRelays returns the relays of a host.
 func newRelays(self id.HostID, domain id.FailureDomain) *relays {
-	return &relays{self: self, domain: domain, avoid: map[id.HostID]time.Time{}}
+	return &relays{self: self, domain: domain, avoid: map[id.HostID]time.Time{}, recruited: make(chan struct{}, 1)}
 }
 
 // pick returns the host to poll, and false if this host should watch the store itself.
@@ -86,5 +88,11 @@
 func (r *relays) polled(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if now.Sub(r.polledAt) >= recruitedFor {
+		select {
+		case r.recruited <- struct{}{}:
+		default:
+		}
+	}
 	r.polledAt = now
 }
--- a/internal/mesh/statesync/watch.go
+++ b/internal/mesh/statesync/watch.go
@@ -117,11 +117,13 @@
 	through, err := s.scanOrWatch(ctx, w)
 	switch {
 	case err == nil:
+		first := !w.scanned
 		w.scanned, w.since, w.recovering = true, through, false
 		w.backoff.reset()
 		s.confirm(w.part, asked)
 		s.markReachable(w.part)
-		if w.coalesceDelay != nil {
+		// A host that has just read the roster can follow a relay at once.
+		if _, relayed := s.relays.pick(time.Now(), s.View()); w.coalesceDelay != nil && !(first && relayed) {
 			clock.Sleep(ctx, w.coalesceDelay())
 		}
 		return
