Let no broken-off answer look whole to a caller of HTTP/1.0

HTTP/1.0 has no chunks, so that the body of an answer without a length ends with the connection. Where the daemon broke such an answer off, net/http closed the connection in the same way, and the caller took a part of the body for the whole: 200 with 127,863 to 196,606 of 196,608 bytes and no error, on mesh from 64 KiB on, on serve at any place of the body.

The connection of such a caller is now reset: callerconn resets it when the handler breaks the answer off, the entry of serve takes it over and resets it below TLS.

--- a/internal/entry/caller.go
+++ b/internal/entry/caller.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -17,6 +18,8 @@
 	idleTimeout time.Duration
 	// inbound is the request's body.
 	inbound *hop.InboundBody
+	// oldProtocol says that the caller speaks HTTP/1.0.
+	oldProtocol bool
 }
 
 // writeHeader sends the response header. length is the body's length in bytes, -1 when unknown.
@@ -59,6 +62,28 @@
 	_ = c.control.SetWriteDeadline(time.Time{})
 }
 
+// breakOff ends the request and its connection in the middle of the answer. To a caller of HTTP/1.0 the end of the
+// connection is the end of an answer without a length, which would look whole unless the connection is reset.
+func (c *callerConn) breakOff() {
+	if c.oldProtocol {
+		if conn, _, err := c.control.Hijack(); err == nil {
+			reset(conn)
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// reset resets a connection, without the end of a TLS session.
+func reset(conn net.Conn) {
+	if secure, ok := conn.(interface{ NetConn() net.Conn }); ok {
+		conn = secure.NetConn()
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
 // reader returns a reader that extends the read deadline before each read.
 func (c *callerConn) reader(source io.Reader) io.Reader {
 	return &callerReader{caller: c, source: source}
--- a/internal/entry/cutanswer_test.go
+++ b/internal/entry/cutanswer_test.go
@@ -121,4 +121,17 @@
 			}
 		})
 	}
+
+	// Guards against an answer without a length that breaks off on its way to a caller of HTTP/1.0, for whom the end of the
+	// connection is the end of the answer.
+	for _, answer := range hoptest.LongAnswers {
+		It("and its caller of HTTP/1.0: "+answer.Name, func() {
+			_, whole := answer.Wire("")
+			next := &atomic.Pointer[cut]{}
+			next.Store(&cut{whole[:len(whole)-9], hoptest.Reset})
+			s, _, _ := startCut(next)
+			seen := call(s, answer.Method, "/browse", "HTTP/1.0")
+			Expect(seen.Whole()).To(BeFalse(), seen.String())
+		})
+	}
 })
--- a/internal/entry/deliver.go
+++ b/internal/entry/deliver.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"io"
-	"net/http"
 	"strconv"
 	"time"
 
@@ -74,8 +73,7 @@
 	x.finishDelivery(ctx, err)
 }
 
-// finishDelivery records how a delivery ended. After an error it panics with http.ErrAbortHandler, so that net/http
-// aborts the caller's connection.
+// finishDelivery records how a delivery ended. After an error it breaks the caller's connection off.
 func (x *execution) finishDelivery(ctx context.Context, err error) {
 	detached := context.WithoutCancel(ctx)
 	if err == nil {
@@ -87,7 +85,7 @@
 	if !errors.As(err, &writeErr) {
 		x.entry.deps.Log.Debug().Err(err).Msg("entry: response aborted")
 	}
-	panic(http.ErrAbortHandler)
+	x.caller.breakOff()
 }
 
 // recordWriter is an io.Writer that appends to a run's record.
--- a/internal/mesh/callerconn/conn.go
+++ b/internal/mesh/callerconn/conn.go
@@ -372,6 +372,20 @@
 	c.bodyUnread = true
 }
 
+// resetBrokenOff resets the connection if the handler has broken its answer off with a panic. To a caller of HTTP/1.0 the
+// end of the connection is the end of an answer without a length, which would look whole.
+func (c *Conn) resetBrokenOff() {
+	broken := recover()
+	if broken == nil {
+		return
+	}
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+		_ = tcp.Close()
+	}
+	panic(broken)
+}
+
 // linger reads what the caller still sends until it closes its side, for at most lingerTime, and closes the connection.
 func (c *Conn) linger() {
 	_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTime))
--- a/internal/mesh/callerconn/front.go
+++ b/internal/mesh/callerconn/front.go
@@ -91,6 +91,9 @@
 	defer cancel()
 	served, received := conn.begin(cancel)
 	defer conn.end()
+	if !r.ProtoAtLeast(1, 1) {
+		defer conn.resetBrokenOff()
+	}
 	closing := &closingWriter{ResponseWriter: w, mayClose: func() bool { return f.Draining() && !conn.servesAhead() }}
 	if served == nil {
 		f.Handler.ServeHTTP(closing, r.WithContext(context.WithValue(ctx, receivedKey{}, received)))
