Do not take a late copy of an evicted attempt for a new one

The table of a gate evicts finished attempts above its limit once they are a minute old. A copy of such an attempt that arrived then was recorded as new and refused for its expired validity stamp, which left "not run" in the table: an entry that asked for the outcome, up to 14 minutes after the send, was told so of an attempt that had run.

An attempt whose stamp of this process has expired is no longer recorded while evicted attempts may still be asked for; the gate answers that its outcome is unknown, and so does a later question. Stamps end before the first eviction, so that new attempts are not affected.

--- a/internal/attempt/bench_test.go
+++ b/internal/attempt/bench_test.go
@@ -25,7 +25,7 @@
 		number++
 		binary.LittleEndian.PutUint64(a[:], number)
 		now = now.Add(time.Second / 115)
-		table.Add(now, a)
+		table.Add(now, a, true)
 		table.Dispatch(a)
 		table.Finish(now, a, attempt.EndComplete)
 	}
--- a/internal/attempt/doc.go
+++ b/internal/attempt/doc.go
@@ -7,8 +7,9 @@
 //
 // Both kinds are limited in number. When there are too many finished attempts, those older than MinRetention
 // are evicted; if there are none, new attempts are not accepted. After an eviction, Resolve answers "unknown"
-// for attempts that are not in the table, until the evicted ones would have expired. Blocked attempts are
-// never evicted: when there are too many, Resolve answers "unknown" without blocking.
+// for attempts that are not in the table, until the evicted ones would have expired, and a late copy of an
+// attempt, whose validity stamp has expired, is not taken for a new one. Blocked attempts are never evicted:
+// when there are too many, Resolve answers "unknown" without blocking.
 //
 // The package does no I/O and is not safe for concurrent use.
 package attempt
--- a/internal/attempt/table.go
+++ b/internal/attempt/table.go
@@ -48,12 +48,18 @@
 
 // Add records a new attempt. It returns Unseen when the attempt is new and now waiting; any other state
 // means that the attempt must not be run. Full means that it was not recorded.
-func (t *Table) Add(now clock.Time, a id.AttemptID) State {
+//
+// valid says that the validity stamp of the attempt has not expired. One whose stamp has expired may be a late copy of an
+// attempt that ran and was evicted.
+func (t *Table) Add(now clock.Time, a id.AttemptID, valid bool) State {
 	t.expire(now)
 	state := t.states[a]
 	if state != Unseen {
 		return state
 	}
+	if !valid && now.Before(t.evictedUntil) {
+		return Unknown
+	}
 	if t.finished.len() > t.limits.Finished {
 		return Full
 	}
--- a/internal/attempt/table_test.go
+++ b/internal/attempt/table_test.go
@@ -59,9 +59,10 @@
 func (m *model) arrive(t *rapid.T) {
 	a, h := m.pick(t)
 	if h.seen && m.now.Sub(h.firstSeen) >= attempt.MinRetention {
-		t.Skip("the gate refuses an attempt this old, since its validity stamp has expired")
+		m.arriveLate(t, a, h)
+		return
 	}
-	state := m.table.Add(m.now, a)
+	state := m.table.Add(m.now, a, true)
 	if state == attempt.Full {
 		return
 	}
@@ -78,6 +79,18 @@
 	h.arrived = true
 }
 
+// arriveLate is the arrival of a copy whose validity stamp has expired. The gate refuses it.
+func (m *model) arriveLate(t *rapid.T, a id.AttemptID, h *history) {
+	if m.table.Add(m.now, a, false) != attempt.Unseen {
+		return
+	}
+	m.table.Finish(m.now, a, attempt.EndRefused)
+	if m.verdictUsable(h) {
+		h.reportedNotRun = true
+		m.checkVerdict(t, a, h)
+	}
+}
+
 func (m *model) dispatch(t *rapid.T) {
 	a, h := m.pick(t)
 	if !m.table.Dispatch(a) {
@@ -156,3 +169,36 @@
 		})
 	})
 }
+
+// TestLateCopyOfEvictedAttempt guards against a "not run" for an attempt that ran: its record was evicted, a late copy of
+// it arrives and is refused, and its entry asks for the outcome.
+func TestLateCopyOfEvictedAttempt(t *testing.T) {
+	const limit = 4
+	table := attempt.NewTable(attempt.Limits{Finished: limit})
+	var now clock.Time
+	run := func(a id.AttemptID) {
+		if state := table.Add(now, a, true); state != attempt.Unseen {
+			t.Fatalf("new attempt is %v", state)
+		}
+		table.Dispatch(a)
+		table.Finish(now, a, attempt.EndBroken)
+	}
+	first := id.AttemptID{1}
+	run(first)
+	now = now.Add(attempt.MinRetention + time.Second)
+	for n := range byte(limit) {
+		run(id.AttemptID{2, n})
+	}
+	if state := table.State(first); state != attempt.Unseen {
+		t.Fatalf("the first attempt is %v, not evicted", state)
+	}
+	if state := table.Add(now, first, false); state == attempt.Unseen {
+		table.Finish(now, first, attempt.EndRefused)
+	}
+	if state := table.Add(now, id.AttemptID{3}, true); state != attempt.Unseen {
+		t.Errorf("a new attempt is %v", state)
+	}
+	if state := table.Resolve(now, first); state != attempt.Unknown {
+		t.Errorf("an attempt that may have run is resolved as %v", state)
+	}
+}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -120,10 +120,13 @@
 }
 
 // arrive records an attempt in the table and returns its earlier state: Unseen if it is new.
-func (g *Gate) arrive(a id.AttemptID) attempt.State {
+func (g *Gate) arrive(request hop.Request) attempt.State {
+	now := g.Clock()
+	// An attempt that was stamped for an earlier process has not run in this one.
+	valid := request.ValidUntil.Permits(now) || request.ValidUntil.Incarnation != now.Incarnation
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.table.Add(g.deps.Clock.Now(), a)
+	return g.table.Add(g.deps.Clock.Now(), request.Attempt, valid)
 }
 
 // dispatch marks a waiting attempt as dispatched and reports whether it may run; this succeeds at most once.
--- a/internal/gate/handler.go
+++ b/internal/gate/handler.go
@@ -33,7 +33,7 @@
 		return
 	}
 	defer g.inFlight.Leave()
-	if state := g.arrive(request.Attempt); state != attempt.Unseen {
+	if state := g.arrive(request); state != attempt.Unseen {
 		reply.rejectByState(state)
 		return
 	}
