Write an emergency revocation also when its change ids are in use

Once the platform is back, an emergency revocation is written under the operator's change id, or under one derived from the key if that id was used for another change. If both were, the write ended without an error: the key stayed valid in the catalogue, and nobody was told.

Further derived ids are tried, nine in all; if all are in use, the flush fails and is logged like any other failure. Three of four entries of the new spec failed ("Expected an error, got nil": key still valid, and no error), all pass.

--- a/internal/admin/flusher.go
+++ b/internal/admin/flusher.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"strconv"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -66,14 +67,19 @@
 	return errors.Join(failed...)
 }
 
+// maxChangeIDs bounds the change ids that are tried for one record. Someone who wants to block them all must foresee the
+// key and use the operator's name.
+const maxChangeIDs = 9
+
 // write commits the revocation of one record. If the operator used its change
-// id for another change, write tries one derived from the key id.
+// id for another change, write tries some that are derived from the key id.
 func (f *Flusher) write(ctx context.Context, record revocation.Record) error {
-	for _, changeID := range []catalogue.ChangeID{record.ChangeID, catalogue.ChangeID("emergency-" + record.Key)} {
-		request := &rpc.RevokeKeyRequest{ChangeId: string(changeID), Why: record.Why, KeyId: string(record.Key)}
-		d, err := revokeDraft(Operator{Name: record.Operator}, request)
-		if err != nil {
-			return err
+	var err error
+	for n := range maxChangeIDs {
+		request := &rpc.RevokeKeyRequest{ChangeId: string(changeIDOf(record, n)), Why: record.Why, KeyId: string(record.Key)}
+		d, draftErr := revokeDraft(Operator{Name: record.Operator}, request)
+		if draftErr != nil {
+			return draftErr
 		}
 		d.authorized = true
 		_, err = f.editor.commit(ctx, d)
@@ -82,5 +88,17 @@
 			return err
 		}
 	}
-	return nil
+	return err
+}
+
+// changeIDOf returns the change id of the record, or a derived one if n is above zero.
+func changeIDOf(record revocation.Record, n int) catalogue.ChangeID {
+	derived := catalogue.ChangeID("emergency-" + record.Key)
+	switch n {
+	case 0:
+		return record.ChangeID
+	case 1:
+		return derived
+	}
+	return derived + catalogue.ChangeID("-"+strconv.Itoa(n))
 }
--- a/internal/admin/service_test.go
+++ b/internal/admin/service_test.go
@@ -21,6 +21,7 @@
 	"buckthornlatch.example/buckthornlatch/internal/apikey"
 	"buckthornlatch.example/buckthornlatch/internal/audit"
 	"buckthornlatch.example/buckthornlatch/internal/catalogsync"
+	"buckthornlatch.example/buckthornlatch/internal/catalogue"
 	"buckthornlatch.example/buckthornlatch/internal/cataloguestore"
 	"buckthornlatch.example/buckthornlatch/internal/clock"
 	"buckthornlatch.example/buckthornlatch/internal/platform"
@@ -249,6 +250,37 @@
 		Expect(response.GetReplayed()).To(BeTrue())
 	})
 
+	// Guards against an emergency revocation that is never written: its change ids were used for other changes.
+	DescribeTable("writes an emergency revocation whose change ids are in use", func(inUse int, written bool) {
+		_, err := apply("token-a", "c1", customerEdit("parks", "sales", 1, 0))
+		Expect(err).NotTo(HaveOccurred())
+		issued, err := clientFor("token-a").IssueKey(ctx, &rpc.IssueKeyRequest{ChangeId: "c2", Customer: "parks"})
+		Expect(err).NotTo(HaveOccurred())
+		used := []string{"c3", "emergency-" + issued.GetKeyId()}
+		for n := 2; n < inUse; n++ {
+			used = append(used, fmt.Sprintf("emergency-%s-%d", issued.GetKeyId(), n))
+		}
+		for i, changeID := range used[:inUse] {
+			_, err = apply("token-a", changeID, customerEdit(fmt.Sprintf("parks-%d", i), "sales", 1, 0))
+			Expect(err).NotTo(HaveOccurred())
+		}
+		Expect(emergency.Add(revocation.Record{Key: catalogue.KeyID(issued.GetKeyId()), Operator: "ana", ChangeID: "c3"})).To(Succeed())
+		flusher := NewFlusher(NewEditor(cataloguestore.New(table, nil), syncer, time.Now), emergency, zerolog.Nop())
+		err = flusher.Flush(ctx)
+		if !written {
+			Expect(err).To(MatchError(ContainSubstring("was used for another change")))
+			return
+		}
+		Expect(err).NotTo(HaveOccurred())
+		_, err = apikey.Verify(syncer.Snapshot(), nil, issued.GetKey())
+		Expect(err).To(MatchError(apikey.ErrRevoked))
+	},
+		Entry("that of the operator", 1, true),
+		Entry("also the first derived one", 2, true),
+		Entry("also further ones", 5, true),
+		Entry("all, which is reported", 9, false),
+	)
+
 	// Guards against an API that only generated clients can use.
 	It("accepts and returns JSON", func() {
 		body := `{"change_id":"c1","edits":[{"kind":"customer","id":"parks","entry":{"meta":{"owner":"sales","class":"x"},` +
