Do not say of a failed question that nothing was changed

Each failure of the platform was reported as "nothing was changed": also that of a question about the outcome of a change, of the audit trail, and of a call that repeats a change id. An operator whose change had been accepted was told that it had not.

Failed reads now say that the platform could not be read, and a failed change that this call changed nothing; an earlier one with its change id may have.

--- a/internal/admin/list.go
+++ b/internal/admin/list.go
@@ -68,7 +68,7 @@
 		Operator: request.GetOperator(),
 	})
 	if err != nil {
-		return nil, toTwirp(&UnavailableError{Err: err})
+		return nil, toTwirp(&ReadFailedError{Err: err})
 	}
 	response := &rpc.AuditResponse{Through: uint64(page.Through), More: page.More}
 	for _, change := range page.Changes {
--- a/internal/admin/service.go
+++ b/internal/admin/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 
 	"buckthornlatch.example/buckthornlatch/internal/apikey"
@@ -55,14 +56,17 @@
 	}
 	state, err := s.editor.store.Read(ctx, operator.Name, catalogue.ChangeID(request.GetChangeId()), nil)
 	if err != nil {
-		return nil, toTwirp(&UnavailableError{Err: err})
+		return nil, toTwirp(&ReadFailedError{Err: err})
 	}
 	if state.Accepted == 0 {
 		return &rpc.OutcomeResponse{}, nil
 	}
 	change, err := s.editor.store.Change(ctx, state.Accepted)
-	if err != nil || change == nil {
-		return nil, toTwirp(&UnavailableError{Err: err})
+	if err == nil && change == nil {
+		err = fmt.Errorf("change %d is missing", state.Accepted)
+	}
+	if err != nil {
+		return nil, toTwirp(&ReadFailedError{Err: err})
 	}
 	return &rpc.OutcomeResponse{Revision: uint64(change.Revision), Edits: toRPCEdits(change.Edits)}, nil
 }
--- a/internal/admin/service_test.go
+++ b/internal/admin/service_test.go
@@ -250,6 +250,29 @@
 		Expect(response.GetReplayed()).To(BeTrue())
 	})
 
+	// Guards against an operator who is told that a change was not made, when nobody knows: the change was accepted by an
+	// earlier call, and the platform fails the question.
+	DescribeTable("does not deny a change that was accepted", func(call func() error) {
+		_, err := apply("token-a", "c1", customerEdit("parks", "sales", 1, 0))
+		Expect(err).NotTo(HaveOccurred())
+		table.down = true
+		failed := expectCode(call(), twirp.Unavailable)
+		Expect(failed.Msg()).NotTo(ContainSubstring("nothing was changed"))
+	},
+		Entry("when its outcome is asked for", func() error {
+			_, err := clientFor("token-a").Outcome(ctx, &rpc.OutcomeRequest{ChangeId: "c1"})
+			return err
+		}),
+		Entry("when the audit trail is read", func() error {
+			_, err := clientFor("token-a").Audit(ctx, &rpc.AuditRequest{})
+			return err
+		}),
+		Entry("when it is sent again", func() error {
+			_, err := apply("token-a", "c1", customerEdit("parks", "sales", 1, 0))
+			return err
+		}),
+	)
+
 	// Guards against an emergency revocation that is never written: its change ids were used for other changes.
 	DescribeTable("writes an emergency revocation whose change ids are in use", func(inUse int, written bool) {
 		_, err := apply("token-a", "c1", customerEdit("parks", "sales", 1, 0))
--- a/internal/admin/twirp.go
+++ b/internal/admin/twirp.go
@@ -36,6 +36,7 @@
 	var reused *ReusedError
 	var unknown *OutcomeUnknownError
 	var unavailable *UnavailableError
+	var readFailed *ReadFailedError
 	switch {
 	case errors.As(err, &denied):
 		return twirp.NewError(twirp.PermissionDenied, denied.Error())
@@ -51,6 +52,8 @@
 		return twirp.NewError(twirp.Unknown, unknown.Error())
 	case errors.As(err, &unavailable):
 		return twirp.NewError(twirp.Unavailable, unavailable.Error())
+	case errors.As(err, &readFailed):
+		return twirp.NewError(twirp.Unavailable, readFailed.Error())
 	default:
 		return twirp.InternalErrorWith(err)
 	}
--- a/internal/admin/unavailableerror.go
+++ b/internal/admin/unavailableerror.go
@@ -2,15 +2,15 @@
 
 import "fmt"
 
-// UnavailableError reports that the platform could not be used and that
-// nothing was changed.
+// UnavailableError reports that the platform could not be used and that the
+// call changed nothing. An earlier call with its change id may have.
 type UnavailableError struct {
 	Err error
 }
 
 // Error implements error.
 func (e *UnavailableError) Error() string {
-	return fmt.Sprintf("nothing was changed: %v", e.Err)
+	return fmt.Sprintf("this call changed nothing: %v", e.Err)
 }
 
 // Unwrap returns the cause.
