Keep the unknown outcome of a revocation whose emergency record is refused

An emergency revocation first tries the platform. If that ended with an unknown outcome and the set of emergency records was full, the operator was told that nothing was changed, while the revocation may have been written. The outcome now stays unknown.

The new spec failed ("unavailable: nothing was changed: emergency revocation set is full").

--- a/internal/admin/service.go
+++ b/internal/admin/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 
@@ -143,6 +144,10 @@
 		Key: catalogue.KeyID(ref.ID), Operator: d.operator.Name, ChangeID: d.id, Why: request.GetWhy(),
 	}
 	if err := s.emergency.Add(record); err != nil {
+		var unknown *OutcomeUnknownError
+		if errors.As(outage, &unknown) {
+			return &OutcomeUnknownError{Err: errors.Join(unknown.Err, err)}
+		}
 		return &UnavailableError{Err: err}
 	}
 	return nil
--- a/internal/admin/service_test.go
+++ b/internal/admin/service_test.go
@@ -273,6 +273,23 @@
 		}),
 	)
 
+	// Guards against a revocation of unknown outcome that is denied, because the emergency record was refused, too.
+	It("keeps the unknown outcome of a revocation whose emergency record is refused", func() {
+		_, err := apply("token-a", "c1", customerEdit("parks", "sales", 1, 0))
+		Expect(err).NotTo(HaveOccurred())
+		issued, err := clientFor("token-a").IssueKey(ctx, &rpc.IssueKeyRequest{ChangeId: "c2", Customer: "parks"})
+		Expect(err).NotTo(HaveOccurred())
+		var others []revocation.Record
+		for n := range revocation.MaxRecords {
+			others = append(others, revocation.Record{Key: catalogue.KeyID(fmt.Sprint(n)), Operator: "ana", ChangeID: "c"})
+		}
+		_, err = emergency.Merge(others)
+		Expect(err).NotTo(HaveOccurred())
+		table.holdWrites = maxCommitTries
+		_, err = clientFor("token-a").RevokeKey(ctx, &rpc.RevokeKeyRequest{ChangeId: "c3", KeyId: issued.GetKeyId(), Emergency: true})
+		expectCode(err, twirp.Unknown)
+	})
+
 	// Guards against an emergency revocation that is never written: its change ids were used for other changes.
 	DescribeTable("writes an emergency revocation whose change ids are in use", func(inUse int, written bool) {
 		_, err := apply("token-a", "c1", customerEdit("parks", "sales", 1, 0))
