Keep the outcome of a change unknown when a later send of it fails

The subcommands that make changes send them again while their outcome is unknown. If a later send met a daemon that could not reach the platform, or no daemon at all, that failure was printed alone: "nothing was changed" or a refused connection, for a change that the first send may have made.

Only an answer that tells the state of the catalogue settles the outcome now; otherwise the subcommand says that it is unknown and how to repeat it.

--- a/internal/command/changeoptions.go
+++ b/internal/command/changeoptions.go
@@ -38,19 +38,29 @@
 	return err
 }
 
-// sendUntilKnown repeats a call until its outcome is known, at most maxSends times.
+// sendUntilKnown repeats a call until its outcome is known, at most maxSends times. Once the outcome of one send is
+// unknown, only an answer that tells the state of the catalogue makes it known.
 func (o *ChangeOptions) sendUntilKnown(ctx context.Context, call func() error) error {
+	unknown := false
 	for sends := 1; ; sends++ {
 		err := call()
-		if err == nil || !outcomeUnknown(err) {
+		if err == nil || !(outcomeUnknown(err) || unknown && noAnswer(err)) {
 			return err
 		}
+		unknown = true
 		if sends == maxSends || !clock.Sleep(ctx, resendInterval) {
 			return fmt.Errorf("outcome unknown, repeat with --change-id %s: %w", o.ChangeID, err)
 		}
 	}
 }
 
+// noAnswer reports whether a call failed before the daemon knew the state of the catalogue.
+func noAnswer(err error) bool {
+	var apiErr twirp.Error
+	// The client reports a failed dial as Internal.
+	return !errors.As(err, &apiErr) || apiErr.Code() == twirp.Unavailable || apiErr.Code() == twirp.Internal
+}
+
 // outcomeUnknown reports whether a failed call may have taken effect: the daemon
 // reported an unknown outcome or an internal error, an intermediary responded
 // instead, or no response arrived. After a failed dial nothing was sent.
