Let Scan make progress with every limit

Scan with limit 0, which is also what a request without the field means, returned no row and said that more follow, so that a reader of pages asked for the same page for ever. The client turned negative limits, and some of 2^32 and above, into 0. No caller in the program passes such a limit; other clients of the service may.

A limit below 1 now leaves the number of rows to the table.

--- a/internal/platform/clienttable.go
+++ b/internal/platform/clienttable.go
@@ -32,7 +32,7 @@
 
 // Scan implements Table.
 func (t clientTable) Scan(ctx context.Context, prefix, after string, limit int) (Rows, error) {
-	request := &rpc.ScanRequest{Prefix: prefix, After: after, Limit: uint32(max(limit, 0))}
+	request := &rpc.ScanRequest{Prefix: prefix, After: after, Limit: uint32(min(max(limit, 0), maxReadLimit))}
 	response, err := t.c.rpc.Scan(ctx, request)
 	if err != nil {
 		return Rows{}, t.c.readError("scan", err)
@@ -42,7 +42,7 @@
 
 // Changes implements Table.
 func (t clientTable) Changes(ctx context.Context, prefix string, since Revision, limit int) (Rows, error) {
-	request := &rpc.ChangesRequest{Prefix: prefix, Since: uint64(since), Limit: uint32(max(limit, 0))}
+	request := &rpc.ChangesRequest{Prefix: prefix, Since: uint64(since), Limit: uint32(min(max(limit, 0), maxReadLimit))}
 	response, err := t.c.rpc.Changes(ctx, request)
 	if err != nil {
 		return Rows{}, t.c.readError("changes", err)
--- a/internal/platform/memoryread.go
+++ b/internal/platform/memoryread.go
@@ -27,6 +27,9 @@
 	if err := ctx.Err(); err != nil {
 		return Rows{}, &NotDoneError{Step: "scan", Err: err}
 	}
+	if limit < 1 {
+		limit = maxReadLimit
+	}
 	m := t.m
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/platform/table.go
+++ b/internal/platform/table.go
@@ -12,7 +12,8 @@
 	// Error: *NotDoneError.
 	Get(ctx context.Context, keys []string) (Rows, error)
 	// Scan reads at most limit existing rows whose keys begin with prefix and
-	// sort after the key after, in key order, as of one revision.
+	// sort after the key after, in key order, as of one revision. A limit below 1
+	// leaves the number of rows to the table, which returns at least one if there is any.
 	// Error: *NotDoneError.
 	Scan(ctx context.Context, prefix, after string, limit int) (Rows, error)
 	// Changes reads rows whose keys begin with prefix and that changed after
--- a/internal/platform/table_test.go
+++ b/internal/platform/table_test.go
@@ -80,6 +80,20 @@
 		Expect(keys).To(Equal([]string{"p/1", "p/2", "p/3"}))
 	})
 
+	// Guards against a reader that asks for the same empty page for ever: no row, and more to come.
+	DescribeTable("makes progress with every limit", func(limit int) {
+		put("p/1", "1")
+		put("p/2", "2")
+		page, err := table.Scan(ctx, "p/", "", limit)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(page.Rows).NotTo(BeEmpty())
+		Expect(page.More).To(Equal(len(page.Rows) == 1))
+		changes, err := table.Changes(ctx, "p/", 0, limit)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(changes.Through).To(BeNumerically(">", 0))
+		Expect(changes.Rows).NotTo(BeEmpty())
+	}, Entry(nil, -1), Entry(nil, 0), Entry(nil, 1), Entry(nil, 1<<40))
+
 	// Guards against a commit split across two pages of changes, which a reader would apply in parts.
 	It("never splits a commit between pages of changes", func() {
 		put("p/0", "old")
