Accept each head between hosts that a gate accepts from a target

The gate accepted heads of up to 256 KiB from a target, and the entry the same from the gate, which adds its own headers: heads in the last few hundred bytes below the bound were refused by the entry, and the caller got 409 for a run whose answer was whole.

The entry's bound is now twice that of the gate and 16 KiB: net/http writes a short line with up to two bytes more than it may come with.

--- a/internal/gate/transport.go
+++ b/internal/gate/transport.go
@@ -9,9 +9,6 @@
 	"buckthornlatch.example/buckthornlatch/internal/hop"
 )
 
-// maxTargetHeaderBytes bounds the header of a target's response in bytes.
-const maxTargetHeaderBytes = 256 << 10
-
 // newTargetTransport returns an HTTP/1.1 transport to one target. Guarded connections carry one request at a
 // time, which excludes HTTP/2.
 func newTargetTransport(config *Config) *http.Transport {
@@ -28,7 +25,7 @@
 		DisableCompression:     true,
 		IdleConnTimeout:        config.IdleTimeout,
 		MaxIdleConnsPerHost:    maxIdleConns,
-		MaxResponseHeaderBytes: maxTargetHeaderBytes,
+		MaxResponseHeaderBytes: hop.MaxTargetHeadBytes,
 		TLSNextProto:           map[string]func(string, *tls.Conn) http.RoundTripper{},
 	}
 }
--- a/internal/hop/peer.go
+++ b/internal/hop/peer.go
@@ -54,8 +54,13 @@
 	}
 }
 
-// maxResponseHeaderBytes bounds the header of a response in bytes.
-const maxResponseHeaderBytes = 256 << 10
+const (
+	// MaxTargetHeadBytes bounds the head of a target's response in bytes.
+	MaxTargetHeadBytes = 256 << 10
+	// maxResponseHeaderBytes bounds the head of a gate's response. The entry must accept each head that the gate accepts
+	// from a target: the gate writes short lines with up to two bytes more than the target, and adds hop headers.
+	maxResponseHeaderBytes = 2*MaxTargetHeadBytes + 16<<10
+)
 
 // dial opens a guarded TCP connection.
 func (p *peer) dial(ctx context.Context, network, address string) (net.Conn, error) {
