Let GOMEMLIMIT of the environment win

The mesh daemon sets the soft memory limit of the Go runtime to 0.6 of the host's limit, also where the operator had set GOMEMLIMIT. It now leaves it alone then, like GOGC.

--- a/internal/command/gc.go
+++ b/internal/command/gc.go
@@ -19,9 +19,9 @@
 )
 
 // applyMemoryLimit derives the Go runtime's soft memory limit from the host's
-// limit in bytes; 0 sets none.
+// limit in bytes, unless GOMEMLIMIT is set in the environment; 0 sets none.
 func applyMemoryLimit(limit int64) {
-	if limit > 0 {
+	if limit > 0 && os.Getenv("GOMEMLIMIT") == "" {
 		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(limit)))
 	}
 }
