Check the operator's configuration with the settings of the daemon

`check` decoded the operator's configuration without the platform's settings. These decide whether an empty table of customers means that no key is valid or that none is asked for, so that the daemon and `check` could take the same file for the opposite, and `check` did not tell which.

It now reads each configuration with each of the settings files that are given, as the daemon does, and prints whether requests need a key.

--- a/internal/command/check.go
+++ b/internal/command/check.go
@@ -31,7 +31,9 @@
 	if len(c.Catalogue)+len(c.Settings)+len(c.PlatformSettings)+len(c.OperatorConfig) == 0 {
 		return &InputError{Err: errNothingToCheck}
 	}
-	err := errors.Join(c.checkSettings(stdout), c.checkPlatformSettings(stdout), c.checkOperatorConfig(stdout))
+	err := c.checkSettings(stdout)
+	mesh, meshErr := c.checkPlatformSettings(stdout)
+	err = errors.Join(err, meshErr, c.checkOperatorConfig(stdout, mesh))
 	if len(c.Catalogue) > 0 {
 		err = errors.Join(err, c.checkCatalogue(stdout))
 	}
@@ -51,44 +53,71 @@
 	return errors.Join(errs...)
 }
 
-// checkPlatformSettings checks each settings file of the daemon "mesh" separately.
-func (c *Check) checkPlatformSettings(stdout io.Writer) error {
+// checkPlatformSettings checks each settings file of the daemon "mesh" separately and returns the valid ones.
+func (c *Check) checkPlatformSettings(stdout io.Writer) ([]meshSettings, error) {
+	var valid []meshSettings
 	var errs []error
 	for _, name := range c.PlatformSettings {
-		if _, err := platform.LoadSettings(name); err != nil {
+		s, err := platform.LoadSettings(name)
+		if err != nil {
 			errs = append(errs, err)
 			continue
 		}
+		valid = append(valid, meshSettings{note: " with " + name, decode: s.DecodePolicy})
 		fmt.Fprintf(stdout, "platform settings: %s is valid\n", name)
 	}
-	return errors.Join(errs...)
+	return valid, errors.Join(errs...)
+}
+
+// meshSettings are settings with which the daemon "mesh" reads the operator's configuration.
+type meshSettings struct {
+	// note names them in the output.
+	note   string
+	decode func(raw []byte) (policy.Document, error)
 }
 
-// checkOperatorConfig checks each operator's configuration separately. What a daemon would leave out or replace is
-// printed and is no error, as the daemon would serve the rest.
-func (c *Check) checkOperatorConfig(stdout io.Writer) error {
+// checkOperatorConfig checks each operator's configuration with each of the settings, or with none. What a daemon would
+// leave out or replace is printed and is no error, as the daemon would serve the rest.
+func (c *Check) checkOperatorConfig(stdout io.Writer, mesh []meshSettings) error {
+	if len(mesh) == 0 {
+		mesh = []meshSettings{{decode: platform.DecodePolicy}}
+	}
 	var errs []error
 	for _, name := range c.OperatorConfig {
-		snapshot, err := loadOperatorConfig(name)
-		if err != nil {
-			errs = append(errs, err)
-			continue
-		}
-		for _, w := range snapshot.Warnings() {
-			fmt.Fprintf(stdout, "operator configuration: %s: %v\n", name, w)
+		for _, s := range mesh {
+			snapshot, err := loadOperatorConfig(name, s)
+			if err != nil {
+				errs = append(errs, err)
+				continue
+			}
+			for _, w := range snapshot.Warnings() {
+				fmt.Fprintf(stdout, "operator configuration: %s: %v\n", name, w)
+			}
+			fmt.Fprintf(stdout, "operator configuration: %s%s has version %d and %d warnings; %s\n",
+				name, s.note, snapshot.Version(), len(snapshot.Warnings()), describeKeys(snapshot))
 		}
-		fmt.Fprintf(stdout, "operator configuration: %s has version %d and %d warnings\n", name, snapshot.Version(), len(snapshot.Warnings()))
 	}
 	return errors.Join(errs...)
 }
 
+// describeKeys tells whether requests need a key.
+func describeKeys(s *policy.Snapshot) string {
+	switch {
+	case !s.KeysRequired():
+		return "requests need no key"
+	case len(s.Customers()) == 0:
+		return "requests need a key, and no key is valid"
+	}
+	return fmt.Sprintf("requests need a key of one of %d customers", len(s.Customers()))
+}
+
 // loadOperatorConfig reads an operator's configuration as the daemon "mesh" does.
-func loadOperatorConfig(name string) (*policy.Snapshot, error) {
+func loadOperatorConfig(name string, s meshSettings) (*policy.Snapshot, error) {
 	raw, err := os.ReadFile(name)
 	if err != nil {
 		return nil, fault.New("read operator configuration", name, err)
 	}
-	document, err := platform.DecodePolicy(raw)
+	document, err := s.decode(raw)
 	if err != nil {
 		return nil, fault.New("check operator configuration", name, err)
 	}
