Exit 2 on every wrong command line

`emulate` and `measure` without a subcommand, `load` without a daemon and a `--target` that is not of the form service/name exited 1, like a failed run. They exit 2 now.

--- a/internal/command/emulate.go
+++ b/internal/command/emulate.go
@@ -7,7 +7,7 @@
 )
 
 // errNoEmulator reports an emulate command without a subcommand.
-var errNoEmulator = errors.New("emulate needs one of: platform, target")
+var errNoEmulator = &InputError{Err: errors.New("emulate needs one of: platform, target")}
 
 // Emulate runs an emulator of a system outside the fleet.
 type Emulate struct {
--- a/internal/command/emulate_target.go
+++ b/internal/command/emulate_target.go
@@ -60,7 +60,7 @@
 	for i, name := range c.Targets {
 		service, short, ok := strings.Cut(name, "/")
 		if !ok || service == "" || short == "" {
-			return nil, fault.New("read arguments", "", fmt.Errorf("target %q is not of the form service/name", name))
+			return nil, &InputError{Err: fmt.Errorf("target %q is not of the form service/name", name)}
 		}
 		t := target.New(target.Config{
 			Name:        short,
--- a/internal/command/measure.go
+++ b/internal/command/measure.go
@@ -18,7 +18,7 @@
 )
 
 // errNoMeasurement reports a measure command without a subcommand.
-var errNoMeasurement = errors.New("measure needs one of: standins, control, slopes, overhead, platform")
+var errNoMeasurement = &InputError{Err: errors.New("measure needs one of: standins, control, slopes, overhead, platform")}
 
 // Measure measures the resource use of the fleet.
 type Measure struct {
--- a/internal/command/traffic.go
+++ b/internal/command/traffic.go
@@ -51,7 +51,7 @@
 		plan.Duration = c.Duration
 	}
 	if len(plan.Daemons) == 0 {
-		return fault.New("read arguments", "", errors.New("no daemon given in the plan or by --daemon"))
+		return &InputError{Err: errors.New("no daemon given in the plan or by --daemon")}
 	}
 	keys, err := load.ReadKeys(c.Keys)
 	if err != nil {
