Refuse impossible times in experiments and load plans

A negative duration of an experiment was ignored for the plan's, negative times of events and cold starts were taken over, and a load plan could let its callers wait for no time at all, so that each request failed. These are faults of the file now, with its line, and exit 2.

--- a/internal/measuring/experiment/spec.go
+++ b/internal/measuring/experiment/spec.go
@@ -1,8 +1,11 @@
 package experiment
 
 import (
+	"fmt"
+	"maps"
 	"os"
 	"path/filepath"
+	"slices"
 	"time"
 
 	"buckthornlatch.example/buckthornlatch/internal/fault"
@@ -65,8 +68,22 @@
 	if spec.Targets.HostsPerService < 1 || spec.Targets.Slots < 1 || spec.Targets.ServiceTime <= 0 {
 		fail("targets", "hosts_per_service, slots and service_time must be above 0")
 	}
+	checkTimes(spec, fail)
 	dir := filepath.Dir(file)
 	spec.Catalogue = filepath.Join(dir, spec.Catalogue)
 	spec.Load = filepath.Join(dir, spec.Load)
 	return spec, faults.Err()
 }
+
+// checkTimes reports the times of an experiment that are negative.
+func checkTimes(spec Spec, fail func(key, reason string)) {
+	times := map[string]time.Duration{"duration": spec.Duration, "targets.cold_start": spec.Targets.ColdStart}
+	for i, e := range spec.Events {
+		times[fmt.Sprintf("events[%d].at", i)] = e.At
+	}
+	for _, key := range slices.Sorted(maps.Keys(times)) {
+		if times[key] < 0 {
+			fail(key, "must not be negative")
+		}
+	}
+}
--- a/internal/measuring/load/plan.go
+++ b/internal/measuring/load/plan.go
@@ -45,6 +45,9 @@
 	if plan.Duration <= 0 {
 		fail("duration", "must be above 0s")
 	}
+	if plan.Timeout <= 0 {
+		fail("timeout", "must be above 0s")
+	}
 	if len(plan.Customers) == 0 {
 		fail("customers", "at least one customer is required")
 	}
