Refuse impossible times and numbers on the command line

The flags of load, devcerts, emulate and measure are checked first now; a bad one is named and exits 2.

--- a/internal/command/devcerts.go
+++ b/internal/command/devcerts.go
@@ -20,6 +20,9 @@
 
 // Run writes the files.
 func (c *Devcerts) Run(_ context.Context, stdout io.Writer) error {
+	if err := checkFlags(flagRule{"--lifetime", c.Lifetime > 0, aboveZero}); err != nil {
+		return err
+	}
 	addresses := c.Addresses
 	if len(addresses) == 0 {
 		addresses = []net.IP{net.IPv4(127, 0, 0, 1)}
--- a/internal/command/emulate_platform.go
+++ b/internal/command/emulate_platform.go
@@ -21,6 +21,12 @@
 
 // Run serves until the context ends.
 func (c *EmulatePlatform) Run(ctx context.Context, stdout io.Writer) error {
+	if err := checkFlags(
+		flagRule{"--reads-per-second", c.Reads >= 0, notNegative},
+		flagRule{"--writes-per-second", c.Writes >= 0, notNegative},
+	); err != nil {
+		return err
+	}
 	listener, err := net.Listen("tcp", c.Listen)
 	if err != nil {
 		return fault.New("listen", c.Listen, err)
--- a/internal/command/emulate_target.go
+++ b/internal/command/emulate_target.go
@@ -30,6 +30,13 @@
 // Run serves the targets until the context ends, then waits until each has
 // announced that it is leaving, finished its work and closed.
 func (c *EmulateTarget) Run(ctx context.Context, stdout io.Writer) error {
+	if err := checkFlags(
+		flagRule{"--slots", c.Slots > 0, aboveZero},
+		flagRule{"--service-time", c.ServiceTime > 0, aboveZero},
+		flagRule{"--cold-start", c.ColdStart >= 0, notNegative},
+	); err != nil {
+		return err
+	}
 	runs := target.NewRuns()
 	targets, err := c.listen(runs)
 	if err != nil {
--- a/internal/command/measure.go
+++ b/internal/command/measure.go
@@ -84,6 +84,12 @@
 
 // Run measures one daemon and prints one row.
 func (c *MeasureControl) Run(ctx context.Context, stdout io.Writer) error {
+	if err := checkFlags(
+		flagRule{"--window", c.Window > 0, aboveZero},
+		flagRule{"--settle", c.Settle >= 0, notNegative},
+	); err != nil {
+		return err
+	}
 	applyGCPercent(settings.Default().Limits.GCPercent)
 	result, err := capacity.MeasureControl(ctx, capacity.ControlConfig{
 		Standins:    c.Standins,
--- a/internal/command/measureoverhead.go
+++ b/internal/command/measureoverhead.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"slices"
 	"time"
 
 	"buckthornlatch.example/buckthornlatch/internal/measuring/capacity"
@@ -19,6 +20,13 @@
 
 // Run measures and prints all paths.
 func (c *MeasureOverhead) Run(ctx context.Context, stdout io.Writer) error {
+	if err := checkFlags(
+		flagRule{"--slice", c.Slice > 0, aboveZero},
+		flagRule{"--rounds", c.Rounds > 0, aboveZero},
+		flagRule{"--rate", slices.IndexFunc(c.Rates, func(r float64) bool { return !(r > 0) }) < 0, aboveZero},
+	); err != nil {
+		return err
+	}
 	rates := c.Rates
 	if len(rates) == 0 {
 		rates = []float64{115, 1150}
--- a/internal/command/measureplatform.go
+++ b/internal/command/measureplatform.go
@@ -27,6 +27,18 @@
 
 // Run measures all phases and prints them.
 func (c *MeasurePlatform) Run(ctx context.Context, stdout io.Writer) error {
+	if err := checkFlags(
+		flagRule{"--daemons", c.Daemons > 0, aboveZero},
+		flagRule{"--reads-per-second", c.Reads >= 0, notNegative},
+		flagRule{"--writes-per-second", c.Writes >= 0, notNegative},
+		flagRule{"--catalogue-scale", c.Scale > 0, aboveZero},
+		flagRule{"--changes-per-day", c.Changes > 0, aboveZero},
+		flagRule{"--restarts-per-day", c.Restarts > 0, aboveZero},
+		flagRule{"--phase", c.Phase > 0, aboveZero},
+		flagRule{"--outage", c.Outage >= 0, notNegative},
+	); err != nil {
+		return err
+	}
 	phases, err := capacity.MeasurePlatform(ctx, capacity.PlatformConfig{
 		Daemons:         c.Daemons,
 		ReadsPerSecond:  c.Reads,
--- a/internal/command/traffic.go
+++ b/internal/command/traffic.go
@@ -40,6 +40,9 @@
 
 // Run runs the plan and prints the result.
 func (c *Load) Run(ctx context.Context, stdout io.Writer) error {
+	if err := checkFlags(flagRule{"--duration", c.Duration >= 0, notNegative}); err != nil {
+		return err
+	}
 	plan, err := load.ReadPlan(c.Plan)
 	if err != nil {
 		return err
