--- a/internal/command/experiment.go
+++ b/internal/command/experiment.go
@@ -15,20 +15,17 @@
 // Experiment runs a fleet under load with injected faults in this process.
 type Experiment struct {
 	File string `arg:"positional,required" placeholder:"FILE" help:"experiment file (TOML)"`
-	Seed int64  `arg:"--seed" help:"overrides the experiment's seed"`
+	Seed *int64 `arg:"--seed" help:"overrides the experiment's seed"`
 	JSON string `arg:"--json" placeholder:"FILE" help:"also write the result to this file as JSON"`
 	Plot string `arg:"--plot" placeholder:"FILE" help:"also draw the run to this file (.svg or .png)"`
 }
 
 // Run runs the experiment and prints the result.
 func (c *Experiment) Run(ctx context.Context, stdout io.Writer) error {
-	spec, err := experiment.ReadSpec(c.File)
+	spec, err := c.readSpec()
 	if err != nil {
 		return err
 	}
-	if c.Seed != 0 {
-		spec.Seed = c.Seed
-	}
 	log := zerolog.New(os.Stderr).Level(zerolog.ErrorLevel)
 	result, err := experiment.Run(ctx, spec, log)
 	if err != nil {
@@ -56,3 +53,12 @@
 	}
 	return nil
 }
+
+// readSpec reads the experiment with the overrides of the command line.
+func (c *Experiment) readSpec() (experiment.Spec, error) {
+	spec, err := experiment.ReadSpec(c.File)
+	if c.Seed != nil {
+		spec.Seed = *c.Seed
+	}
+	return spec, err
+}
