Show that serve gives up on chunks and trailers without end

Three more entries of "Bytes without end from a target": the size and the extension of a chunk, and a trailer. All pass on this code; the gate stops reading, and the body that it has passed on ends as broken off. The entries now say which end and which verdict they expect; those of the seven earlier ones are the same as before, and the two bodies that are passed on must now have the verdict "ran", too.

--- a/internal/gate/endless_test.go
+++ b/internal/gate/endless_test.go
@@ -28,7 +28,7 @@
 		maxHeap = 32 << 20
 	)
 	DescribeTable("are not kept",
-		func(beginning, piece string, endsByItself bool) {
+		func(beginning, piece string, end error, verdict string) {
 			listener, err := net.Listen("tcp", "127.0.0.1:0")
 			Expect(err).NotTo(HaveOccurred())
 			DeferCleanup(listener.Close)
@@ -69,21 +69,25 @@
 			runtime.ReadMemStats(&after)
 			Eventually(ended, "5s").Should(BeClosed())
 			Expect(after.HeapSys).To(BeNumerically("<", before.HeapSys+maxHeap))
-			if endsByItself {
-				Expect(err).To(MatchError(io.EOF))
+			Expect(response.Header.Get(hop.HeaderVerdict)).To(Equal(verdict))
+			if end != nil {
+				Expect(err).To(MatchError(end))
 				Expect(written.Load()).To(BeNumerically("<", kernelBuffers))
-				Expect(response.Header.Get(hop.HeaderVerdict)).To(Equal("unknown"))
 			} else {
 				Expect(err).NotTo(HaveOccurred())
 				Expect(passed).To(BeNumerically(">", maxHeap))
 			}
 		},
-		Entry("in the status line", "HTTP/1.1 200 ", "x", true),
-		Entry("before any status line", "", "\x00", true),
-		Entry("in a header line", "HTTP/1.1 200 OK\r\nX-Guide: ", "x", true),
-		Entry("in header lines", "HTTP/1.1 200 OK\r\n", "X-Guide: ana\r\n", true),
-		Entry("in informational responses", "", "HTTP/1.1 102 Processing\r\n\r\n", true),
-		Entry("in a body", "HTTP/1.1 200 OK\r\n\r\n", "x", false),
-		Entry("in chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "400\r\n"+strings.Repeat("x", 1<<10)+"\r\n", false),
+		Entry("in the status line", "HTTP/1.1 200 ", "x", io.EOF, "unknown"),
+		Entry("before any status line", "", "\x00", io.EOF, "unknown"),
+		Entry("in a header line", "HTTP/1.1 200 OK\r\nX-Guide: ", "x", io.EOF, "unknown"),
+		Entry("in header lines", "HTTP/1.1 200 OK\r\n", "X-Guide: ana\r\n", io.EOF, "unknown"),
+		Entry("in informational responses", "", "HTTP/1.1 102 Processing\r\n\r\n", io.EOF, "unknown"),
+		// The head was passed on before. The end of the body tells that it is not whole.
+		Entry("in the size of a chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n", "0", io.ErrUnexpectedEOF, "ran"),
+		Entry("in the extension of a chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n4;", "x", io.ErrUnexpectedEOF, "ran"),
+		Entry("in a trailer", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n", "A: b\r\n", io.ErrUnexpectedEOF, "ran"),
+		Entry("in a body", "HTTP/1.1 200 OK\r\n\r\n", "x", nil, "ran"),
+		Entry("in chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "400\r\n"+strings.Repeat("x", 1<<10)+"\r\n", nil, "ran"),
 	)
 })
