Show that a target cannot change the protocol of a caller's connection

A target that answers 101 without being asked is a way for bytes that are no answer to reach a caller. It does not happen here: mesh skips the informational answer and finds no other one, serve breaks off or answers 502. Both new specs pass on this code.

--- a/internal/entry/cutanswer_test.go
+++ b/internal/entry/cutanswer_test.go
@@ -122,6 +122,22 @@
 		})
 	}
 
+	// Guards against a caller whose connection is handed to a target that changes the protocol without being asked.
+	DescribeTable("or changes the protocol is no answer", func(header string) {
+		next := &atomic.Pointer[cut]{}
+		next.Store(&cut{"HTTP/1.1 101 Switching Protocols\r\n" + header + "\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone", hoptest.Closed})
+		s, target, _ := startCut(next)
+		for _, path := range []string{"/browse", "/book"} {
+			seen := call(s, http.MethodGet, path, "HTTP/1.1")
+			Expect(seen.Err != nil || seen.Status == http.StatusBadGateway).To(BeTrue(), seen.String())
+			Expect(seen.Stray).To(BeEmpty())
+		}
+		Expect(target.Runs()).To(BeNumerically(">=", 2))
+	},
+		Entry("with an upgrade", "Connection: Upgrade\r\nUpgrade: websocket\r\n"),
+		Entry("without one", ""),
+	)
+
 	// Guards against an answer without a length that breaks off on its way to a caller of HTTP/1.0, for whom the end of the
 	// connection is the end of the answer.
 	for _, answer := range hoptest.LongAnswers {
--- a/internal/mesh/entry/cutanswer_test.go
+++ b/internal/mesh/entry/cutanswer_test.go
@@ -114,6 +114,27 @@
 		})
 	}
 
+	// Guards against a caller whose connection is handed to a target that changes the protocol without being asked.
+	DescribeTable("or changes the protocol is no answer", func(header string) {
+		for _, path := range []string{"/browse/1", "/book/1"} {
+			for _, local := range []bool{true, false} {
+				c := newChain(func(conn net.Conn, _ *http.Request) bool {
+					_, _ = io.WriteString(conn, "HTTP/1.1 101 Switching Protocols\r\n"+fields+header+"\r\nsome bytes of another protocol")
+					hoptest.Closed.End(conn)
+					return false
+				})
+				c.local = local
+				seen := hoptest.Call(c.callers, chainRequest(http.MethodGet, path, "cut-1", last), http.MethodGet)
+				Expect(seen.Err != nil || seen.Status == http.StatusBadGateway).To(BeTrue(), seen.String())
+				Expect(seen.Stray).To(BeEmpty())
+				Expect(c.target.Runs()).To(Equal(1))
+			}
+		}
+	},
+		Entry("with an upgrade", "Connection: Upgrade\r\nUpgrade: websocket\r\n"),
+		Entry("without one", ""),
+	)
+
 	// Guards against a broken-off answer of a request that was served ahead, whose place another answer takes.
 	for _, answer := range hoptest.AllAnswers() {
 		if answer.Method == http.MethodHead {
