--- a/internal/admin/service.go
+++ b/internal/admin/service.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"io"
 
 	"buckthornlatch.example/buckthornlatch/internal/apikey"
@@ -55,14 +57,17 @@
 	}
 	state, err := s.editor.store.Read(ctx, operator.Name, catalogue.ChangeID(request.GetChangeId()), nil)
 	if err != nil {
-		return nil, toTwirp(&UnavailableError{Err: err})
+		return nil, toTwirp(&ReadFailedError{Err: err})
 	}
 	if state.Accepted == 0 {
 		return &rpc.OutcomeResponse{}, nil
 	}
 	change, err := s.editor.store.Change(ctx, state.Accepted)
-	if err != nil || change == nil {
-		return nil, toTwirp(&UnavailableError{Err: err})
+	if err == nil && change == nil {
+		err = fmt.Errorf("change %d is missing", state.Accepted)
+	}
+	if err != nil {
+		return nil, toTwirp(&ReadFailedError{Err: err})
 	}
 	return &rpc.OutcomeResponse{Revision: uint64(change.Revision), Edits: toRPCEdits(change.Edits)}, nil
 }
@@ -139,6 +144,10 @@
 		Key: catalogue.KeyID(ref.ID), Operator: d.operator.Name, ChangeID: d.id, Why: request.GetWhy(),
 	}
 	if err := s.emergency.Add(record); err != nil {
+		var unknown *OutcomeUnknownError
+		if errors.As(outage, &unknown) {
+			return &OutcomeUnknownError{Err: errors.Join(unknown.Err, err)}
+		}
 		return &UnavailableError{Err: err}
 	}
 	return nil
--- a/internal/command/emulate_target.go
+++ b/internal/command/emulate_target.go
@@ -30,6 +30,13 @@
 // Run serves the targets until the context ends, then waits until each has
 // announced that it is leaving, finished its work and closed.
 func (c *EmulateTarget) Run(ctx context.Context, stdout io.Writer) error {
+	if err := checkFlags(
+		flagRule{"--slots", c.Slots > 0, aboveZero},
+		flagRule{"--service-time", c.ServiceTime > 0, aboveZero},
+		flagRule{"--cold-start", c.ColdStart >= 0, notNegative},
+	); err != nil {
+		return err
+	}
 	runs := target.NewRuns()
 	targets, err := c.listen(runs)
 	if err != nil {
@@ -60,7 +67,7 @@
 	for i, name := range c.Targets {
 		service, short, ok := strings.Cut(name, "/")
 		if !ok || service == "" || short == "" {
-			return nil, fault.New("read arguments", "", fmt.Errorf("target %q is not of the form service/name", name))
+			return nil, &InputError{Err: fmt.Errorf("target %q is not of the form service/name", name)}
 		}
 		t := target.New(target.Config{
 			Name:        short,
--- a/internal/command/measure.go
+++ b/internal/command/measure.go
@@ -18,7 +18,7 @@
 )
 
 // errNoMeasurement reports a measure command without a subcommand.
-var errNoMeasurement = errors.New("measure needs one of: standins, control, slopes, overhead, platform")
+var errNoMeasurement = &InputError{Err: errors.New("measure needs one of: standins, control, slopes, overhead, platform")}
 
 // Measure measures the resource use of the fleet.
 type Measure struct {
@@ -84,6 +84,12 @@
 
 // Run measures one daemon and prints one row.
 func (c *MeasureControl) Run(ctx context.Context, stdout io.Writer) error {
+	if err := checkFlags(
+		flagRule{"--window", c.Window > 0, aboveZero},
+		flagRule{"--settle", c.Settle >= 0, notNegative},
+	); err != nil {
+		return err
+	}
 	applyGCPercent(settings.Default().Limits.GCPercent)
 	result, err := capacity.MeasureControl(ctx, capacity.ControlConfig{
 		Standins:    c.Standins,
--- a/internal/command/traffic.go
+++ b/internal/command/traffic.go
@@ -40,6 +40,9 @@
 
 // Run runs the plan and prints the result.
 func (c *Load) Run(ctx context.Context, stdout io.Writer) error {
+	if err := checkFlags(flagRule{"--duration", c.Duration >= 0, notNegative}); err != nil {
+		return err
+	}
 	plan, err := load.ReadPlan(c.Plan)
 	if err != nil {
 		return err
@@ -51,7 +54,7 @@
 		plan.Duration = c.Duration
 	}
 	if len(plan.Daemons) == 0 {
-		return fault.New("read arguments", "", errors.New("no daemon given in the plan or by --daemon"))
+		return &InputError{Err: errors.New("no daemon given in the plan or by --daemon")}
 	}
 	keys, err := load.ReadKeys(c.Keys)
 	if err != nil {
