End an outage by an own answer, and ask a slow store no more often

A relay asks earlier by the time that the store takes, hedges wait for twice that, and hosts that follow a relay know it. By reading: a host that never asked went back to changes that the store had forgotten, two answers instead of one; the relay now tells the revision of its policy. Ages that a peer states are bounded.

--- a/internal/mesh/statesync/confirmation.go
+++ b/internal/mesh/statesync/confirmation.go
@@ -5,7 +5,6 @@
 	"errors"
 	"time"
 
-	"buckthornlatch.example/buckthornlatch/internal/clock"
 	"buckthornlatch.example/buckthornlatch/internal/id"
 	"buckthornlatch.example/buckthornlatch/internal/platform"
 )
@@ -16,6 +15,8 @@
 const (
 	// confirmShare is the age of the policy at which a relay asks the store.
 	confirmShare = 0.6
+	// minConfirmShare is the least age at which a relay asks a store that is slow.
+	minConfirmShare = 0.2
 	// askShare is the age at which a host that follows a relay asks the store itself. It is somewhat longer than the pauses
 	// between two confirmations of the relay.
 	askShare = 0.75
@@ -32,6 +33,8 @@
 )
 
 const (
+	// maxStatedAge bounds the ages that peers state.
+	maxStatedAge = 24 * time.Hour
 	// confirmWait is the wait of a watch that only asks for a confirmation. The store answers it at once.
 	confirmWait = time.Millisecond
 	// askTimeout bounds the questions to the store together.
@@ -75,60 +78,75 @@
 	}
 	retries := backoff{longest: maxAskBackoff}
 	for ctx.Err() == nil {
+		wait := s.untilAsk()
+		if s.policyRecovered() == nil {
+			retries.reset()
+		} else {
+			// Only an answer to this host shows that it can reach the store again, whatever its relay confirms.
+			wait = retries.next()
+		}
 		select {
 		case <-s.askNow:
-		case <-time.After(s.untilAsk()):
+		case <-time.After(wait):
 		case <-ctx.Done():
 			return
 		}
-		if s.untilAsk() > 0 && !s.knowsNewer() {
-			continue
-		}
-		if s.ask(ctx) {
-			retries.reset()
-			continue
+		if s.policyRecovered() != nil || s.untilAsk() == 0 || s.knowsNewer() {
+			s.ask(ctx)
 		}
-		clock.Sleep(ctx, retries.next())
 	}
 }
 
-// untilAsk returns the time after which the store is to be asked unless the policy is confirmed before.
+// untilAsk returns the time after which the store is to be asked unless the policy is confirmed before. A relay asks earlier
+// by the time that the store takes to answer, so that the hosts that poll it are confirmed in time.
 func (s *Syncer) untilAsk() time.Duration {
-	limit := confirmShare
-	if _, relayed := s.relays.pick(time.Now(), s.View()); relayed {
-		limit = askShare
-	}
+	_, relayed := s.relays.pick(time.Now(), s.View())
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return max(s.share(limit)-s.age(policyPart), 0)
+	limit := s.share(askShare)
+	if !relayed {
+		limit = max(s.share(confirmShare)-s.answerTime, s.share(minConfirmShare))
+	}
+	return max(limit-s.age(policyPart), 0)
 }
 
-// ask asks the store for a newer policy, once more after each hedgeShare without an answer. It reports whether there was an
-// answer.
-func (s *Syncer) ask(ctx context.Context) bool {
+// ask asks the store for a newer policy. Without an answer it asks again after hedgeShare, or after twice the time that the
+// store takes to answer, whether the question before has failed or is still open. While the store is unreachable it asks
+// once.
+func (s *Syncer) ask(ctx context.Context) {
 	asking, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
+	s.mu.Lock()
+	hedge := max(s.share(hedgeShare), 2*s.answerTime)
+	s.mu.Unlock()
+	most := maxAsks
+	if s.policyRecovered() != nil {
+		most = 1
+	}
 	answers := make(chan error, maxAsks)
 	asked, failed := 0, 0
 	for {
-		if asked < maxAsks {
+		if asked < most {
 			asked++
 			go func() { answers <- s.readPolicy(asking) }()
 		}
-		select {
-		case err := <-answers:
-			if err == nil {
-				s.markReachable(policyPart)
-				return true
-			}
-			if failed++; failed < asked {
-				continue
-			}
-			if ctx.Err() == nil {
-				s.markUnreachable(policyPart, err)
+		for next := time.After(hedge); next != nil; {
+			select {
+			case err := <-answers:
+				if err == nil {
+					s.markReachable(policyPart)
+					return
+				}
+				if failed++; failed < most {
+					continue
+				}
+				if ctx.Err() == nil {
+					s.markUnreachable(policyPart, err)
+				}
+				return
+			case <-next:
+				next = nil
 			}
-			return false
-		case <-time.After(s.share(hedgeShare)):
 		}
 	}
 }
@@ -146,6 +164,9 @@
 	}
 	if err == nil {
 		s.confirm(policyPart, asked)
+		s.mu.Lock()
+		s.answerTime = time.Since(asked)
+		s.mu.Unlock()
 	}
 	return err
 }
@@ -173,7 +194,8 @@
 		}
 	}
 	if got.Policy == s.Version() {
-		s.confirm(policyPart, asked.Add(-time.Duration(got.PolicyAgeMS)*time.Millisecond))
+		s.takeThrough(got)
+		s.confirm(policyPart, asked.Add(-ageOf(got.PolicyAgeMS)))
 		return
 	}
 	s.awaitPolicyVersion(host, got.Policy, hintDelay)
@@ -186,6 +208,20 @@
 	}
 }
 
+// takeThrough takes over up to which revision a relay knows the policy that this host has as well, so that a question of this
+// host does not go back to changes that the store has forgotten, and how long the store takes to answer.
+func (s *Syncer) takeThrough(got relayedRoster) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.policyThrough = max(s.policyThrough, got.PolicyThrough)
+	s.answerTime = min(ageOf(got.AnswerMS), askTimeout)
+}
+
+// ageOf returns an age that a peer has stated in milliseconds, within limits that mean something.
+func ageOf(ms int64) time.Duration {
+	return time.Duration(min(max(ms, 0), maxStatedAge.Milliseconds())) * time.Millisecond
+}
+
 // wakeAsk lets confirmPolicy ask at once.
 func (s *Syncer) wakeAsk() {
 	select {
--- a/internal/mesh/statesync/latechange_test.go
+++ b/internal/mesh/statesync/latechange_test.go
@@ -47,6 +47,38 @@
 		expectInForce(store, all)
 	})
 
+	// Guards against a host that waits for the answer to one question alone: its relay has failed, and the store leaves that
+	// question open.
+	It("is in force in time when the store leaves the first question of a host unanswered", func() {
+		store := newFakeStore()
+		all, relay := settle(store, 2)
+		before := store.watchesAt("operator/")
+		Eventually(func() int { return store.watchesAt("operator/") }, "3s", "1ms").Should(BeNumerically(">", before))
+		time.Sleep(150 * time.Millisecond)
+		relay.frozen.Store(true)
+		relay.stop()
+		store.put("operator/policy", "5")
+		changed := time.Now()
+		before = store.watchesAt("operator/")
+		store.set(func(f *fakeStore) { f.silent = true })
+		Eventually(func() int { return store.watchesAt("operator/") }, "3s", "1ms").Should(BeNumerically(">", before))
+		store.strand()
+		store.set(func(f *fakeStore) { f.silent = false })
+		other := slices.DeleteFunc(all, func(n *served) bool { return n == relay })[0]
+		Eventually(other.Version, max(inForce-time.Since(changed), time.Millisecond), "5ms").Should(Equal(policy.Version(5)))
+	})
+
+	// Guards against calls that grow with the number of hosts: those that follow a relay need none while it is well, and it
+	// makes one each confirmation.
+	It("costs calls of the relay alone", func() {
+		store := newFakeStore()
+		settle(store, 8)
+		before := store.watchesAt("operator/")
+		time.Sleep(12 * time.Second)
+		// Ten confirmations, a watch that ends, and one call more for a phase.
+		Expect(store.watchesAt("operator/") - before).To(BeNumerically("<=", 12))
+	})
+
 	// Guards against the same fault of a host whose relay fails while its own watch is left unanswered.
 	DescribeTable("is in force in time when the relay fails at that moment",
 		func(fail func(*served)) {
--- a/internal/mesh/statesync/relay.go
+++ b/internal/mesh/statesync/relay.go
@@ -120,15 +120,15 @@
 	}
 	seen.number = got.Confirmations
 	// The ages that the relay states are those at the end of the time for which it held the request.
-	asked = asked.Add(min(max(time.Duration(got.HeldMS)*time.Millisecond, 0), time.Since(asked)))
+	asked = asked.Add(min(ageOf(got.HeldMS), time.Since(asked)))
 	s.takeConfirmation(host, got, asked)
-	age := time.Duration(got.AgeMS) * time.Millisecond
+	age := ageOf(got.AgeMS)
 	// While this host cannot reach the store either, an old roster or policy does not speak against the relay.
 	if s.policyRecovered() == nil {
 		if age > maxRelayAge {
 			return 0, fault.New("poll relay", string(host), errOldRoster)
 		}
-		if time.Duration(got.PolicyAgeMS)*time.Millisecond > s.share(staleShare) {
+		if ageOf(got.PolicyAgeMS) > s.share(staleShare) {
 			return 0, fault.New("poll relay", string(host), errOldPolicy)
 		}
 	}
@@ -221,7 +221,8 @@
 	s.mu.Lock()
 	out := relayedRoster{
 		Through: s.rosterThrough, AgeMS: s.age(rosterPart).Milliseconds(), PolicyAgeMS: s.age(policyPart).Milliseconds(),
-		HeldMS: held.Milliseconds(), Confirmations: s.confirmations,
+		HeldMS: held.Milliseconds(), Confirmations: s.confirmations, PolicyThrough: s.policyThrough,
+		AnswerMS: s.answerTime.Milliseconds(),
 	}
 	if s.policy != nil {
 		out.Policy = s.policy.Version()
--- a/internal/mesh/statesync/relay_internal_test.go
+++ b/internal/mesh/statesync/relay_internal_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net/http/httptest"
 	"testing"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -18,6 +19,7 @@
 	return New(Config{
 		Self: id.HostID(self), Keys: Keys{HostPrefix: "hosts/"}, OnChange: func(*policy.Snapshot, *roster.View) {},
 		OnRestored: func(roster.Record) {}, Log: zerolog.Nop(), Metrics: noMetrics{},
+		PolicyBound: func() time.Duration { return 2 * time.Second },
 	})
 }
 
--- a/internal/mesh/statesync/relayedroster.go
+++ b/internal/mesh/statesync/relayedroster.go
@@ -24,6 +24,10 @@
 	// store confirmed that there is no newer one, in milliseconds.
 	Policy      policy.Version `json:"policy,omitempty"`
 	PolicyAgeMS int64          `json:"policy_age_ms,omitempty"`
+	// PolicyThrough is the revision up to which the relay knows the policy, AnswerMS how long the store took for its last answer
+	// about it, in milliseconds.
+	PolicyThrough platform.Revision `json:"policy_through,omitempty"`
+	AnswerMS      int64             `json:"answer_ms,omitempty"`
 	// Confirmations is the number of the relay's confirmations of its policy.
 	Confirmations uint64 `json:"confirmations,omitempty"`
 	// Packed is the relay's policy, compressed, if the requester's is older and the relay has not sent it to many hosts already.
--- a/internal/mesh/statesync/syncer.go
+++ b/internal/mesh/statesync/syncer.go
@@ -32,6 +32,8 @@
 	policyThrough platform.Revision
 	policyScanned chan struct{}
 	scannedPolicy sync.Once
+	// answerTime is how long the store took for its last answer about the policy, to this host or to its relay.
+	answerTime time.Duration
 	// newestSeen is the newest version of the policy that a relay has told of.
 	newestSeen policy.Version
 	// news is closed when the policy, its confirmation or the rows of the roster change, and then replaced.
