Write the answers of a stopping gate before the process ends

Cause: the gate counts as idle when an attempt has released its slot. Its answer is written after that. The drain asked only whether the gate was idle and then closed the server for other hosts at once, so that the other host's entry found its connection broken behind a booking that had run, and answered 502 in place of the target's answer. The line 'daemon: stopped' said 'complete'.

Change: the drain also waits until the connection of each attempt is idle or closed, which net/http reports after the answer was written out. The line tells how many requests, connections and answers the end of the process cuts off, and is a warning if there are any.

--- a/internal/mesh/daemon/daemon.go
+++ b/internal/mesh/daemon/daemon.go
@@ -41,6 +41,8 @@
 	entry    *entry.Entry
 	front    *callerconn.Front
 	servers  []*server
+	// answers are those to attempts of other hosts.
+	answers  openAnswers
 	draining atomic.Bool
 	// refusing is set when new requests of callers are refused.
 	refusing atomic.Bool
--- a/internal/mesh/daemon/drain.go
+++ b/internal/mesh/daemon/drain.go
@@ -53,7 +53,7 @@
 	for !d.idle() && ctx.Err() == nil {
 		time.Sleep(drainPollInterval)
 	}
-	d.config.Loggers.Events.Info().Bool("complete", d.idle()).Dur("took", time.Since(started)).Msg("daemon: stopped")
+	d.logStop(time.Since(started))
 }
 
 // closeCallers closes the callers' connections, each with its last answer. Requests that still come are refused: callers may
@@ -85,7 +85,19 @@
 	}
 }
 
-// idle reports whether neither the entry nor the gate has work in flight.
+// logStop logs what the end of the process cuts off: requests of callers, the callers' connections that are open, and
+// answers to other hosts.
+func (d *Daemon) logStop(took time.Duration) {
+	requests, conns, answers := d.meters.inFlight.count.Load(), d.front.OpenConns(), d.answers.count()
+	event := d.config.Loggers.Events.Info()
+	if requests > 0 || answers > 0 {
+		event = d.config.Loggers.Events.Warn()
+	}
+	event.Bool("complete", d.idle()).Int64("requests", requests).Int("conns", conns).Int("answers", answers).Dur("took", took).
+		Msg("daemon: stopped")
+}
+
+// idle reports whether neither the entry nor the gate has work in flight, and all answers to other hosts are written.
 func (d *Daemon) idle() bool {
-	return d.meters.inFlight.idle() && d.gate.Idle()
+	return d.meters.inFlight.idle() && d.gate.Idle() && d.answers.count() == 0
 }
--- a/internal/mesh/daemon/harness_test.go
+++ b/internal/mesh/daemon/harness_test.go
@@ -14,6 +14,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
 
 	"buckthornlatch.example/buckthornlatch/internal/id"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/daemon"
@@ -33,6 +34,8 @@
 type fleet struct {
 	store *store
 	hosts []*host
+	// grace is the grace period of the daemons.
+	grace time.Duration
 }
 
 // host is a daemon with its target.
@@ -51,6 +54,25 @@
 	runs map[string]int
 	// handler replaces the target's default response unless it is nil. Runs are counted in either case.
 	handler http.HandlerFunc
+	// onDecision is called with the message of each line about a request before the daemon goes on, unless it is nil.
+	onDecision func(message string)
+}
+
+// Run implements zerolog.Hook.
+func (h *host) Run(_ *zerolog.Event, _ zerolog.Level, message string) {
+	h.mu.Lock()
+	call := h.onDecision
+	h.mu.Unlock()
+	if call != nil {
+		call(message)
+	}
+}
+
+// setOnDecision sets onDecision.
+func (h *host) setOnDecision(call func(message string)) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.onDecision = call
 }
 
 // rosterDelay is longer than the pause between two watches of the roster.
@@ -65,8 +87,11 @@
 }
 
 // newFleet starts n hosts of the service "walks" and waits until their rosters are complete.
-func newFleet(n int) *fleet {
-	f := &fleet{store: newStore()}
+func newFleet(n int) *fleet { return newFleetWithGrace(n, time.Second) }
+
+// newFleetWithGrace is newFleet with another grace period than one second.
+func newFleetWithGrace(n int, grace time.Duration) *fleet {
+	f := &fleet{store: newStore(), grace: grace}
 	f.store.setPolicy(1, "school-key")
 	for range n {
 		f.add()
@@ -112,11 +137,12 @@
 // startUnannounced starts a host's daemon. Its target does not announce itself.
 func (f *fleet) startUnannounced(h *host) {
 	lines := logging.New(GinkgoWriter, string(h.address))
+	lines.Decisions = lines.Decisions.Hook(h)
 	h.daemon = daemon.New(daemon.Config{
 		Host: h.address, Domain: "north", Service: h.service, TargetAddress: strings.TrimPrefix(h.target.URL, "http://"),
 		Callers: h.callers, Peers: string(h.address), Probes: h.probes, Headers: headers,
 		Bounds: func() daemon.Bounds {
-			return daemon.Bounds{Grace: time.Second, RepeatRatio: 0.2, RepeatSlack: 50, RepeatWindow: 10 * time.Second}
+			return daemon.Bounds{Grace: f.grace, RepeatRatio: 0.2, RepeatSlack: 50, RepeatWindow: 10 * time.Second}
 		},
 		Store: f.store, Keys: statesync.Keys{PolicyPrefix: "op/", PolicyKey: "op/policy", HostPrefix: "hosts/"},
 		DecodePolicy: decodePolicy, Seeds: func() []id.HostID { return nil },
--- a/internal/mesh/daemon/server.go
+++ b/internal/mesh/daemon/server.go
@@ -70,7 +70,10 @@
 		case callersServer:
 			server.listener, server.http.ConnContext = d.front.Listener(listener), d.front.ConnContext
 		case peersServer:
-			server.http.ConnContext = hangup.WithConn
+			server.http.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
+				return withPeerConn(hangup.WithConn(ctx, conn), conn)
+			}
+			server.http.ConnState = d.answers.connState
 		}
 		d.servers = append(d.servers, server)
 	}
@@ -83,6 +86,7 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch {
 		case r.Header[link.HeaderAttempt] != nil:
+			d.answers.begin(r.Context())
 			d.gate.ServeHTTP(w, r)
 		case r.URL.Path == statesync.StatePath, r.URL.Path == statesync.RosterPath:
 			d.syncer.ServeHTTP(w, r)
