Leave no request that was read without an answer when connections are closed in a planned stop

Cause: the drain closed callers' connections by net/http's view of them. To net/http, a connection is idle until the whole header of its next request is parsed, so that SetKeepAlivesEnabled and Shutdown closed connections on which a request was arriving or had just been read, and after Shutdown net/http drops what it reads. Besides, the first answer after the stop signal closed its connection although further requests had been read behind it; only those served ahead were waited for. A caller sends a booking again after a closed connection only if the booking was not read.

Change: the Front knows of each connection whether the server waits for a request of which nothing has arrived, also not in the kernel. CloseAll ends that wait by a read deadline: the read returns either the request, which is then answered, or the end of the wait, and the request stays unread. An answer closes its connection only if nothing was read behind it. The half second in which unused connections must be silent is counted in checks, since time passes without them on a host that is short of processor time.

The spec 'answers all that it serves ahead before a drain ends the connection' expected that requests behind the ones served ahead get no answer.

Not covered: a request behind one with a body. net/http may have read it together with that body, where the Conn cannot see it.

--- a/internal/mesh/callerconn/ahead_test.go
+++ b/internal/mesh/callerconn/ahead_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -102,36 +101,6 @@
 		Eventually(s.leftPaths).Should(ConsistOf("/ahead/slow1", "/ahead/slow2", "/ahead/slow3"))
 	})
 
-	// Guards against requests that were passed on and are cut off by an earlier answer that closes the connection.
-	It("answers all that it serves ahead before a drain ends the connection", func() {
-		release := make(chan struct{})
-		s := serve(release)
-		conn := s.dial()
-		send(conn, "/ahead/slow1", "/ahead/2", "/ahead/3", "/4")
-		Eventually(s.paths).Should(HaveLen(3))
-		s.note(func() { s.draining = true })
-		send(conn, "/ahead/5")
-		ended := make(chan error, 1)
-		go func() {
-			s.front.WaitServedAhead(context.Background())
-			ended <- s.http.Shutdown(context.Background())
-		}()
-		time.Sleep(50 * time.Millisecond)
-		close(release)
-		reader := bufio.NewReader(conn)
-		for i := range 3 {
-			response, err := http.ReadResponse(reader, nil)
-			Expect(err).NotTo(HaveOccurred())
-			_, err = io.Copy(io.Discard, response.Body)
-			Expect(err).NotTo(HaveOccurred())
-			Expect(response.Close).To(Equal(i == 2))
-		}
-		_, err := reader.ReadByte()
-		Expect(err).To(MatchError("EOF"))
-		Eventually(ended, "3s").Should(Receive(BeNil()))
-		Expect(s.paths()).To(ConsistOf("/ahead/slow1", "/ahead/2", "/ahead/3"))
-	})
-
 	// Guards against a part of a request's body or header that is taken for a request of its own.
 	DescribeTable("does not look for requests behind one whose end is in doubt",
 		func(first string) {
--- a/internal/mesh/callerconn/callerconn_test.go
+++ b/internal/mesh/callerconn/callerconn_test.go
@@ -32,11 +32,19 @@
 	front    *callerconn.Front
 }
 
+// connTimeout bounds the use of a caller's connection, so that a spec that waits in vain fails.
+const connTimeout = 10 * time.Second
+
 // serve starts a server whose handler answers "/slow..." and "/ahead/slow..." only after release is closed or the caller
 // has left. Requests for "/ahead/..." may be served ahead.
 func serve(release <-chan struct{}) *server {
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
+	return serveOn(inner, release)
+}
+
+// serveOn is serve with a listener.
+func serveOn(inner net.Listener, release <-chan struct{}) *server {
 	s := &server{address: inner.Addr().String(), received: map[string]time.Duration{}}
 	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		ctx := r.Context()
@@ -82,7 +90,7 @@
 			return s.draining
 		},
 	}
-	s.http = &http.Server{Handler: s.front, ConnContext: s.front.ConnContext}
+	s.http = &http.Server{Handler: s.front, ConnContext: s.front.ConnContext, ConnState: s.front.ConnState}
 	go func() { _ = s.http.Serve(s.front.Listener(inner)) }()
 	DeferCleanup(s.http.Close)
 	return s
@@ -114,6 +122,7 @@
 	conn, err := net.Dial("tcp", s.address)
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(func() { _ = conn.Close() })
+	Expect(conn.SetDeadline(time.Now().Add(connTimeout))).To(Succeed())
 	return conn
 }
 
--- a/internal/mesh/callerconn/conn.go
+++ b/internal/mesh/callerconn/conn.go
@@ -53,6 +53,11 @@
 	ahead map[int]*served
 	// pipelined is set once the caller has sent bytes before an answer was complete.
 	pipelined bool
+	// idle is true while no byte of the next request was read; waiting while the server also waits for it. kept is set once
+	// a request of the connection was answered.
+	idle, waiting, kept bool
+	// aheadByte is set while the server holds a byte that it read ahead during a handler.
+	aheadByte bool
 	// bodyUnread is set if the last answer may have been given before the body of its request was read.
 	bodyUnread bool
 	// closed is set once the server has closed the connection.
@@ -78,7 +83,7 @@
 
 // newConn wraps a connection.
 func newConn(inner net.Conn, front *Front) *Conn {
-	c := &Conn{Conn: inner, front: front, searching: true, ahead: map[int]*served{}}
+	c := &Conn{Conn: inner, front: front, searching: true, idle: true, ahead: map[int]*served{}}
 	c.ctx, c.cancel = context.WithCancel(hangup.WithConn(context.Background(), inner))
 	c.changed = sync.NewCond(&c.mu)
 	return c
@@ -116,10 +121,14 @@
 	}
 }
 
-// servesAhead reports whether a request behind the current one is being served.
-func (c *Conn) servesAhead() bool {
+// hasMore reports whether a request behind the current one was read, in part or whole, or is being served. Its caller would
+// wait for an answer in vain if the connection ended with the current one.
+func (c *Conn) hasMore() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if len(c.in) > 0 || c.aheadByte {
+		return true
+	}
 	for number := range c.ahead {
 		if number >= c.begun {
 			return true
@@ -135,6 +144,7 @@
 	}
 	lookAhead := len(p) == 1
 	c.mu.Lock()
+	c.waiting = c.idle && !lookAhead && len(c.in) == 0
 	for c.left == nil && len(c.in) == 0 && c.watching {
 		c.changed.Wait()
 	}
@@ -142,6 +152,10 @@
 		c.mu.Unlock()
 		n, err := c.Conn.Read(p)
 		c.mu.Lock()
+		if n > 0 {
+			c.idle = false
+		}
+		c.waiting = false
 		if n == 0 || c.passesThrough(lookAhead) {
 			c.received.last = time.Now()
 			c.mu.Unlock()
@@ -153,13 +167,45 @@
 	if c.left != nil {
 		return 0, c.left
 	}
+	c.idle, c.waiting = false, false
 	n := c.take(p, lookAhead)
+	c.aheadByte = lookAhead
 	if lookAhead {
 		c.watch()
 	}
 	return n, nil
 }
 
+// answered notes that the answer to a request was written out.
+func (c *Conn) answered() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.kept, c.idle, c.aheadByte = true, !c.aheadByte, false
+}
+
+// silent reports whether the server waits for a request of which nothing has arrived.
+func (c *Conn) silent() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.isSilent()
+}
+
+// isSilent is silent with c.mu held.
+func (c *Conn) isSilent() bool {
+	return c.waiting && len(c.in) == 0 && !hangup.Unread(c.Conn)
+}
+
+// closeIfSilent lets the server close the connection if it is silent, and, if onlyKept is set, has been used before. It only
+// ends the server's wait: if a request arrives at the same moment, the read returns either that request, which is then
+// answered, or the end of the wait, and the request stays unread.
+func (c *Conn) closeIfSilent(onlyKept bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.isSilent() && (c.kept || !onlyKept) {
+		_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
 // passesThrough reports whether bytes that were just read can be handed to the server as they are. The caller must hold
 // c.mu.
 func (c *Conn) passesThrough(lookAhead bool) bool {
@@ -351,7 +397,7 @@
 	}
 	if !c.closed {
 		c.closed = true
-		c.front.open.Add(-1)
+		c.front.forget(c)
 	}
 	lingering := c.lingering
 	c.changed.Broadcast()
--- a/internal/mesh/callerconn/doc.go
+++ b/internal/mesh/callerconn/doc.go
@@ -9,10 +9,11 @@
 //     the caller sent before it left is dropped and never passed on.
 //   - Time: the deadline of a request runs from when it was received and not from its turn (Received).
 //   - Serving ahead: requests without a body that may run more than once are served while the earlier ones are, and their
-//     answers are written in order. A request that may run only once waits for its turn: if an earlier answer closes the
-//     connection, its caller sends it again.
-//   - Closing: while requests are being served ahead, no answer closes the connection, so that none of them is lost. A
-//     connection that ends with unread requests is closed in two steps, so that the caller gets the last answer.
+//     answers are written in order. A request that may run only once waits for its turn.
+//   - Closing: an answer closes the connection of a draining process only if nothing was read behind it: a caller sends a
+//     booking again after a closed connection only if it was not read. CloseAll ends a connection by ending the server's wait
+//     for the next request, so that a request that arrives at that moment is either answered or left unread. A connection
+//     that ends with unread requests is closed in two steps, so that the caller gets the last answer.
 //
 // Serving ahead needs the boundaries of requests. A Conn finds them only in a sequence of complete GET and HEAD requests
 // without a body; at anything else it passes all later bytes of the connection through as they are.
--- a/internal/mesh/callerconn/front.go
+++ b/internal/mesh/callerconn/front.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -15,11 +18,15 @@
 	maxAheadInAll = 8 << 20
 	// maxServedAheadInAll bounds the requests that are served ahead on all connections of a Front.
 	maxServedAheadInAll = 256
-	// drainPollInterval is the interval at which WaitServedAhead checks.
-	drainPollInterval = 10 * time.Millisecond
+	// closePollInterval is the interval at which CloseAll checks.
+	closePollInterval = 10 * time.Millisecond
+	// silentPolls is the number of checks in a row, about half a second, at which all connections must be silent before
+	// CloseAll closes those that have not been used yet: their callers may be about to send a request. Checks are counted and
+	// not time, which passes without them on a host that is short of processor time.
+	silentPolls = 50
 )
 
-// Front is the handler of callers' requests. Its server must use Listener and ConnContext.
+// Front is the handler of callers' requests. Its server must use Listener, ConnContext and ConnState.
 type Front struct {
 	// Handler serves the requests.
 	Handler http.Handler
@@ -32,8 +39,10 @@
 	// is written or their connection ends.
 	aheadBytes  atomic.Int64
 	servedAhead atomic.Int64
-	// open counts the connections that the server has not closed.
-	open atomic.Int64
+
+	mu sync.Mutex
+	// open holds the connections that the server has not closed.
+	open map[*Conn]struct{}
 }
 
 // Listener returns a listener whose connections are Conns.
@@ -53,8 +62,9 @@
 	if err != nil {
 		return nil, err
 	}
-	l.front.open.Add(1)
-	return newConn(inner, l.front), nil
+	c := newConn(inner, l.front)
+	l.front.remember(c)
+	return c, nil
 }
 
 // connKey and receivedKey are context keys of a request's Conn and of the time when it was received.
@@ -71,6 +81,13 @@
 	return context.WithValue(ctx, connKey{}, conn)
 }
 
+// ConnState is the ConnState of the server.
+func (f *Front) ConnState(conn net.Conn, state http.ConnState) {
+	if c, ok := conn.(*Conn); ok && state == http.StateIdle {
+		c.answered()
+	}
+}
+
 // Received returns when a request was received, which is before its turn came if it waited behind others. It returns the
 // current time for a request that did not come through a Front.
 func Received(ctx context.Context) time.Time {
@@ -91,7 +108,7 @@
 	defer cancel()
 	served, received := conn.begin(cancel)
 	defer conn.end()
-	closing := &closingWriter{ResponseWriter: w, mayClose: func() bool { return f.Draining() && !conn.servesAhead() }}
+	closing := &closingWriter{ResponseWriter: w, mayClose: func() bool { return f.Draining() && !conn.hasMore() }}
 	if served == nil {
 		f.Handler.ServeHTTP(closing, r.WithContext(context.WithValue(ctx, receivedKey{}, received)))
 		if r.ContentLength != 0 && w.Header().Get("Connection") == "close" {
@@ -108,12 +125,27 @@
 	served.deliver(ctx, closing)
 }
 
-// WaitServedAhead waits until all requests that are served ahead are answered, or ctx ends. No further ones are served
-// ahead once Draining returns true.
-func (f *Front) WaitServedAhead(ctx context.Context) {
-	ticker := time.NewTicker(drainPollInterval)
+// CloseAll closes all connections, those with requests after the last answer, and returns when that is done or ctx ends. The
+// listener must be closed and Draining must return true. No request that was read remains without an answer, unlike with
+// the methods of http.Server: SetKeepAlivesEnabled and Shutdown also close connections whose next request has been read but
+// not parsed, and those behind whose last answer a request waits; after Shutdown, requests that were read are dropped.
+func (f *Front) CloseAll(ctx context.Context) {
+	ticker := time.NewTicker(closePollInterval)
 	defer ticker.Stop()
-	for f.servedAhead.Load() > 0 {
+	for polls := 0; ; {
+		conns := f.conns()
+		if len(conns) == 0 {
+			return
+		}
+		polls++
+		for _, c := range conns {
+			if !c.silent() {
+				polls = 0
+			}
+		}
+		for _, c := range conns {
+			c.closeIfSilent(polls < silentPolls)
+		}
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
@@ -124,7 +156,33 @@
 
 // OpenConns returns the number of connections that the server has not closed.
 func (f *Front) OpenConns() int {
-	return int(f.open.Load())
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.open)
+}
+
+// conns returns the connections that the server has not closed.
+func (f *Front) conns() []*Conn {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Collect(maps.Keys(f.open))
+}
+
+// remember adds a connection to those that the server has not closed.
+func (f *Front) remember(c *Conn) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.open == nil {
+		f.open = map[*Conn]struct{}{}
+	}
+	f.open[c] = struct{}{}
+}
+
+// forget removes a connection from those that the server has not closed.
+func (f *Front) forget(c *Conn) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.open, c)
 }
 
 // closingWriter sets "Connection: close" on an answer whose connection should end with it.
--- a/internal/mesh/daemon/drain.go
+++ b/internal/mesh/daemon/drain.go
@@ -19,10 +19,6 @@
 	// cancelQueuedShare is the fraction of the grace period after which attempts that are not running at a target are
 	// cancelled and their requests answered. Running ones have until cancelMargin before the end of the period.
 	cancelQueuedShare = 0.9
-	// lateRequestTime is how long a stopping process waits for requests on connections on which none has been sent.
-	lateRequestTime = 500 * time.Millisecond
-	// flushTime bounds the time in which the last answers are written out.
-	flushTime = 250 * time.Millisecond
 	// drainPollInterval is the interval at which drain checks whether requests are still being served.
 	drainPollInterval = 20 * time.Millisecond
 )
@@ -57,30 +53,12 @@
 }
 
 // closeCallers closes the callers' connections, each with its last answer. Requests that still come are refused: callers may
-// hold connections on which they have sent nothing yet, and net/http drops without an answer what it reads there once
-// Shutdown was called. So that is called last.
+// hold connections on which they have sent nothing yet.
 func (d *Daemon) closeCallers(ctx context.Context) {
 	for _, s := range d.servers {
-		if s.name != callersServer {
-			continue
-		}
-		s.stopAccepting(d.config.Loggers.Events)
-		d.front.WaitServedAhead(ctx)
-		s.http.SetKeepAlivesEnabled(false)
-		d.awaitCallers(ctx)
-		flushed, cancel := context.WithTimeout(ctx, flushTime)
-		s.shutdown(flushed, d.config.Loggers.Events)
-		cancel()
-	}
-}
-
-// awaitCallers waits until the callers' connections are closed, or all that are open have been silent for lateRequestTime.
-func (d *Daemon) awaitCallers(ctx context.Context) {
-	served := time.Now()
-	for d.front.OpenConns() > 0 && time.Since(served) < lateRequestTime && ctx.Err() == nil {
-		time.Sleep(drainPollInterval)
-		if !d.meters.inFlight.idle() {
-			served = time.Now()
+		if s.name == callersServer {
+			s.stopAccepting(d.config.Loggers.Events)
+			d.front.CloseAll(ctx)
 		}
 	}
 }
--- a/internal/mesh/daemon/server.go
+++ b/internal/mesh/daemon/server.go
@@ -68,7 +68,7 @@
 		}}
 		switch s.name {
 		case callersServer:
-			server.listener, server.http.ConnContext = d.front.Listener(listener), d.front.ConnContext
+			server.listener, server.http.ConnContext, server.http.ConnState = d.front.Listener(listener), d.front.ConnContext, d.front.ConnState
 		case peersServer:
 			server.http.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
 				return withPeerConn(hangup.WithConn(ctx, conn), conn)
@@ -114,13 +114,6 @@
 	}
 }
 
-// shutdown closes the listener and idle connections and waits for active requests until ctx ends.
-func (s *server) shutdown(ctx context.Context, log zerolog.Logger) {
-	if err := s.http.Shutdown(ctx); err != nil {
-		log.Warn().Err(err).Str("server", s.name).Msg("daemon: server shutdown incomplete")
-	}
-}
-
 // close closes the server at once.
 func (s *server) close() {
 	_ = s.http.Close()
--- a/internal/mesh/hangup/hangup.go
+++ b/internal/mesh/hangup/hangup.go
@@ -24,8 +24,23 @@
 	return ok && closed(conn)
 }
 
+// Unread reports whether bytes of a connection, or its end, wait in the kernel to be read. It returns false if conn is no
+// socket.
+func Unread(conn net.Conn) bool {
+	return onSocket(conn, func(fd int) bool {
+		var next [1]byte
+		_, _, err := unix.Recvfrom(fd, next[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		return err == nil
+	})
+}
+
 // closed reports whether the other side has closed a connection or reset it.
 func closed(conn net.Conn) bool {
+	return onSocket(conn, func(fd int) bool { return atEnd(fd) || endAnnounced(fd) })
+}
+
+// onSocket returns what test says of the socket of a connection, and false if conn is no open socket.
+func onSocket(conn net.Conn, test func(fd int) bool) bool {
 	socket, ok := conn.(syscall.Conn)
 	if !ok {
 		return false
@@ -34,12 +49,10 @@
 	if err != nil {
 		return false
 	}
-	ended := false
+	result := false
 	// Unlike a read, Control does not wait for another read of the connection.
-	err = raw.Control(func(fd uintptr) {
-		ended = atEnd(int(fd)) || endAnnounced(int(fd))
-	})
-	return ended && err == nil
+	err = raw.Control(func(fd uintptr) { result = test(int(fd)) })
+	return result && err == nil
 }
 
 // atEnd reports whether a socket has nothing to read but the end of the connection.
