Keep SIGHUP from ending serve without a drain

Change: serve ignores SIGHUP. Certificates are read again periodically; other settings need a restart.

Measured: TestServeSurvivesHangup failed before ('signal: hangup') and passes.

--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -4,6 +4,8 @@
 	"context"
 	"io"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/rs/zerolog"
 
@@ -18,6 +20,8 @@
 
 // Run serves until the context ends, then drains.
 func (c *Serve) Run(ctx context.Context, _ io.Writer) error {
+	// SIGHUP would end the process without a drain. There is nothing to reload: certificates are read again by themselves.
+	signal.Ignore(syscall.SIGHUP)
 	s, err := settings.Load(c.Settings)
 	if err != nil {
 		return err
