End the process of mesh when an invariant is broken in a handler

Cause: net/http recovers from panics of handlers. A broken invariant in an entry or gate of mesh therefore closed one connection without an answer and left the process running with invalid state, in the gate possibly with its lock held. docs/PROOFS.md says that a broken invariant ends the process; serve does that with hop.CrashOnViolation.

Change: both handlers of mesh use it, too.

Measured: TestViolationEndsProcess of both packages failed before (the process went on behind 'http: panic serving') and passes.

--- a/internal/mesh/entry/handler.go
+++ b/internal/mesh/entry/handler.go
@@ -31,6 +31,7 @@
 
 // ServeHTTP implements http.Handler.
 func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	defer hop.CrashOnViolation()
 	e.config.Metrics.Begin()
 	defer e.config.Metrics.End()
 	inbound := hop.NewInboundBody(w, r)
--- a/internal/mesh/gate/handler.go
+++ b/internal/mesh/gate/handler.go
@@ -9,6 +9,7 @@
 
 // ServeHTTP runs attempts sent by the entries of other hosts.
 func (g *Gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	defer hop.CrashOnViolation()
 	inbound := hop.NewInboundBody(w, r)
 	defer inbound.Done()
 	a, err := link.DecodeAttempt(r)
