Log what the HTTP servers of mesh report

net/http wrote its reports, such as 'panic serving' at the end of a connection without an answer, to standard error, without a host or a time. They are error lines of the daemon's log now.

--- a/internal/mesh/daemon/harness_test.go
+++ b/internal/mesh/daemon/harness_test.go
@@ -54,27 +54,30 @@
 	runs map[string]int
 	// handler replaces the target's default response unless it is nil. Runs are counted in either case.
 	handler http.HandlerFunc
-	// onDecision is called with the message of each line about a request before the daemon goes on, unless it is nil.
-	onDecision func(message string)
+	// onLine is called with the message of each line of the log before the daemon goes on, unless it is nil.
+	onLine func(message string)
 }
 
 // Run implements zerolog.Hook.
 func (h *host) Run(_ *zerolog.Event, _ zerolog.Level, message string) {
 	h.mu.Lock()
-	call := h.onDecision
+	call := h.onLine
 	h.mu.Unlock()
 	if call != nil {
 		call(message)
 	}
 }
 
-// setOnDecision sets onDecision.
-func (h *host) setOnDecision(call func(message string)) {
+// setOnLine sets onLine.
+func (h *host) setOnLine(call func(message string)) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.onDecision = call
+	h.onLine = call
 }
 
+// panicPath is the path of probes whose handler panics.
+const panicPath = "/panic"
+
 // rosterDelay is longer than the pause between two watches of the roster.
 const rosterDelay = 1500 * time.Millisecond
 
@@ -137,7 +140,7 @@
 // startUnannounced starts a host's daemon. Its target does not announce itself.
 func (f *fleet) startUnannounced(h *host) {
 	lines := logging.New(GinkgoWriter, string(h.address))
-	lines.Decisions = lines.Decisions.Hook(h)
+	lines.Events, lines.Decisions = lines.Events.Hook(h), lines.Decisions.Hook(h)
 	h.daemon = daemon.New(daemon.Config{
 		Host: h.address, Domain: "north", Service: h.service, TargetAddress: strings.TrimPrefix(h.target.URL, "http://"),
 		Callers: h.callers, Peers: string(h.address), Probes: h.probes, Headers: headers,
@@ -148,7 +151,10 @@
 		DecodePolicy: decodePolicy, Seeds: func() []id.HostID { return nil },
 		TargetHandler: func(daemon.Announcer) http.Handler { return http.NotFoundHandler() },
 		ProbeHandler: func(ready func() bool) http.Handler {
-			return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if r.URL.Path == panicPath {
+					panic("for the test")
+				}
 				if !ready() {
 					w.WriteHeader(http.StatusServiceUnavailable)
 				}
--- a/internal/mesh/daemon/server.go
+++ b/internal/mesh/daemon/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"log"
 	"net"
 	"net/http"
 	"time"
@@ -65,6 +66,7 @@
 			// Otherwise net/http answers "OPTIONS *" itself.
 			DisableGeneralOptionsHandler: true,
 			Handler:                      s.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
+			ErrorLog: log.New(serverLog{name: s.name, log: d.config.Loggers.Events}, "", 0),
 		}}
 		switch s.name {
 		case callersServer:
@@ -108,9 +110,9 @@
 }
 
 // stopAccepting closes the listener. Open connections are served on.
-func (s *server) stopAccepting(log zerolog.Logger) {
+func (s *server) stopAccepting(events zerolog.Logger) {
 	if err := s.listener.Close(); err != nil {
-		log.Warn().Err(err).Str("server", s.name).Msg("daemon: listener not closed")
+		events.Warn().Err(err).Str("server", s.name).Msg("daemon: listener not closed")
 	}
 }
 
--- a/internal/mesh/daemon/stoppinggate_test.go
+++ b/internal/mesh/daemon/stoppinggate_test.go
@@ -26,7 +26,7 @@
 			<-release
 			w.Header().Set("Seal", "s")
 		})
-		far.setOnDecision(func(message string) {
+		far.setOnLine(func(message string) {
 			if message == "gate: attempt ended" {
 				time.Sleep(writeDelay)
 			}
