Wait in a planned stop for callers that still send the body of a refused request

Cause: a connection whose request was refused before its body was read is closed in two steps, so that the caller gets the refusal. The drain did not count it as open once net/http had closed its side, and the end of the process resets a connection with unread bytes: the caller could lose the answer.

Change: a connection counts as open until both steps are done, for at most lingerTime.

Measured: the spec 'waits for a caller that still sends the body of a refused request' failed before (CloseAll returned within 1 s while the caller was sending) and passes, also under the race detector.

--- a/internal/mesh/callerconn/closeall_test.go
+++ b/internal/mesh/callerconn/closeall_test.go
@@ -167,6 +167,22 @@
 		Eventually(closed, "3s").Should(BeClosed())
 	})
 
+	// The end of the process would reset the connection, and the caller could lose the refusal.
+	It("waits for a caller that still sends the body of a refused request", func() {
+		s := serve(nil)
+		conn := s.dial()
+		_, err := io.WriteString(conn, "POST /refused HTTP/1.1\r\nHost: a\r\nContent-Length: 10000000\r\n\r\nbeginning")
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(s.paths).Should(HaveLen(1))
+		closed := s.closeAll()
+		Consistently(closed, "1s").ShouldNot(BeClosed())
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.StatusCode).To(Equal(http.StatusServiceUnavailable))
+		_ = conn.Close()
+		Eventually(closed, "1s").Should(BeClosed())
+	})
+
 	It("ends with its context", func() {
 		s := serve(make(chan struct{}))
 		send(s.dial(), "/slow1")
--- a/internal/mesh/callerconn/conn.go
+++ b/internal/mesh/callerconn/conn.go
@@ -60,8 +60,6 @@
 	aheadByte bool
 	// bodyUnread is set if the last answer may have been given before the body of its request was read.
 	bodyUnread bool
-	// closed is set once the server has closed the connection.
-	closed bool
 	// lingering is set once the connection is being closed in two steps.
 	lingering bool
 	// watching is true while a goroutine reads ahead.
@@ -374,6 +372,7 @@
 func (c *Conn) CloseWrite() error {
 	half, ok := c.Conn.(interface{ CloseWrite() error })
 	if !ok {
+		c.front.forget(c)
 		return c.Conn.Close()
 	}
 	c.mu.Lock()
@@ -395,10 +394,6 @@
 	if c.left == nil {
 		c.leave(net.ErrClosed)
 	}
-	if !c.closed {
-		c.closed = true
-		c.front.forget(c)
-	}
 	lingering := c.lingering
 	c.changed.Broadcast()
 	c.mu.Unlock()
@@ -408,6 +403,7 @@
 	if lingering {
 		return nil
 	}
+	c.front.forget(c)
 	return c.Conn.Close()
 }
 
@@ -423,4 +419,5 @@
 	_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTime))
 	_, _ = io.Copy(io.Discard, io.LimitReader(c.Conn, maxLingerBytes))
 	_ = c.Conn.Close()
+	c.front.forget(c)
 }
--- a/internal/mesh/callerconn/front.go
+++ b/internal/mesh/callerconn/front.go
@@ -41,7 +41,7 @@
 	servedAhead atomic.Int64
 
 	mu sync.Mutex
-	// open holds the connections that the server has not closed.
+	// open holds the connections that are not closed, also those of which only this side is.
 	open map[*Conn]struct{}
 }
 
@@ -154,21 +154,21 @@
 	}
 }
 
-// OpenConns returns the number of connections that the server has not closed.
+// OpenConns returns the number of connections that are not closed.
 func (f *Front) OpenConns() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return len(f.open)
 }
 
-// conns returns the connections that the server has not closed.
+// conns returns the connections that are not closed.
 func (f *Front) conns() []*Conn {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return slices.Collect(maps.Keys(f.open))
 }
 
-// remember adds a connection to those that the server has not closed.
+// remember adds a connection to those that are not closed.
 func (f *Front) remember(c *Conn) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -178,7 +178,7 @@
 	f.open[c] = struct{}{}
 }
 
-// forget removes a connection from those that the server has not closed.
+// forget removes a connection from those that are not closed.
 func (f *Front) forget(c *Conn) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
