Keep refusals to other hosts from prolonging a planned stop

Cause: the drain waited until no answer to another host was unwritten, refusals of a stopping gate included.

Change: it waits only for answers to attempts that had begun when entry and gate were idle.

--- a/internal/mesh/daemon/drain.go
+++ b/internal/mesh/daemon/drain.go
@@ -49,7 +49,12 @@
 	for !d.idle() && ctx.Err() == nil {
 		time.Sleep(drainPollInterval)
 	}
-	d.logStop(time.Since(started))
+	// The gate admits nothing any more. Attempts that come from now on get refusals, which are not waited for.
+	last := d.answers.latest()
+	for d.answers.upTo(last) > 0 && ctx.Err() == nil {
+		time.Sleep(drainPollInterval)
+	}
+	d.logStop(time.Since(started), d.answers.upTo(last))
 }
 
 // closeCallers closes the callers' connections, each with its last answer. Requests that still come are refused: callers may
@@ -65,17 +70,17 @@
 
 // logStop logs what the end of the process cuts off: requests of callers, the callers' connections that are open, and
 // answers to other hosts.
-func (d *Daemon) logStop(took time.Duration) {
-	requests, conns, answers := d.meters.inFlight.count.Load(), d.front.OpenConns(), d.answers.count()
+func (d *Daemon) logStop(took time.Duration, answers int) {
+	requests, conns := d.meters.inFlight.count.Load(), d.front.OpenConns()
 	event := d.config.Loggers.Events.Info()
 	if requests > 0 || answers > 0 {
 		event = d.config.Loggers.Events.Warn()
 	}
-	event.Bool("complete", d.idle()).Int64("requests", requests).Int("conns", conns).Int("answers", answers).Dur("took", took).
+	event.Bool("complete", d.idle() && answers == 0).Int64("requests", requests).Int("conns", conns).Int("answers", answers).Dur("took", took).
 		Msg("daemon: stopped")
 }
 
-// idle reports whether neither the entry nor the gate has work in flight, and all answers to other hosts are written.
+// idle reports whether neither the entry nor the gate has work in flight.
 func (d *Daemon) idle() bool {
-	return d.meters.inFlight.idle() && d.gate.Idle() && d.answers.count() == 0
+	return d.meters.inFlight.idle() && d.gate.Idle()
 }
--- a/internal/mesh/daemon/openanswers.go
+++ b/internal/mesh/daemon/openanswers.go
@@ -10,8 +10,10 @@
 // openAnswers knows the connections of other hosts on which the answer to an attempt has not been written out. The gate is
 // idle once the slot is released, which is before that.
 type openAnswers struct {
-	mu    sync.Mutex
-	conns map[net.Conn]struct{}
+	mu sync.Mutex
+	// begun counts the attempts; conns holds the number of the last one of each connection.
+	begun uint64
+	conns map[net.Conn]uint64
 }
 
 // peerConnKey is the context key of the connection of another host's request.
@@ -31,9 +33,10 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.conns == nil {
-		o.conns = map[net.Conn]struct{}{}
+		o.conns = map[net.Conn]uint64{}
 	}
-	o.conns[conn] = struct{}{}
+	o.begun++
+	o.conns[conn] = o.begun
 }
 
 // connState is the ConnState of the server.
@@ -46,9 +49,22 @@
 	delete(o.conns, conn)
 }
 
-// count returns the number of answers that are not written out.
-func (o *openAnswers) count() int {
+// latest returns the number of the last attempt that has begun.
+func (o *openAnswers) latest() uint64 {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return len(o.conns)
+	return o.begun
+}
+
+// upTo returns how many answers to attempts up to a number are not written out.
+func (o *openAnswers) upTo(number uint64) int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	count := 0
+	for _, n := range o.conns {
+		if n <= number {
+			count++
+		}
+	}
+	return count
 }
--- a/internal/mesh/daemon/stoppinggate_test.go
+++ b/internal/mesh/daemon/stoppinggate_test.go
@@ -1,6 +1,7 @@
 package daemon_test
 
 import (
+	"fmt"
 	"net"
 	"net/http"
 	"time"
@@ -51,4 +52,32 @@
 		Expect((<-got).status).To(Equal(http.StatusOK))
 		Eventually(far.ended, "5s").Should(BeClosed())
 	})
+
+	It("does not keep a stopping daemon that refuses attempts without a pause", func() {
+		f := newFleetWithGrace(2, 10*time.Second)
+		near, far := f.hosts[0], f.hosts[1]
+		near.announce(roster.Draining, 2)
+		far.setOnLine(func(message string) {
+			if message == "gate: attempt ended" {
+				time.Sleep(writeDelay)
+			}
+		})
+		far.stop()
+		stopped := time.Now()
+		for range 8 {
+			go func() {
+				for i := 0; ; i++ {
+					select {
+					case <-far.ended:
+						return
+					default:
+						near.get(fmt.Sprintf("/browse/%d", i), "school-key")
+					}
+				}
+			}()
+		}
+		Eventually(far.ended, "15s").Should(BeClosed())
+		// The end of the grace period would be 10 s.
+		Expect(time.Since(stopped)).To(BeNumerically("<", 7*time.Second))
+	})
 })
