--- a/internal/mesh/callerconn/conn.go
+++ b/internal/mesh/callerconn/conn.go
@@ -54,10 +54,13 @@
 	ahead map[int]*served
 	// pipelined is set once the caller has sent bytes before an answer was complete.
 	pipelined bool
+	// idle is true while no byte of the next request was read; waiting while the server also waits for it. kept is set once
+	// a request of the connection was answered.
+	idle, waiting, kept bool
+	// aheadByte is set while the server holds a byte that it read ahead during a handler.
+	aheadByte bool
 	// bodyUnread is set if the last answer may have been given before the body of its request was read.
 	bodyUnread bool
-	// closed is set once the server has closed the connection.
-	closed bool
 	// lingering is set once the connection is being closed in two steps.
 	lingering bool
 	// watching is true while a goroutine reads ahead.
@@ -79,7 +82,7 @@
 
 // newConn wraps a connection.
 func newConn(inner net.Conn, front *Front) *Conn {
-	c := &Conn{Conn: inner, front: front, searching: true, ahead: map[int]*served{}}
+	c := &Conn{Conn: inner, front: front, searching: true, idle: true, ahead: map[int]*served{}}
 	c.ctx, c.cancel = context.WithCancel(hangup.WithConn(context.Background(), inner))
 	c.changed = sync.NewCond(&c.mu)
 	return c
@@ -117,10 +120,14 @@
 	}
 }
 
-// servesAhead reports whether a request behind the current one is being served.
-func (c *Conn) servesAhead() bool {
+// hasMore reports whether a request behind the current one was read, in part or whole, or is being served. Its caller would
+// wait for an answer in vain if the connection ended with the current one.
+func (c *Conn) hasMore() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if len(c.in) > 0 || c.aheadByte {
+		return true
+	}
 	for number := range c.ahead {
 		if number >= c.begun {
 			return true
@@ -136,6 +143,7 @@
 	}
 	lookAhead := len(p) == 1
 	c.mu.Lock()
+	c.waiting = c.idle && !lookAhead && len(c.in) == 0
 	for c.left == nil && len(c.in) == 0 && c.watching {
 		c.changed.Wait()
 	}
@@ -144,6 +152,10 @@
 		n, age, err := arrival.Read(c.Conn, p)
 		at := time.Now().Add(-age)
 		c.mu.Lock()
+		if n > 0 {
+			c.idle = false
+		}
+		c.waiting = false
 		if n == 0 || c.passesThrough(lookAhead) {
 			c.received.last = at
 			c.mu.Unlock()
@@ -155,13 +167,45 @@
 	if c.left != nil {
 		return 0, c.left
 	}
+	c.idle, c.waiting = false, false
 	n := c.take(p, lookAhead)
+	c.aheadByte = lookAhead
 	if lookAhead {
 		c.watch()
 	}
 	return n, nil
 }
 
+// answered notes that the answer to a request was written out.
+func (c *Conn) answered() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.kept, c.idle, c.aheadByte = true, !c.aheadByte, false
+}
+
+// silent reports whether the server waits for a request of which nothing has arrived.
+func (c *Conn) silent() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.isSilent()
+}
+
+// isSilent is silent with c.mu held.
+func (c *Conn) isSilent() bool {
+	return c.waiting && len(c.in) == 0 && !hangup.Unread(c.Conn)
+}
+
+// closeIfSilent lets the server close the connection if it is silent, and, if onlyKept is set, has been used before. It only
+// ends the server's wait: if a request arrives at the same moment, the read returns either that request, which is then
+// answered, or the end of the wait, and the request stays unread.
+func (c *Conn) closeIfSilent(onlyKept bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.isSilent() && (c.kept || !onlyKept) {
+		_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
 // passesThrough reports whether bytes that were just read can be handed to the server as they are. The caller must hold
 // c.mu.
 func (c *Conn) passesThrough(lookAhead bool) bool {
@@ -330,6 +374,7 @@
 func (c *Conn) CloseWrite() error {
 	half, ok := c.Conn.(interface{ CloseWrite() error })
 	if !ok {
+		c.front.forget(c)
 		return c.Conn.Close()
 	}
 	c.mu.Lock()
@@ -351,10 +396,6 @@
 	if c.left == nil {
 		c.leave(net.ErrClosed)
 	}
-	if !c.closed {
-		c.closed = true
-		c.front.open.Add(-1)
-	}
 	lingering := c.lingering
 	c.changed.Broadcast()
 	c.mu.Unlock()
@@ -364,6 +405,7 @@
 	if lingering {
 		return nil
 	}
+	c.front.forget(c)
 	return c.Conn.Close()
 }
 
@@ -393,4 +435,5 @@
 	_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTime))
 	_, _ = io.Copy(io.Discard, io.LimitReader(c.Conn, maxLingerBytes))
 	_ = c.Conn.Close()
+	c.front.forget(c)
 }
--- a/internal/mesh/daemon/drain.go
+++ b/internal/mesh/daemon/drain.go
@@ -19,10 +19,6 @@
 	// cancelQueuedShare is the fraction of the grace period after which attempts that are not running at a target are
 	// cancelled and their requests answered. Running ones have until cancelMargin before the end of the period.
 	cancelQueuedShare = 0.9
-	// lateRequestTime is how long a stopping process waits for requests on connections on which none has been sent.
-	lateRequestTime = 500 * time.Millisecond
-	// flushTime bounds the time in which the last answers are written out.
-	flushTime = 250 * time.Millisecond
 	// drainPollInterval is the interval at which drain checks whether requests are still being served.
 	drainPollInterval = 20 * time.Millisecond
 )
@@ -53,36 +49,35 @@
 	for !d.idle() && ctx.Err() == nil {
 		time.Sleep(drainPollInterval)
 	}
-	d.config.Loggers.Events.Info().Bool("complete", d.idle()).Dur("took", time.Since(started)).Msg("daemon: stopped")
+	// The gate admits nothing any more. Attempts that come from now on get refusals, which are not waited for.
+	last := d.answers.latest()
+	for d.answers.upTo(last) > 0 && ctx.Err() == nil {
+		time.Sleep(drainPollInterval)
+	}
+	d.logStop(time.Since(started), d.answers.upTo(last))
 }
 
 // closeCallers closes the callers' connections, each with its last answer. Requests that still come are refused: callers may
-// hold connections on which they have sent nothing yet, and net/http drops without an answer what it reads there once
-// Shutdown was called. So that is called last.
+// hold connections on which they have sent nothing yet.
 func (d *Daemon) closeCallers(ctx context.Context) {
 	for _, s := range d.servers {
-		if s.name != callersServer {
-			continue
+		if s.name == callersServer {
+			s.stopAccepting(d.config.Loggers.Events)
+			d.front.CloseAll(ctx)
 		}
-		s.stopAccepting(d.config.Loggers.Events)
-		d.front.WaitServedAhead(ctx)
-		s.http.SetKeepAlivesEnabled(false)
-		d.awaitCallers(ctx)
-		flushed, cancel := context.WithTimeout(ctx, flushTime)
-		s.shutdown(flushed, d.config.Loggers.Events)
-		cancel()
 	}
 }
 
-// awaitCallers waits until the callers' connections are closed, or all that are open have been silent for lateRequestTime.
-func (d *Daemon) awaitCallers(ctx context.Context) {
-	served := time.Now()
-	for d.front.OpenConns() > 0 && time.Since(served) < lateRequestTime && ctx.Err() == nil {
-		time.Sleep(drainPollInterval)
-		if !d.meters.inFlight.idle() {
-			served = time.Now()
-		}
+// logStop logs what the end of the process cuts off: requests of callers, the callers' connections that are open, and
+// answers to other hosts.
+func (d *Daemon) logStop(took time.Duration, answers int) {
+	requests, conns := d.meters.inFlight.count.Load(), d.front.OpenConns()
+	event := d.config.Loggers.Events.Info()
+	if requests > 0 || answers > 0 {
+		event = d.config.Loggers.Events.Warn()
 	}
+	event.Bool("complete", d.idle() && answers == 0).Int64("requests", requests).Int("conns", conns).Int("answers", answers).Dur("took", took).
+		Msg("daemon: stopped")
 }
 
 // idle reports whether neither the entry nor the gate has work in flight.
--- a/internal/mesh/daemon/harness_test.go
+++ b/internal/mesh/daemon/harness_test.go
@@ -14,6 +14,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
 
 	"buckthornlatch.example/buckthornlatch/internal/id"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/daemon"
@@ -33,6 +34,8 @@
 type fleet struct {
 	store *store
 	hosts []*host
+	// grace is the grace period of the daemons.
+	grace time.Duration
 }
 
 // host is a daemon with its target.
@@ -51,8 +54,30 @@
 	runs map[string]int
 	// handler replaces the target's default response unless it is nil. Runs are counted in either case.
 	handler http.HandlerFunc
+	// onLine is called with the message of each line of the log before the daemon goes on, unless it is nil.
+	onLine func(message string)
 }
 
+// Run implements zerolog.Hook.
+func (h *host) Run(_ *zerolog.Event, _ zerolog.Level, message string) {
+	h.mu.Lock()
+	call := h.onLine
+	h.mu.Unlock()
+	if call != nil {
+		call(message)
+	}
+}
+
+// setOnLine sets onLine.
+func (h *host) setOnLine(call func(message string)) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.onLine = call
+}
+
+// panicPath is the path of probes whose handler panics.
+const panicPath = "/panic"
+
 // rosterDelay is longer than the pause between two watches of the roster.
 const rosterDelay = 1500 * time.Millisecond
 
@@ -65,8 +90,11 @@
 }
 
 // newFleet starts n hosts of the service "walks" and waits until their rosters are complete.
-func newFleet(n int) *fleet {
-	f := &fleet{store: newStore()}
+func newFleet(n int) *fleet { return newFleetWithGrace(n, time.Second) }
+
+// newFleetWithGrace is newFleet with another grace period than one second.
+func newFleetWithGrace(n int, grace time.Duration) *fleet {
+	f := &fleet{store: newStore(), grace: grace}
 	f.store.setPolicy(1, "school-key")
 	for range n {
 		f.add()
@@ -112,17 +140,21 @@
 // startUnannounced starts a host's daemon. Its target does not announce itself.
 func (f *fleet) startUnannounced(h *host) {
 	lines := logging.New(GinkgoWriter, string(h.address))
+	lines.Events, lines.Decisions = lines.Events.Hook(h), lines.Decisions.Hook(h)
 	h.daemon = daemon.New(daemon.Config{
 		Host: h.address, Domain: "north", Service: h.service, TargetAddress: strings.TrimPrefix(h.target.URL, "http://"),
 		Callers: h.callers, Peers: string(h.address), Probes: h.probes, Headers: headers,
 		Bounds: func() daemon.Bounds {
-			return daemon.Bounds{Grace: time.Second, Policy: 2 * time.Second, RepeatRatio: 0.2, RepeatSlack: 50, RepeatWindow: 10 * time.Second}
+			return daemon.Bounds{Grace: f.grace, Policy: 2 * time.Second, RepeatRatio: 0.2, RepeatSlack: 50, RepeatWindow: 10 * time.Second}
 		},
 		Store: f.store, Keys: statesync.Keys{PolicyPrefix: "op/", PolicyKey: "op/policy", HostPrefix: "hosts/"},
 		DecodePolicy: decodePolicy, Seeds: func() []id.HostID { return nil },
 		TargetHandler: func(daemon.Announcer) http.Handler { return http.NotFoundHandler() },
 		ProbeHandler: func(ready func() bool) http.Handler {
-			return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if r.URL.Path == panicPath {
+					panic("for the test")
+				}
 				if !ready() {
 					w.WriteHeader(http.StatusServiceUnavailable)
 				}
--- a/internal/mesh/daemon/server.go
+++ b/internal/mesh/daemon/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"log"
 	"net"
 	"net/http"
 	"time"
@@ -65,12 +66,16 @@
 			// Otherwise net/http answers "OPTIONS *" itself.
 			DisableGeneralOptionsHandler: true,
 			Handler:                      s.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
+			ErrorLog: log.New(serverLog{name: s.name, log: d.config.Loggers.Events}, "", 0),
 		}}
 		switch s.name {
 		case callersServer:
-			server.listener, server.http.ConnContext = d.front.Listener(listener), d.front.ConnContext
+			server.listener, server.http.ConnContext, server.http.ConnState = d.front.Listener(listener), d.front.ConnContext, d.front.ConnState
 		case peersServer:
-			server.http.ConnContext = hangup.WithConn
+			server.http.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
+				return withPeerConn(hangup.WithConn(ctx, conn), conn)
+			}
+			server.http.ConnState = d.answers.connState
 		}
 		d.servers = append(d.servers, server)
 	}
@@ -83,6 +88,7 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch {
 		case r.Header[link.HeaderAttempt] != nil:
+			d.answers.begin(r.Context())
 			d.gate.ServeHTTP(w, r)
 		case r.URL.Path == statesync.StatePath, r.URL.Path == statesync.RosterPath:
 			d.syncer.ServeHTTP(w, r)
@@ -104,16 +110,9 @@
 }
 
 // stopAccepting closes the listener. Open connections are served on.
-func (s *server) stopAccepting(log zerolog.Logger) {
+func (s *server) stopAccepting(events zerolog.Logger) {
 	if err := s.listener.Close(); err != nil {
-		log.Warn().Err(err).Str("server", s.name).Msg("daemon: listener not closed")
-	}
-}
-
-// shutdown closes the listener and idle connections and waits for active requests until ctx ends.
-func (s *server) shutdown(ctx context.Context, log zerolog.Logger) {
-	if err := s.http.Shutdown(ctx); err != nil {
-		log.Warn().Err(err).Str("server", s.name).Msg("daemon: server shutdown incomplete")
+		events.Warn().Err(err).Str("server", s.name).Msg("daemon: listener not closed")
 	}
 }
 
