--- a/internal/entry/cutanswer_test.go
+++ b/internal/entry/cutanswer_test.go
@@ -1,16 +1,19 @@
 package entry_test
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"buckthornlatch.example/buckthornlatch/internal/clock"
 	"buckthornlatch.example/buckthornlatch/internal/entry"
 	"buckthornlatch.example/buckthornlatch/internal/hop/hoptest"
 	"buckthornlatch.example/buckthornlatch/internal/id"
@@ -40,6 +43,14 @@
 		s := newStack(ginkgoCleaner{})
 		g, candidate := s.addGate("t1", 8, nil)
 		Expect(s.announce(g, "t1", target.Address(), 8, targetapi.Serving)).To(Equal(http.StatusNoContent))
+		// A target that does not go on announcing itself is used for some seconds only.
+		announcing, stop := context.WithCancel(context.Background())
+		DeferCleanup(stop)
+		go func() {
+			for clock.Sleep(announcing, time.Second) {
+				s.announce(g, "t1", target.Address(), 8, targetapi.Serving)
+			}
+		}()
 		proxy, err := hoptest.NewProxy(candidate.Gate)
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(proxy.Close)
--- a/internal/mesh/callerconn/closeall_test.go
+++ b/internal/mesh/callerconn/closeall_test.go
@@ -22,9 +22,9 @@
 	reads atomic.Int32
 }
 
-// laggingConn is a connection of a laggingListener.
+// laggingConn is a connection of a laggingListener. It has no file descriptor to read from past Read.
 type laggingConn struct {
-	*net.TCPConn
+	net.Conn
 	listener *laggingListener
 }
 
@@ -34,12 +34,12 @@
 	if err != nil {
 		return nil, err
 	}
-	return laggingConn{TCPConn: conn.(*net.TCPConn), listener: l}, nil
+	return laggingConn{Conn: conn, listener: l}, nil
 }
 
 // Read implements net.Conn.
 func (c laggingConn) Read(p []byte) (int, error) {
-	n, err := c.TCPConn.Read(p)
+	n, err := c.Conn.Read(p)
 	if n > 0 {
 		c.listener.reads.Add(1)
 		time.Sleep(c.listener.lag)
@@ -47,6 +47,11 @@
 	return n, err
 }
 
+// CloseWrite closes the writing side.
+func (c laggingConn) CloseWrite() error {
+	return c.Conn.(*net.TCPConn).CloseWrite()
+}
+
 // closeAll begins to close a server's connections. The channel is closed at the end.
 func (s *server) closeAll() <-chan struct{} {
 	s.note(func() { s.draining = true })
