--- a/internal/mesh/entry/handler.go
+++ b/internal/mesh/entry/handler.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"buckthornlatch.example/buckthornlatch/internal/clock"
 	"buckthornlatch.example/buckthornlatch/internal/hop"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/callerconn"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/hangup"
@@ -21,13 +22,15 @@
 // Entry is the http.Handler for callers' requests.
 type Entry struct {
 	config Config
+	// createdAt is when the process started serving.
+	createdAt clock.Time
 	// worktimes estimates the durations of attempts from those at all gates.
 	worktimes worktime.Table
 }
 
 // New returns an entry.
 func New(config Config) *Entry {
-	return &Entry{config: config}
+	return &Entry{config: config, createdAt: config.Clock.Now()}
 }
 
 // ServeHTTP implements http.Handler.
--- a/internal/mesh/entry/harness_test.go
+++ b/internal/mesh/entry/harness_test.go
@@ -1,6 +1,7 @@
 package entry_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"net/http"
@@ -36,6 +37,8 @@
 	clock    *clocktest.Leaping
 	stopping chan struct{}
 	ending   chan struct{}
+	// lines is the entry's log.
+	lines bytes.Buffer
 
 	mu    sync.Mutex
 	gates map[id.HostID]gateFunc
@@ -97,7 +100,7 @@
 	h.entry = entry.New(entry.Config{
 		Service: "desk", Headers: headers, Policy: h, PolicyBound: func() time.Duration { return h.policyBound }, Limits: h, Chooser: h.chooser, Sender: h,
 		Clock: h.clock, Pauses: h, Random: func() float64 { return 0 }, Draining: func() bool { return false }, Refusing: func() bool { return false }, Stopping: h.stopping, Ending: h.ending,
-		Log: zerolog.Nop(), Metrics: noMetrics{}, CrashEvidence: h,
+		Log: zerolog.New(zerolog.SyncWriter(&h.lines)), Metrics: noMetrics{}, CrashEvidence: h,
 	})
 	return h
 }
--- a/internal/mesh/entry/log.go
+++ b/internal/mesh/entry/log.go
@@ -14,7 +14,7 @@
 		return
 	}
 	event.Str("request", req.requestID).Int("status", status).Str("code", code).Dur("took", took).
-		Dur("retry_after", retryAfter).Dur("policy_age", req.policyAge)
+		Dur("retry_after", retryAfter).Dur("policy_age", req.policyAge).Dur("up", e.config.Clock.Now().Sub(e.createdAt))
 	if req.policy != nil {
 		event.Uint64("policy", uint64(req.policy.Version()))
 	}
--- a/internal/mesh/entry/outcome.go
+++ b/internal/mesh/entry/outcome.go
@@ -16,9 +16,7 @@
 	a, result := e.attempt, e.result
 	a.stopTimers()
 	delete(s.active, a.host)
-	s.records = append(s.records, attemptRecord{
-		Host: a.host, Verdict: result.Verdict, Reason: result.Reason, TookMS: time.Since(a.sentAt).Milliseconds(),
-	})
+	s.records = append(s.records, newAttemptRecord(a, result))
 	s.entry.config.Chooser.Finish(a.host, reportOf(result))
 	s.lastRefused = result.Verdict == hop.NotRun
 	switch result.Verdict {
--- a/internal/mesh/entry/violation_test.go
+++ b/internal/mesh/entry/violation_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"testing"
 
+	"buckthornlatch.example/buckthornlatch/internal/clock"
 	"buckthornlatch.example/buckthornlatch/internal/invariant"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/entry"
 )
@@ -25,7 +26,7 @@
 // answer, in a process that goes on.
 func TestViolationEndsProcess(t *testing.T) {
 	if os.Getenv(violationVariable) != "" {
-		server := httptest.NewServer(entry.New(entry.Config{Metrics: brokenMetrics{}}))
+		server := httptest.NewServer(entry.New(entry.Config{Clock: clock.NewSystem(), Metrics: brokenMetrics{}}))
 		defer server.Close()
 		if response, err := http.Get(server.URL); err == nil {
 			_ = response.Body.Close()
