Break off no running work for others while the host may be in a planned stop

What callers saw: LOST, 502 for a booking that a target was working on, from the process that had started after a SIGTERM. Cause: a gate without a free slot advises the entry of an attempt that takes far longer than usual to cancel it. A draining entry does not follow the advice, since a planned stop must cost no caller an answer; but that state was the process's, and the stop is the host's. It lasts from the signal to the end of the grace period and a restart, and the process that gets the signal often ends long before. Its successor followed the advice.

Class: what is promised for a time that outlasts the process was kept in the process. A process cannot see when its predecessor was stopped, so it now takes the host to be in a planned stop until its own age is the grace period and the time of a restart. Advice that comes meanwhile is followed when that time is over, so that hung work does not keep its slot until its deadline.

--- a/internal/mesh/daemon/daemon.go
+++ b/internal/mesh/daemon/daemon.go
@@ -44,6 +44,8 @@
 	// answers are those to attempts of other hosts.
 	answers  openAnswers
 	draining atomic.Bool
+	// startedAt is when the process started serving.
+	startedAt clock.Time
 	// refusing is set when new requests of callers are refused.
 	refusing atomic.Bool
 	stopping chan struct{}
@@ -53,7 +55,8 @@
 // New returns a daemon that is not provisioned yet.
 func New(config Config) *Daemon {
 	config.Headers = config.Headers.Canonical()
-	return &Daemon{config: config, clock: clock.NewSystem(), stopping: make(chan struct{}), ending: make(chan struct{})}
+	system := clock.NewSystem()
+	return &Daemon{config: config, clock: system, startedAt: system.Now(), stopping: make(chan struct{}), ending: make(chan struct{})}
 }
 
 // Provision creates the components and opens the listeners.
@@ -85,7 +88,7 @@
 	d.entry = entry.New(entry.Config{
 		Service: d.config.Service, Headers: d.config.Headers, Policy: d.syncer, PolicyBound: policyBound, Limits: d.limits, CrashEvidence: d.evidence,
 		Chooser: d.chooser, Sender: &sender{self: d.config.Host, gate: d.gate, client: d.client, syncer: d.syncer},
-		Clock: d.clock, Pauses: d.pauses, Random: rand.Float64, Draining: d.draining.Load, Refusing: d.refusing.Load, Stopping: d.stopping, Ending: d.ending, Log: d.config.Loggers.Decisions, Metrics: d.meters,
+		Clock: d.clock, Pauses: d.pauses, Random: rand.Float64, StopLeft: d.stopLeft, Refusing: d.refusing.Load, Stopping: d.stopping, Ending: d.ending, Log: d.config.Loggers.Decisions, Metrics: d.meters,
 	})
 	d.front = &callerconn.Front{Handler: d.entry, MayServeAhead: d.entry.MayServeAhead, Draining: d.draining.Load}
 	return d.listen()
--- a/internal/mesh/daemon/drain.go
+++ b/internal/mesh/daemon/drain.go
@@ -21,6 +21,8 @@
 	cancelQueuedShare = 0.9
 	// drainPollInterval is the interval at which drain checks whether requests are still being served.
 	drainPollInterval = 20 * time.Millisecond
+	// restartTime is how long after the end of a grace period the next process may still be starting.
+	restartTime = time.Second
 )
 
 // drain serves callers until they have moved away, then finishes the requests in flight.
@@ -57,6 +59,16 @@
 	d.logStop(time.Since(started), d.answers.upTo(last))
 }
 
+// stopLeft returns for how long the host may still be in a planned stop. A process that has just started may be the second half of
+// one: its predecessor may have ended long before its grace period, and nothing tells when that began.
+func (d *Daemon) stopLeft() time.Duration {
+	longest := d.config.Bounds().Grace + restartTime
+	if d.draining.Load() {
+		return longest
+	}
+	return d.startedAt.Add(longest).Sub(d.clock.Now())
+}
+
 // closeCallers closes the callers' connections, each with its last answer. Requests that still come are refused: callers may
 // hold connections on which they have sent nothing yet.
 func (d *Daemon) closeCallers(ctx context.Context) {
--- a/internal/mesh/entry/config.go
+++ b/internal/mesh/entry/config.go
@@ -34,8 +34,8 @@
 	Clock clock.Clock
 	// Random returns a random number in [0, 1).
 	Random func() float64
-	// Draining reports whether callers should move to another connection.
-	Draining func() bool
+	// StopLeft returns for how long the host may still be in a planned stop, which must not cost callers their answers.
+	StopLeft func() time.Duration
 	// Refusing reports whether new requests are refused, because the process may end before they are answered.
 	Refusing func() bool
 	// Stopping is closed some time before the process ends; it cancels the attempts that are not running by then.
--- a/internal/mesh/entry/event.go
+++ b/internal/mesh/entry/event.go
@@ -16,6 +16,8 @@
 	eventAcceptTimeout
 	// eventLocalOverdue means that the attempt is overdue by the entry's own estimate, whatever its gate reports.
 	eventLocalOverdue
+	// eventStopOver means that a planned stop may be over in which advice to cancel attempts was not followed.
+	eventStopOver
 )
 
 // event is something that happened to an attempt.
--- a/internal/mesh/entry/handle.go
+++ b/internal/mesh/entry/handle.go
@@ -37,6 +37,9 @@
 			s.hedge(ctx)
 			s.applyCancelAdvice()
 		}
+	case eventStopOver:
+		s.stopTimer = nil
+		s.applyCancelAdvice()
 	case eventEnded:
 		return s.attemptEnded(e)
 	}
@@ -80,15 +83,20 @@
 	s.startNext(ctx)
 }
 
-// applyCancelAdvice cancels the attempts whose gates advise it, once another attempt runs or when none is permitted. A
-// draining entry cancels nothing, because a planned stop must not cost callers their answers.
+// applyCancelAdvice cancels the attempts whose gates advise it, once another attempt runs or when none is permitted. In a planned
+// stop it cancels nothing until that is over.
 func (s *session) applyCancelAdvice() {
-	if s.entry.config.Draining() {
-		return
-	}
-	replaced := false
+	replaced, advised := false, false
 	for _, a := range s.active {
 		replaced = replaced || (a.running && !a.cancelAdvised)
+		advised = advised || a.cancelAdvised
+	}
+	if !advised {
+		return
+	}
+	if left := s.entry.config.StopLeft(); left > 0 {
+		s.applyCancelAdviceAfter(left)
+		return
 	}
 	for _, a := range s.active {
 		if a.cancelAdvised && (replaced || (len(s.active) == 1 && !s.mayRepeat())) {
@@ -97,5 +105,12 @@
 	}
 }
 
+// applyCancelAdviceAfter calls applyCancelAdvice after some time, unless it is about to be called already.
+func (s *session) applyCancelAdviceAfter(wait time.Duration) {
+	if s.stopTimer == nil {
+		s.stopTimer = time.AfterFunc(wait, func() { s.emit(event{kind: eventStopOver}) })
+	}
+}
+
 // errSlotNeeded is the cancellation cause of an attempt whose slot is needed by others.
 var errSlotNeeded = errors.New("attempt cancelled because others need its slot")
--- a/internal/mesh/entry/session.go
+++ b/internal/mesh/entry/session.go
@@ -67,6 +67,9 @@
 	lastRefused bool
 	// quarantined is true if a gate refused the request because it crashes targets.
 	quarantined bool
+	// stopTimer fires when a planned stop may be over, in which advice to cancel attempts was not followed; nil without such
+	// advice.
+	stopTimer *time.Timer
 	// stopped is true once stopAttempts was called; no further attempts are made then.
 	stopped bool
 	// fallback is a target's failure that is delivered if no repeat does better.
@@ -128,6 +131,9 @@
 
 // end cancels the attempts that are still in flight.
 func (s *session) end() {
+	if s.stopTimer != nil {
+		s.stopTimer.Stop()
+	}
 	for _, e := range s.events.close() {
 		if e.result != nil {
 			e.result.Close()
