Follow a store that comes back from an earlier copy

New on the platform's pages: after a drill the store may lack the last seconds of what it has acknowledged, and gives the versions out again; the header Store-Era then rises by one. Here, hosts compared revisions across that: a watch since a version that had been given out again missed the changes before it, rows with lower revisions than the known ones were ignored, and a host whose record was lost did not write it again.

Without the header nothing changes.

--- a/internal/mesh/statesync/relay.go
+++ b/internal/mesh/statesync/relay.go
@@ -101,6 +101,8 @@
 var (
 	// errOldRoster reports a relay whose roster was not confirmed lately.
 	errOldRoster = fmt.Errorf("the relay's roster is older than %v", maxRelayAge)
+	// errEarlierEra reports a relay that does not know yet that the store was restored from a copy.
+	errEarlierEra = errors.New("the relay's roster is from before the store was restored")
 	// errOldPolicy reports a relay whose policy was not confirmed lately.
 	errOldPolicy = errors.New("the relay's policy was not confirmed lately")
 )
@@ -118,6 +120,9 @@
 	if err != nil {
 		return 0, err
 	}
+	if got.Through.Era() < since.Era() {
+		return 0, fault.New("poll relay", string(host), errEarlierEra)
+	}
 	seen.number = got.Confirmations
 	// The ages that the relay states are those at the end of the time for which it held the request.
 	asked = asked.Add(min(ageOf(got.HeldMS), time.Since(asked)))
