--- a/internal/mesh/entry/canceladvice_test.go
+++ b/internal/mesh/entry/canceladvice_test.go
@@ -11,22 +11,25 @@
 	"buckthornlatch.example/buckthornlatch/internal/mesh/link"
 )
 
+// adviseAndAnswer is a gate whose target answers late, if the attempt is not cancelled as advised.
+func adviseAndAnswer(ctx context.Context, a *link.Attempt, s link.Signals) *link.Result {
+	s.Started()
+	s.CancelAdvised()
+	select {
+	case <-time.After(300 * time.Millisecond):
+		return answer(http.StatusOK)(ctx, a, s)
+	case <-ctx.Done():
+		return adviseCancelling(ctx, a, s)
+	}
+}
+
 var _ = Describe("Entry", func() {
 	Context("advice to cancel an attempt", func() {
 		// Guards against callers that lose the answer to a running booking in a planned stop.
 		It("is not followed in a planned stop", func() {
 			h := newHarness(1)
 			h.stopOver = time.Now().Add(time.Minute)
-			h.setGates(func(ctx context.Context, a *link.Attempt, s link.Signals) *link.Result {
-				s.Started()
-				s.CancelAdvised()
-				select {
-				case <-time.After(300 * time.Millisecond):
-					return answer(http.StatusOK)(ctx, a, s)
-				case <-ctx.Done():
-					return adviseCancelling(ctx, a, s)
-				}
-			})
+			h.setGates(adviseAndAnswer)
 			Expect(h.do("POST", "/book/1", "seats").Code).To(Equal(http.StatusOK))
 		})
 
@@ -45,16 +48,7 @@
 		It("leaves both attempts of a hedged request to run in a planned stop", func() {
 			h := newHarness(2)
 			h.stopOver = time.Now().Add(time.Minute)
-			h.setFirstGate(func(ctx context.Context, a *link.Attempt, s link.Signals) *link.Result {
-				s.Started()
-				s.CancelAdvised()
-				select {
-				case <-time.After(300 * time.Millisecond):
-					return answer(http.StatusOK)(ctx, a, s)
-				case <-ctx.Done():
-					return adviseCancelling(ctx, a, s)
-				}
-			}, func(ctx context.Context, a *link.Attempt, s link.Signals) *link.Result {
+			h.setFirstGate(adviseAndAnswer, func(ctx context.Context, a *link.Attempt, s link.Signals) *link.Result {
 				s.Started()
 				time.Sleep(100 * time.Millisecond)
 				return breakConnection(ctx, a, s)
