Log each stop and reload signal of a mesh daemon

In an incident (LOST around overlapping planned stops) the logs could not tell whether a second SIGTERM reached the process. Each signal now leaves a line with the time since the start; what signals do is unchanged.

--- a/internal/command/mesh.go
+++ b/internal/command/mesh.go
@@ -31,6 +31,7 @@
 	settings := source.Current()
 	lines := logging.New(os.Stdout, settings.HostName)
 	defer func() { _ = lines.Close() }()
+	defer logSignals(lines.Events)()
 	applyMemoryLimit(settings.MemoryBytes)
 	go source.Follow(ctx, lines.Events)
 	d := daemon.New(meshConfig(settings, source, lines))
