Give targets no more time than a planned stop waits for their answers

Callers saw 502 for requests at which a target was at work, in a planned stop of their host; bookings among them.

Cause: a target got the caller's whole time, 10 to 20 s. An attempt that hangs outlasts any stop and is broken off at its end; nothing but its target could have answered it. The target answers 504 itself. If it sends nothing half a second later, the attempt ends.

--- a/internal/mesh/daemon/daemon.go
+++ b/internal/mesh/daemon/daemon.go
@@ -44,6 +44,8 @@
 	// answers are those to attempts of other hosts.
 	answers  openAnswers
 	draining atomic.Bool
+	// stopEnds is when a planned stop ends the requests that are still served; nil while there is none.
+	stopEnds atomic.Pointer[time.Time]
 	// startedAt is when the process started serving.
 	startedAt clock.Time
 	// refusing is set when new requests of callers are refused.
@@ -79,7 +81,7 @@
 	d.gate = gate.New(gate.Config{
 		CrashEvidence: d.evidence,
 		Host:          d.config.Host, Domain: d.config.Domain, Service: d.config.Service, TargetAddress: d.config.TargetAddress,
-		Headers: d.config.Headers, Clock: d.clock, PolicyVersion: d.syncer.Version, PublishRecord: d.syncer.Publish,
+		Headers: d.config.Headers, Clock: d.clock, StopTime: d.stopTime, PolicyVersion: d.syncer.Version, PublishRecord: d.syncer.Publish,
 		AttemptLog: d.config.Loggers.Decisions, EventLog: d.config.Loggers.Events, Metrics: d.meters,
 	})
 	d.limits = limits.New(limits.Config{
@@ -88,7 +90,8 @@
 	d.entry = entry.New(entry.Config{
 		Service: d.config.Service, Headers: d.config.Headers, Policy: d.syncer, PolicyBound: policyBound, Limits: d.limits, CrashEvidence: d.evidence,
 		Chooser: d.chooser, Sender: &sender{self: d.config.Host, gate: d.gate, client: d.client, syncer: d.syncer},
-		Clock: d.clock, Pauses: d.pauses, Random: rand.Float64, StopLeft: d.stopLeft, Refusing: d.refusing.Load, Stopping: d.stopping, Ending: d.ending, Log: d.config.Loggers.Decisions, Metrics: d.meters,
+		Clock: d.clock, Pauses: d.pauses, Random: rand.Float64, StopLeft: d.stopLeft, StopEnds: d.endOfStop,
+		Refusing: d.refusing.Load, Stopping: d.stopping, Ending: d.ending, Log: d.config.Loggers.Decisions, Metrics: d.meters,
 	})
 	d.front = &callerconn.Front{Handler: d.entry, MayServeAhead: d.entry.MayServeAhead, Draining: d.draining.Load}
 	return d.listen()
--- a/internal/mesh/daemon/drain.go
+++ b/internal/mesh/daemon/drain.go
@@ -14,6 +14,8 @@
 	// cancelMargin is the time before the end of the grace period at which all remaining attempts are cancelled. It
 	// leaves time to send the responses on a host with a third of a core.
 	cancelMargin = 250 * time.Millisecond
+	// targetMargin is how long before cancelMargin targets are to have answered.
+	targetMargin = 100 * time.Millisecond
 	// exitMargin is the part of the grace period that is left for the process to exit.
 	exitMargin = 100 * time.Millisecond
 	// cancelQueuedShare is the fraction of the grace period after which attempts that are not running at a target are
@@ -29,6 +31,8 @@
 func (d *Daemon) drain() {
 	started := time.Now()
 	grace := d.config.Bounds().Grace
+	ends := started.Add(d.stopTime())
+	d.stopEnds.Store(&ends)
 	d.draining.Store(true)
 	d.config.Loggers.Events.Info().Dur("grace", grace).Msg("daemon: draining")
 	d.gate.Drain()
@@ -69,6 +73,19 @@
 	return d.startedAt.Add(longest).Sub(d.clock.Now())
 }
 
+// stopTime returns how long a planned stop waits for the answers of targets.
+func (d *Daemon) stopTime() time.Duration {
+	return max(d.config.Bounds().Grace-cancelMargin-targetMargin, 0)
+}
+
+// endOfStop returns when a planned stop ends the requests that are still served, zero while there is none.
+func (d *Daemon) endOfStop() time.Time {
+	if ends := d.stopEnds.Load(); ends != nil {
+		return *ends
+	}
+	return time.Time{}
+}
+
 // closeCallers closes the callers' connections, each with its last answer. Requests that still come are refused: callers may
 // hold connections on which they have sent nothing yet.
 func (d *Daemon) closeCallers(ctx context.Context) {
--- a/internal/mesh/entry/chain_test.go
+++ b/internal/mesh/entry/chain_test.go
@@ -46,7 +46,7 @@
 	close(written)
 	c.gate = gate.New(gate.Config{
 		Host: "h0", Domain: "north", Service: "walks", TargetAddress: target.Address(), Headers: headers, Clock: clock.NewSystem(),
-		PolicyVersion: func() policy.Version { return 7 },
+		StopTime: func() time.Duration { return time.Second }, PolicyVersion: func() policy.Version { return 7 },
 		PublishRecord: func(roster.Record) <-chan struct{} { return written },
 		AttemptLog:    zerolog.Nop(), EventLog: zerolog.Nop(), Metrics: noGateMetrics{}, CrashEvidence: crashes.New("h0", 1, clock.NewSystem()),
 	})
--- a/internal/mesh/entry/config.go
+++ b/internal/mesh/entry/config.go
@@ -36,6 +36,8 @@
 	Random func() float64
 	// StopLeft returns for how long the host may still be in a planned stop, which must not cost callers their answers.
 	StopLeft func() time.Duration
+	// StopEnds returns when a planned stop ends the requests that are still served; zero while there is none.
+	StopEnds func() time.Time
 	// Refusing reports whether new requests are refused, because the process may end before they are answered.
 	Refusing func() bool
 	// Stopping is closed some time before the process ends; it cancels the attempts that are not running by then.
--- a/internal/mesh/entry/harness_test.go
+++ b/internal/mesh/entry/harness_test.go
@@ -52,6 +52,8 @@
 	denied      error
 	// stopOver is when a planned stop is over.
 	stopOver time.Time
+	// stopEnds is when a planned stop ends the requests that are served; zero without one.
+	stopEnds time.Time
 	// paused is the length of the pause that has just ended.
 	paused time.Duration
 	// poison is the fingerprint of a quarantined request.
@@ -101,7 +103,8 @@
 	h.chooser = choose.NewShared(chooser, h.clock)
 	h.entry = entry.New(entry.Config{
 		Service: "desk", Headers: headers, Policy: h, PolicyBound: func() time.Duration { return h.policyBound }, Limits: h, Chooser: h.chooser, Sender: h,
-		Clock: h.clock, Pauses: h, Random: func() float64 { return 0 }, StopLeft: func() time.Duration { return time.Until(h.stopOver) }, Refusing: func() bool { return false }, Stopping: h.stopping, Ending: h.ending,
+		Clock: h.clock, Pauses: h, Random: func() float64 { return 0 }, StopLeft: func() time.Duration { return time.Until(h.stopOver) },
+		StopEnds: func() time.Time { return h.stopEnds }, Refusing: func() bool { return false }, Stopping: h.stopping, Ending: h.ending,
 		Log: zerolog.New(zerolog.SyncWriter(&h.lines)), Metrics: noMetrics{}, CrashEvidence: h,
 	})
 	return h
--- a/internal/mesh/gate/config.go
+++ b/internal/mesh/gate/config.go
@@ -21,6 +21,8 @@
 	TargetAddress string
 	Headers       dialect.Headers
 	Clock         clock.Clock
+	// StopTime returns how long a planned stop of a host waits for the answers of targets.
+	StopTime func() time.Duration
 	// PolicyVersion returns the version of the policy in force.
 	PolicyVersion func() policy.Version
 	// PublishRecord publishes the host's record after a change. The returned channel is closed when the store holds it.
--- a/internal/mesh/gate/exchange.go
+++ b/internal/mesh/gate/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"strconv"
 	"time"
@@ -18,6 +19,7 @@
 		err      error
 	}
 	outcomes := make(chan outcome, 1)
+	e.limitWork()
 	request := e.request(ctx)
 	go func() {
 		response, err := e.target.pool.Do(ctx, request)
@@ -28,6 +30,8 @@
 	e.gate.mu.Unlock()
 	overdue := time.NewTimer(limit)
 	defer overdue.Stop()
+	unanswered := time.NewTimer(e.workEnds.Sub(e.gate.config.Clock.Now()) + lateAnswerTimeout)
+	defer unanswered.Stop()
 	for {
 		select {
 		case got := <-outcomes:
@@ -37,12 +41,33 @@
 			e.gate.slots.MarkOverdue(e.gate.config.Clock.Now(), e.demand.ID)
 			e.gate.mu.Unlock()
 			e.signals.Overdue()
+		case <-unanswered.C:
+			e.cancel(errUnanswered)
 		case <-e.reclaim:
 			e.signals.CancelAdvised()
 		}
 	}
 }
 
+// lateAnswerTimeout is how long the answer of a target may come after the time at which it was to end the work.
+const lateAnswerTimeout = 500 * time.Millisecond
+
+// errUnanswered is the cancellation cause of an attempt whose target sent no answer within its time.
+var errUnanswered = errors.New("the target has not answered within the time that it was given")
+
+// limitWork sets when the target is to end the work. A host that is stopped waits a limited time for the answers to its callers, and
+// a stop may begin at any moment: a target that hangs for longer would leave it no answer to give.
+func (e *execution) limitWork() {
+	g := e.gate
+	g.mu.Lock()
+	limit := g.slots.WorkLimit(e.demand, g.config.StopTime())
+	g.mu.Unlock()
+	e.workEnds = e.expires
+	if ends := g.config.Clock.Now().Add(limit); limit > 0 && ends.Before(e.expires) {
+		e.workEnds = ends
+	}
+}
+
 // request builds the request to the target.
 func (e *execution) request(ctx context.Context) *targetconn.Request {
 	a, headers := e.attempt, e.gate.config.Headers
@@ -65,7 +90,7 @@
 
 // stamp tells the target how much time is left. Connecting may have taken some of it.
 func (e *execution) stamp(header http.Header) {
-	left := e.expires.Sub(e.gate.config.Clock.Now()) - deadlineMargin
+	left := e.workEnds.Sub(e.gate.config.Clock.Now()) - deadlineMargin
 	header[e.gate.config.Headers.Deadline] = []string{strconv.FormatInt(max(left.Milliseconds(), 1), 10)}
 }
 
--- a/internal/mesh/gate/execution.go
+++ b/internal/mesh/gate/execution.go
@@ -30,8 +30,10 @@
 	expires clock.Time
 	// started is when the attempt got its slot, zero until then.
 	started time.Time
-	target  *target
-	signals link.Signals
+	// workEnds is when the target is to end the work, at the latest when Remaining is used up.
+	workEnds clock.Time
+	target   *target
+	signals  link.Signals
 	// fingerprint identifies the request in the evidence of crashes.
 	fingerprint string
 	// cancel ends the exchange with the target.
--- a/internal/mesh/gate/harness_test.go
+++ b/internal/mesh/gate/harness_test.go
@@ -48,6 +48,8 @@
 	seen []*http.Request
 	// serve handles the target's requests.
 	serve http.HandlerFunc
+	// stopTime is how long a planned stop of a host waits for targets.
+	stopTime time.Duration
 	// dispatched, if set, is called between the last check of an attempt at the gate and the connection to the target.
 	dispatched func()
 }
@@ -90,7 +92,7 @@
 	h.evidence = crashes.New(h.host, 1, clock.NewSystem())
 	h.gate = gate.New(gate.Config{
 		Host: h.host, Domain: "north", Service: "walks", TargetAddress: strings.TrimPrefix(target.URL, "http://"),
-		Headers: headers, Clock: h.clock, PolicyVersion: func() policy.Version { return 7 },
+		Headers: headers, Clock: h.clock, StopTime: func() time.Duration { return h.stopTime }, PolicyVersion: func() policy.Version { return 7 },
 		PublishRecord: func(r roster.Record) <-chan struct{} {
 			h.mu.Lock()
 			h.published = append(h.published, r)
