Do not limit the work of a target while a long body is being received

The limit holds only for attempts whose body the gate has in memory. The new spec fails without the change (a broken answer in place of the target's).

--- a/internal/mesh/gate/exchange.go
+++ b/internal/mesh/gate/exchange.go
@@ -56,13 +56,17 @@
 var errUnanswered = errors.New("the target has not answered within the time that it was given")
 
 // limitWork sets when the target is to end the work. A host that is stopped waits a limited time for the answers to its callers, and
-// a stop may begin at any moment: a target that hangs for longer would leave it no answer to give.
+// a stop may begin at any moment: a target that hangs for longer would leave it no answer to give. A body that is still being
+// received has no such limit, since its sender sets the pace.
 func (e *execution) limitWork() {
 	g := e.gate
+	e.workEnds = e.expires
+	if !e.attempt.Body.Whole() {
+		return
+	}
 	g.mu.Lock()
 	limit := g.slots.WorkLimit(e.demand, g.config.StopTime())
 	g.mu.Unlock()
-	e.workEnds = e.expires
 	if ends := g.config.Clock.Now().Add(limit); limit > 0 && ends.Before(e.expires) {
 		e.workEnds = ends
 	}
--- a/internal/mesh/gate/worklimit_test.go
+++ b/internal/mesh/gate/worklimit_test.go
@@ -21,6 +21,7 @@
 	// given returns the time that the target was given for an attempt, after six of the route that took the usual time.
 	given := func(usual time.Duration, a *link.Attempt) time.Duration {
 		h := newHarness(func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.ReadAll(r.Body)
 			time.Sleep(usual)
 			w.Header().Set("Seal", "s")
 		})
@@ -46,6 +47,22 @@
 		Expect(given(usual, attempt("seats"))).To(BeNumerically(">", 3*usual/2))
 	})
 
+	It("is not limited while a long body is being received", func() {
+		body, sender := io.Pipe()
+		long := attempt("", func(a *link.Attempt) {
+			a.Body = &link.Body{Rest: body, Length: 4 * link.MaxBufferedBody}
+			a.Remaining = 10 * time.Second
+		})
+		go func() {
+			chunk := make([]byte, 2*link.MaxBufferedBody)
+			_, _ = sender.Write(chunk)
+			time.Sleep(2 * stopTime)
+			_, _ = sender.Write(chunk)
+			_ = sender.Close()
+		}()
+		Expect(given(time.Millisecond, long)).To(BeNumerically(">", 5*time.Second))
+	})
+
 	It("never exceeds the caller's deadline", func() {
 		short := attempt("seats", func(a *link.Attempt) { a.Remaining = 300 * time.Millisecond })
 		Expect(given(time.Millisecond, short)).To(BeNumerically("<=", 300*time.Millisecond))
