Leave the only attempt of a request to its target when others need its slot

Callers saw 502 for a running booking when its gate, short of slots, advised to cancel it.

Advice is followed now only where another attempt of the request runs, so that it never costs a caller its answer.

--- a/internal/mesh/entry/handle.go
+++ b/internal/mesh/entry/handle.go
@@ -83,15 +83,16 @@
 	s.startNext(ctx)
 }
 
-// applyCancelAdvice cancels the attempts whose gates advise it, once another attempt runs or when none is permitted. In a planned
-// stop it cancels nothing until that is over.
+// applyCancelAdvice cancels the attempts whose gates advise it, once another attempt of the request runs. The only one is left to
+// its target, which ends it in time: cancelled, it would cost the caller an answer. In a planned stop nothing is cancelled until
+// that is over.
 func (s *session) applyCancelAdvice() {
 	replaced, advised := false, false
 	for _, a := range s.active {
 		replaced = replaced || (a.running && !a.cancelAdvised)
 		advised = advised || a.cancelAdvised
 	}
-	if !advised {
+	if !advised || !replaced {
 		return
 	}
 	if left := s.entry.config.StopLeft(); left > 0 {
@@ -99,7 +100,7 @@
 		return
 	}
 	for _, a := range s.active {
-		if a.cancelAdvised && (replaced || (len(s.active) == 1 && !s.mayRepeat())) {
+		if a.cancelAdvised {
 			a.cancel(errSlotNeeded)
 		}
 	}
