Let the limit of work neither cut answers nor lock out slower work

The gate no longer ends an attempt by itself at the limit: it only tells the target when to end the work, and waits 75 ms beyond the attempt's deadline for the answer.

--- a/internal/mesh/gate/classify.go
+++ b/internal/mesh/gate/classify.go
@@ -92,7 +92,7 @@
 	case errors.As(err, &forbidden):
 		e.releaseSlot(slots.Cancelled)
 		result.Reason = forbidden.reason
-	case errors.Is(ctx.Err(), context.DeadlineExceeded), errors.Is(context.Cause(ctx), errUnanswered):
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		e.releaseSlot(slots.TimedOut)
 		result.Reason = link.OutOfTime
 	case errors.Is(context.Cause(ctx), errStopped):
--- a/internal/mesh/gate/exchange.go
+++ b/internal/mesh/gate/exchange.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"strconv"
 	"time"
@@ -30,8 +29,6 @@
 	e.gate.mu.Unlock()
 	overdue := time.NewTimer(limit)
 	defer overdue.Stop()
-	unanswered := time.NewTimer(e.workEnds.Sub(e.gate.config.Clock.Now()) + lateAnswerTimeout)
-	defer unanswered.Stop()
 	for {
 		select {
 		case got := <-outcomes:
@@ -41,20 +38,12 @@
 			e.gate.slots.MarkOverdue(e.gate.config.Clock.Now(), e.demand.ID)
 			e.gate.mu.Unlock()
 			e.signals.Overdue()
-		case <-unanswered.C:
-			e.cancel(errUnanswered)
 		case <-e.reclaim:
 			e.signals.CancelAdvised()
 		}
 	}
 }
 
-// lateAnswerTimeout is how long the answer of a target may come after the time at which it was to end the work.
-const lateAnswerTimeout = 500 * time.Millisecond
-
-// errUnanswered is the cancellation cause of an attempt whose target sent no answer within its time.
-var errUnanswered = errors.New("the target has not answered within the time that it was given")
-
 // limitWork sets when the target is to end the work. A host that is stopped waits a limited time for the answers to its callers, and
 // a stop may begin at any moment: a target that hangs for longer would leave it no answer to give. A body that is still being
 // received has no such limit, since its sender sets the pace.
--- a/internal/mesh/gate/execution.go
+++ b/internal/mesh/gate/execution.go
@@ -18,6 +18,9 @@
 	// deadlineMargin is subtracted from the time that the target is given, so that a response at the last moment still
 	// reaches the caller.
 	deadlineMargin = 15 * time.Millisecond
+	// lateAnswerMargin is how long after the attempt's deadline the gate still waits: a target that ends the work then may take some
+	// time to say so. The entry ends the attempt sooner if its caller has left.
+	lateAnswerMargin = 75 * time.Millisecond
 )
 
 // execution is the processing of one attempt by the gate.
@@ -51,7 +54,7 @@
 		gate: g, attempt: a, signals: signals, arrived: time.Now(), expires: g.config.Clock.Now().Add(a.Remaining), reclaim: make(chan struct{}, 1),
 	}
 	ctx, e.cancel = context.WithCancelCause(ctx)
-	ctx, stopTimer := context.WithTimeout(ctx, a.Remaining)
+	ctx, stopTimer := context.WithTimeout(ctx, a.Remaining+lateAnswerMargin)
 	e.stop = func() {
 		stopTimer()
 		e.cancel(nil)
--- a/internal/mesh/slots/admission.go
+++ b/internal/mesh/slots/admission.go
@@ -40,6 +40,7 @@
 	estimates worktime.Routes
 	all       worktime.Estimate
 	suspicion suspicion
+	timeouts  timeoutStreaks
 	repeats   repeatBucket
 	usage     usage
 	nested    nestedLoad
--- a/internal/mesh/slots/done.go
+++ b/internal/mesh/slots/done.go
@@ -25,6 +25,7 @@
 	switch outcome {
 	case Succeeded:
 		a.observe(r.Route, took)
+		a.timeouts.succeeded(r.Route)
 		a.countLaterSuccess(r.started)
 		if !r.overdue {
 			a.suspicion.recordSuccess(now)
@@ -34,6 +35,7 @@
 	case TimedOut:
 		// A timeout before the overdue limit comes from a short deadline and says nothing about the target.
 		if limit, known := a.overdueLimit(r.Demand); known && took >= limit {
+			a.timeouts.timedOut(r.Route)
 			a.recordOverdue(now, r)
 		}
 	case Cancelled:
