Repeat requests that may be repeated before a planned stop breaks them off

In a planned stop a running request is hedged when 1.5 times its usual work is left. A hedge that no gate takes is tried again each second. All attempts that begin in a stop get the time until its end, also those of requests that were read before it; the caller's own deadline stays, so that a target whose answer is some milliseconds late is still heard.

--- a/internal/mesh/daemon/daemon.go
+++ b/internal/mesh/daemon/daemon.go
@@ -50,15 +50,17 @@
 	startedAt clock.Time
 	// refusing is set when new requests of callers are refused.
 	refusing atomic.Bool
-	stopping chan struct{}
-	ending   chan struct{}
+	// drainBegins is closed when the drain begins, stopping and ending at later steps of it.
+	drainBegins, stopping, ending chan struct{}
 }
 
 // New returns a daemon that is not provisioned yet.
 func New(config Config) *Daemon {
 	config.Headers = config.Headers.Canonical()
 	system := clock.NewSystem()
-	return &Daemon{config: config, clock: system, startedAt: system.Now(), stopping: make(chan struct{}), ending: make(chan struct{})}
+	return &Daemon{config: config, clock: system, startedAt: system.Now(),
+		drainBegins: make(chan struct{}), stopping: make(chan struct{}), ending: make(chan struct{}),
+	}
 }
 
 // Provision creates the components and opens the listeners.
@@ -81,7 +83,8 @@
 	d.gate = gate.New(gate.Config{
 		CrashEvidence: d.evidence,
 		Host:          d.config.Host, Domain: d.config.Domain, Service: d.config.Service, TargetAddress: d.config.TargetAddress,
-		Headers: d.config.Headers, Clock: d.clock, StopTime: d.stopTime, PolicyVersion: d.syncer.Version, PublishRecord: d.syncer.Publish,
+		Headers: d.config.Headers, Clock: d.clock, StopTime: func() time.Duration { return stopTime(d.config.Bounds().Grace) },
+		PolicyVersion: d.syncer.Version, PublishRecord: d.syncer.Publish,
 		AttemptLog: d.config.Loggers.Decisions, EventLog: d.config.Loggers.Events, Metrics: d.meters,
 	})
 	d.limits = limits.New(limits.Config{
@@ -90,7 +93,7 @@
 	d.entry = entry.New(entry.Config{
 		Service: d.config.Service, Headers: d.config.Headers, Policy: d.syncer, PolicyBound: policyBound, Limits: d.limits, CrashEvidence: d.evidence,
 		Chooser: d.chooser, Sender: &sender{self: d.config.Host, gate: d.gate, client: d.client, syncer: d.syncer},
-		Clock: d.clock, Pauses: d.pauses, Random: rand.Float64, StopLeft: d.stopLeft, StopEnds: d.endOfStop,
+		Clock: d.clock, Pauses: d.pauses, Random: rand.Float64, StopLeft: d.stopLeft, Draining: d.drainBegins, StopEnds: d.endOfStop,
 		Refusing: d.refusing.Load, Stopping: d.stopping, Ending: d.ending, Log: d.config.Loggers.Decisions, Metrics: d.meters,
 	})
 	d.front = &callerconn.Front{Handler: d.entry, MayServeAhead: d.entry.MayServeAhead, Draining: d.draining.Load}
--- a/internal/mesh/daemon/drain.go
+++ b/internal/mesh/daemon/drain.go
@@ -31,9 +31,10 @@
 func (d *Daemon) drain() {
 	started := time.Now()
 	grace := d.config.Bounds().Grace
-	ends := started.Add(d.stopTime())
+	ends := started.Add(stopTime(grace))
 	d.stopEnds.Store(&ends)
 	d.draining.Store(true)
+	close(d.drainBegins)
 	d.config.Loggers.Events.Info().Dur("grace", grace).Msg("daemon: draining")
 	d.gate.Drain()
 	if r, known := d.gate.Record(); known && r.State == roster.Gone {
@@ -73,9 +74,9 @@
 	return d.startedAt.Add(longest).Sub(d.clock.Now())
 }
 
-// stopTime returns how long a planned stop waits for the answers of targets.
-func (d *Daemon) stopTime() time.Duration {
-	return max(d.config.Bounds().Grace-cancelMargin-targetMargin, 0)
+// stopTime returns how long a planned stop with a grace period waits for the answers of targets.
+func stopTime(grace time.Duration) time.Duration {
+	return max(grace-cancelMargin-targetMargin, 0)
 }
 
 // endOfStop returns when a planned stop ends the requests that are still served, zero while there is none.
--- a/internal/mesh/entry/config.go
+++ b/internal/mesh/entry/config.go
@@ -36,7 +36,9 @@
 	Random func() float64
 	// StopLeft returns for how long the host may still be in a planned stop, which must not cost callers their answers.
 	StopLeft func() time.Duration
-	// StopEnds returns when a planned stop ends the requests that are still served; zero while there is none.
+	// Draining is closed when a planned stop begins. StopEnds returns when that ends the requests that are still served; zero
+	// before it begins.
+	Draining <-chan struct{}
 	StopEnds func() time.Time
 	// Refusing reports whether new requests are refused, because the process may end before they are answered.
 	Refusing func() bool
--- a/internal/mesh/entry/event.go
+++ b/internal/mesh/entry/event.go
@@ -18,6 +18,10 @@
 	eventLocalOverdue
 	// eventStopOver means that a planned stop may be over in which advice to cancel attempts was not followed.
 	eventStopOver
+	// eventStopNear means that the end of a planned stop leaves just enough time for a repeat.
+	eventStopNear
+	// eventRetryHedge means that a hedge that no gate took may be tried again.
+	eventRetryHedge
 )
 
 // event is something that happened to an attempt.
--- a/internal/mesh/entry/handle.go
+++ b/internal/mesh/entry/handle.go
@@ -40,6 +40,13 @@
 	case eventStopOver:
 		s.stopTimer = nil
 		s.applyCancelAdvice()
+	case eventStopNear:
+		if s.anyRunning() {
+			s.hedge(ctx)
+		}
+	case eventRetryHedge:
+		s.hedgeTimer = nil
+		s.retryHedge(ctx)
 	case eventEnded:
 		return s.attemptEnded(e)
 	}
@@ -69,20 +76,6 @@
 	a.overdueTimer.Reset(overdueRecheckInterval)
 }
 
-// hedge starts an attempt at another host beside one that is overdue. All hosts but those in use may be tried again,
-// since their earlier refusals are out of date.
-func (s *session) hedge(ctx context.Context) {
-	if s.hedging || !s.mayRepeat() {
-		return
-	}
-	s.hedging = true
-	s.tried, s.fullHosts, s.suspectedHosts, s.queueWaits, s.fullRefusals = nil, nil, nil, 0, 0
-	for host := range s.active {
-		s.tried = append(s.tried, host)
-	}
-	s.startNext(ctx)
-}
-
 // applyCancelAdvice cancels the attempts whose gates advise it, once another attempt of the request runs. The only one is left to
 // its target, which ends it in time: cancelled, it would cost the caller an answer. In a planned stop nothing is cancelled until
 // that is over.
--- a/internal/mesh/entry/request.go
+++ b/internal/mesh/entry/request.go
@@ -34,8 +34,7 @@
 type request struct {
 	requestID string
 	started   time.Time
-	// deadline is when the caller stops waiting for the answer, when the route's timeout ends or, for a request that came in a
-	// planned stop, when that ends.
+	// deadline is when the caller stops waiting for the answer, or when the route's timeout ends.
 	deadline time.Time
 	// expires is the deadline as a reading of the entry's clock.
 	expires   clock.Time
@@ -83,10 +82,6 @@
 	}
 	req.service = req.route.PickService(e.config.Random())
 	req.deadline = e.deadline(req)
-	if ends := e.config.StopEnds(); !ends.IsZero() && ends.Before(req.deadline) {
-		// The target ends the work by then and says so. Otherwise the stop would cut it off.
-		req.deadline = ends
-	}
 	left := time.Until(req.deadline)
 	if left <= 0 {
 		return &refusal{code: problem.DeadlineTooShort, status: http.StatusServiceUnavailable, retryAfter: defaultRetryAfter}
--- a/internal/mesh/entry/session.go
+++ b/internal/mesh/entry/session.go
@@ -67,6 +67,9 @@
 	lastRefused bool
 	// quarantined is true if a gate refused the request because it crashes targets.
 	quarantined bool
+	// hedgeTimer fires when a hedge that no gate took may be tried again, stopNearTimer when the end of a planned stop is near; nil
+	// while there is no reason.
+	hedgeTimer, stopNearTimer *time.Timer
 	// stopTimer fires when a planned stop may be over, in which advice to cancel attempts was not followed; nil without such
 	// advice.
 	stopTimer *time.Timer
@@ -89,7 +92,7 @@
 	if !s.startNext(ctx) {
 		return nil, s.exhausted()
 	}
-	stopping, ending := s.entry.config.Stopping, s.entry.config.Ending
+	draining, stopping, ending := s.entry.config.Draining, s.entry.config.Stopping, s.entry.config.Ending
 	for {
 		select {
 		case <-s.events.ready:
@@ -103,6 +106,9 @@
 			}
 		case <-ctx.Done():
 			return s.timedOut()
+		case <-draining:
+			draining = nil
+			s.awaitStopNear()
 		case <-stopping:
 			stopping = nil
 			s.stopAttempts(func(a *attempt) bool { return !a.running })
@@ -111,8 +117,8 @@
 			s.stopAttempts(func(*attempt) bool { return true })
 		}
 		if len(s.active) > 0 {
-			if s.hedging && s.lastRefused && s.mayRepeat() {
-				s.startNext(ctx)
+			if s.hedging && s.lastRefused {
+				s.continueHedge(ctx)
 			}
 			continue
 		}
@@ -131,8 +137,10 @@
 
 // end cancels the attempts that are still in flight.
 func (s *session) end() {
-	if s.stopTimer != nil {
-		s.stopTimer.Stop()
+	for _, timer := range []*time.Timer{s.stopTimer, s.hedgeTimer, s.stopNearTimer} {
+		if timer != nil {
+			timer.Stop()
+		}
 	}
 	for _, e := range s.events.close() {
 		if e.result != nil {
@@ -193,8 +201,13 @@
 	return s.timeLeft() >= max(minRepeatTime, time.Duration(minRepeatWorkShare*float64(usual)))
 }
 
-// timeLeft returns the time until the request's deadline. Unlike the timers of the runtime, it counts the time for which
-// the machine was suspended.
+// timeLeft returns the time until the request's deadline or the end of a planned stop, which is what the next attempt gets: its
+// target then answers before the stop would break it off. Unlike the timers of the runtime, it counts
+// the time for which the machine was suspended.
 func (s *session) timeLeft() time.Duration {
-	return s.request.expires.Sub(s.entry.config.Clock.Now())
+	left := s.request.expires.Sub(s.entry.config.Clock.Now())
+	if ends := s.entry.config.StopEnds(); !ends.IsZero() {
+		left = min(left, time.Until(ends))
+	}
+	return left
 }
