Keep a hedge when the attempt beside it ends with a failure

A look-up with two attempts got the first one's 504 or 500 at once when no third was permitted, and the other attempt was cancelled, though it might have succeeded. The failure is kept now until the last attempt has ended. The spec fails before (504) and passes.

--- a/internal/mesh/entry/hedge_test.go
+++ b/internal/mesh/entry/hedge_test.go
@@ -49,6 +49,19 @@
 			Expect(h.attempts()[before:]).To(HaveLen(1))
 		})
 
+		// Guards against a hedge that is thrown away when the first target reports that its deadline has passed.
+		It("goes on when the attempt beside it ends with a failure", func() {
+			h := newHarness(2)
+			learn(h)
+			h.setFirstGate(func(ctx context.Context, a *link.Attempt, s link.Signals) *link.Result {
+				s.Started()
+				s.Overdue()
+				time.Sleep(200 * time.Millisecond)
+				return answer(http.StatusGatewayTimeout)(ctx, a, s)
+			}, answerAfter(500*time.Millisecond))
+			Expect(h.do("GET", "/browse/1", "").Code).To(Equal(http.StatusOK))
+		})
+
 		// Guards against hanging requests that are never repeated because all gates were full for a moment.
 		It("is tried again when no gate took it", func() {
 			h := newHarness(2)
--- a/internal/mesh/entry/outcome.go
+++ b/internal/mesh/entry/outcome.go
@@ -26,7 +26,7 @@
 		if result.Status < 300 && !a.runningSince.IsZero() {
 			s.entry.worktimes.Observe(s.request.route.ID, e.at.Sub(a.runningSince))
 		}
-		if result.Status < 500 || !s.mayRepeat() {
+		if result.Status < 500 || (len(s.active) == 0 && !s.mayRepeat()) {
 			return result, true
 		}
 		s.setFallback(result)
