Count the grace period from when the stop signal may have been sent

Callers saw connections end without an answer in a planned stop, for requests at which a target was at work: the process was killed while it was still draining.

Cause: the daemon counted the grace period from when it noticed the signal. On a host short of processor time that is late. The delay is before the line "daemon: signal received", 0 to 3 ms lie between that and "daemon: draining". The process got turns meanwhile, in which it logged requests: a signal wakes a thread and three goroutines one after the other, and each waits.

Change: a task that is due every 200 ms measures by how much its turns come late; the sum of the last four lags bounds the delay. All times of the drain count from that bound, which is at most two thirds of the grace period. A host that noticed late also cancels work by that time sooner, within the last sixth of the period: what delayed the signal delays the end of the drain too. "daemon: draining" tells the bound as "late".

--- a/internal/mesh/daemon/config.go
+++ b/internal/mesh/daemon/config.go
@@ -33,7 +33,9 @@
 	TargetHandler func(Announcer) http.Handler
 	// ProbeHandler returns the handler of the readiness probes of callers.
 	ProbeHandler func(ready func() bool) http.Handler
-	Loggers      *logging.Loggers
+	// SignalDelay returns how long ago a stop signal may have been sent that is noticed now. If it is nil, the daemon measures that.
+	SignalDelay func() time.Duration
+	Loggers     *logging.Loggers
 }
 
 // Announcer applies announcements of the host's target. When Announce returns nil, the announcement or a later one is
--- a/internal/mesh/daemon/daemon.go
+++ b/internal/mesh/daemon/daemon.go
@@ -4,12 +4,14 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"runtime"
 	"sync/atomic"
 	"time"
 
 	"buckthornlatch.example/buckthornlatch/internal/clock"
 	"buckthornlatch.example/buckthornlatch/internal/fault"
 	"buckthornlatch.example/buckthornlatch/internal/id"
+	"buckthornlatch.example/buckthornlatch/internal/lag"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/callerconn"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/choose"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/crashes"
@@ -38,6 +40,7 @@
 	limits   *limits.Limits
 	evidence *crashes.Evidence
 	pauses   *pause.Detector
+	lag      *lag.Monitor
 	entry    *entry.Entry
 	front    *callerconn.Front
 	servers  []*server
@@ -76,7 +79,7 @@
 		Seeds: d.config.Seeds, OnChange: d.stateChanged, OnRestored: d.restored, Log: d.config.Loggers.Events,
 		PolicyBound: policyBound, Metrics: d.meters,
 	})
-	d.pauses = pause.New(d.clock)
+	d.pauses, d.lag = pause.New(d.clock), lag.New(d.clock)
 	d.evidence = crashes.New(d.config.Host, id.Incarnation(rand.Uint64()), d.clock)
 	d.gate = gate.New(gate.Config{
 		CrashEvidence: d.evidence,
@@ -163,6 +166,7 @@
 	go func() { failed <- d.syncer.Run(work) }()
 	go d.tick(work)
 	go d.watchPauses(work)
+	go d.watchLag(work)
 	d.config.Loggers.Events.Info().Str("address", string(d.config.Host)).Str("service", string(d.config.Service)).
 		Msg("daemon: started")
 	select {
@@ -200,6 +204,14 @@
 	}
 }
 
+// watchLag shows the monitor of the lag that the process runs, until ctx ends.
+func (d *Daemon) watchLag(ctx context.Context) {
+	for clock.Sleep(ctx, d.lag.Tick()) {
+		// A goroutine whose timer expires is run next. A signal's goroutine waits behind all that are ready, as after Gosched.
+		runtime.Gosched()
+	}
+}
+
 // publishEvidence writes the host's record when its crash evidence has changed.
 func (d *Daemon) publishEvidence() {
 	if !d.evidence.Refresh() {
--- a/internal/mesh/daemon/drain.go
+++ b/internal/mesh/daemon/drain.go
@@ -23,30 +23,40 @@
 	cancelQueuedShare = 0.9
 	// drainPollInterval is the interval at which drain checks whether requests are still being served.
 	drainPollInterval = 20 * time.Millisecond
+	// maxSignalDelayShare is the largest part of the grace period for which a stop signal is taken to have been under way. The rest is
+	// left for a drain in which what is at work can end: the delay is a bound, and the signal may have come much later.
+	maxSignalDelayShare = 2.0 / 3
+	// lateReserveShare is the part of the grace period, at its end, in which work may be cancelled on a host that noticed the signal
+	// late: what made it late also delays the end of the drain.
+	lateReserveShare = 1.0 / 6
 	// restartTime is how long after the end of a grace period the next process may still be starting.
 	restartTime = time.Second
 )
 
-// drain serves callers until they have moved away, then finishes the requests in flight.
+// drain serves callers until they have moved away, then finishes the requests in flight. All times count from when the stop signal
+// may have been sent: the process is killed a grace period after that, however late it noticed the signal.
 func (d *Daemon) drain() {
-	started := time.Now()
-	grace := d.config.Bounds().Grace
-	ends := started.Add(d.stopTime())
+	noticed, grace := time.Now(), d.config.Bounds().Grace
+	late := d.signalDelay(grace)
+	started := noticed.Add(-late)
+	reserve := lateReserve(grace, late)
+	ends := started.Add(d.stopTime() - reserve)
 	d.stopEnds.Store(&ends)
 	d.draining.Store(true)
-	d.config.Loggers.Events.Info().Dur("grace", grace).Msg("daemon: draining")
 	d.gate.Drain()
+	d.config.Loggers.Events.Info().Dur("grace", grace).Dur("late", late).Msg("daemon: draining")
 	if r, known := d.gate.Record(); known && r.State == roster.Gone {
 		d.syncer.Leave()
 	}
-	time.Sleep(min(callerDrainTime, max(grace/2, 0)))
+	// Callers notice the stop only after the process has, but what comes in the second half of the period might not end in it.
+	time.Sleep(time.Until(earlier(noticed.Add(callerDrainTime), started.Add(max(grace/2, 0)))))
 	d.refusing.Store(true)
 	deadline := started.Add(max(grace-exitMargin, 0))
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
-	cancelQueued := time.AfterFunc(time.Until(started.Add(time.Duration(cancelQueuedShare*float64(grace)))), func() { close(d.stopping) })
+	cancelQueued := time.AfterFunc(time.Until(started.Add(time.Duration(cancelQueuedShare*float64(grace))-reserve)), func() { close(d.stopping) })
 	defer cancelQueued.Stop()
-	cancelAll := time.AfterFunc(time.Until(started.Add(max(grace-cancelMargin, 0))), func() {
+	cancelAll := time.AfterFunc(time.Until(started.Add(max(grace-cancelMargin-reserve, 0))), func() {
 		close(d.ending)
 		d.gate.CancelRunning()
 	})
@@ -63,6 +73,28 @@
 	d.logStop(time.Since(started), d.answers.upTo(last))
 }
 
+// signalDelay returns how long ago the stop signal that was just noticed may have been sent.
+func (d *Daemon) signalDelay(grace time.Duration) time.Duration {
+	delay := d.lag.Delay
+	if d.config.SignalDelay != nil {
+		delay = d.config.SignalDelay
+	}
+	return min(delay(), time.Duration(maxSignalDelayShare*float64(max(grace, 0))))
+}
+
+// lateReserve returns how much sooner than usual a host cancels work at the end of the grace period that noticed the signal late.
+func lateReserve(grace, late time.Duration) time.Duration {
+	return max(min(late, time.Duration(lateReserveShare*float64(grace))-cancelMargin), 0)
+}
+
+// earlier returns the earlier of two times.
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // stopLeft returns for how long the host may still be in a planned stop. A process that has just started may be the second half of
 // one: its predecessor may have ended long before its grace period, and nothing tells when that began.
 func (d *Daemon) stopLeft() time.Duration {
--- a/internal/mesh/daemon/harness_test.go
+++ b/internal/mesh/daemon/harness_test.go
@@ -36,6 +36,24 @@
 	hosts []*host
 	// grace is the grace period of the daemons.
 	grace time.Duration
+
+	mu sync.Mutex
+	// late is how late the daemons notice a stop signal.
+	late time.Duration
+}
+
+// noticeLate sets how late the daemons notice a stop signal.
+func (f *fleet) noticeLate(late time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.late = late
+}
+
+// signalDelay returns how late a stop signal is noticed.
+func (f *fleet) signalDelay() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.late
 }
 
 // host is a daemon with its target.
@@ -160,7 +178,8 @@
 				}
 			})
 		},
-		Loggers: lines,
+		SignalDelay: f.signalDelay,
+		Loggers:     lines,
 	})
 	Expect(h.daemon.Provision()).To(Succeed())
 	ctx, cancel := context.WithCancel(context.Background())
