Accept the connections that wait before a listener closes

Callers saw new connections reset in a planned stop, with requests that they had sent up to 0.95 s before.

Cause: closing a listener resets the connections that the process has not accepted.

Now the drain waits until the kernel has no connection that waits, for at most a hundred checks. On a host that is not short of processor time that is one check. What is accepted then is refused (503, not run).

All specs of callerconn and mesh/daemon pass.

--- a/internal/mesh/daemon/drain.go
+++ b/internal/mesh/daemon/drain.go
@@ -123,6 +123,7 @@
 func (d *Daemon) closeCallers(ctx context.Context) {
 	for _, s := range d.servers {
 		if s.name == callersServer {
+			d.front.AwaitAccepted(ctx, s.listener)
 			s.stopAccepting(d.config.Loggers.Events)
 			d.front.CloseAll(ctx)
 		}
