Let a stopping gate take calls of targets that end before the stop does

Cause: the gate refused from the stop signal on, though the process stays for 2.6 s at least and mostly for 5 s, for requests of its callers at other hosts or attempts that came earlier. No other host can reach its target. In 421 of 902 s of stopping the target had nothing at work.

Now a stopping gate admits calls of other targets (nested attempts) that are most likely answered before the stop ends, and requests of callers that end while the target can still make calls of its own. It admits nothing once no earlier work keeps the process. The target is told to end the work by the end of the stop. Refusals keep the reason gate-draining.

--- a/internal/mesh/daemon/drain.go
+++ b/internal/mesh/daemon/drain.go
@@ -35,11 +35,13 @@
 	d.stopEnds.Store(&ends)
 	d.draining.Store(true)
 	d.config.Loggers.Events.Info().Dur("grace", grace).Msg("daemon: draining")
-	d.gate.Drain()
+	callersLeave := min(callerDrainTime, max(grace/2, 0))
+	now := d.clock.Now()
+	d.gate.StopBy(now.Add(callersLeave), now.Add(d.stopTime()))
 	if r, known := d.gate.Record(); known && r.State == roster.Gone {
 		d.syncer.Leave()
 	}
-	time.Sleep(min(callerDrainTime, max(grace/2, 0)))
+	time.Sleep(callersLeave)
 	d.refusing.Store(true)
 	deadline := started.Add(max(grace-exitMargin, 0))
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
@@ -52,6 +54,10 @@
 	})
 	defer cancelAll.Stop()
 	d.closeCallers(ctx)
+	for d.finishesEarlier() && ctx.Err() == nil {
+		time.Sleep(drainPollInterval)
+	}
+	d.gate.Drain()
 	for !d.idle() && ctx.Err() == nil {
 		time.Sleep(drainPollInterval)
 	}
@@ -109,6 +115,12 @@
 		Msg("daemon: stopped")
 }
 
+// finishesEarlier reports whether a stop still waits for requests of callers, or for attempts that came before it. The
+// gate admits attempts meanwhile, but they alone do not keep the process.
+func (d *Daemon) finishesEarlier() bool {
+	return !d.meters.inFlight.idle() || d.gate.RunsEarlier()
+}
+
 // idle reports whether neither the entry nor the gate has work in flight.
 func (d *Daemon) idle() bool {
 	return d.meters.inFlight.idle() && d.gate.Idle()
--- a/internal/mesh/gate/exchange.go
+++ b/internal/mesh/gate/exchange.go
@@ -61,11 +61,15 @@
 	g := e.gate
 	g.mu.Lock()
 	limit := g.slots.WorkLimit(e.demand, g.config.StopTime())
+	stopping, stopEnds := g.stopping, g.stopEnds
 	g.mu.Unlock()
 	e.workEnds = e.expires
 	if ends := g.config.Clock.Now().Add(limit); limit > 0 && ends.Before(e.expires) {
 		e.workEnds = ends
 	}
+	if stopping && stopEnds.Before(e.workEnds) {
+		e.workEnds = stopEnds
+	}
 }
 
 // request builds the request to the target.
--- a/internal/mesh/gate/gate.go
+++ b/internal/mesh/gate/gate.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"buckthornlatch.example/buckthornlatch/internal/clock"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/choose"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/roster"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/slots"
@@ -19,8 +20,13 @@
 	slots    *slots.Admission
 	target   *target
 	draining bool
-	nextID   slots.ID
-	waiting  map[slots.ID]chan slots.Turn
+	// stopEnds is when a planned stop ends the attempts that still run, if stopping is set. beforeStop is the last attempt
+	// that came before the stop.
+	stopping   bool
+	stopEnds   clock.Time
+	beforeStop slots.ID
+	nextID     slots.ID
+	waiting    map[slots.ID]chan slots.Turn
 	// running holds the attempts that have a slot.
 	running map[slots.ID]*execution
 
@@ -33,6 +39,28 @@
 	return &Gate{config: config, slots: slots.New(), waiting: map[slots.ID]chan slots.Turn{}, running: map[slots.ID]*execution{}}
 }
 
+// StopBy tells the gate of a planned stop that ends at the given time what still runs; the target's calls fail from callsEnd on.
+// Attempts that are most likely answered in time are still admitted, until Drain is called, and their target is told to end the
+// work by then.
+func (g *Gate) StopBy(callsEnd, end clock.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.stopping, g.stopEnds, g.beforeStop = true, end, g.nextID
+	g.slots.StopBy(callsEnd, end)
+}
+
+// RunsEarlier reports whether an attempt is running that came before the planned stop.
+func (g *Gate) RunsEarlier() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for attempt := range g.running {
+		if attempt <= g.beforeStop {
+			return true
+		}
+	}
+	return false
+}
+
 // Drain refuses waiting and new attempts from now on. Running attempts continue.
 func (g *Gate) Drain() {
 	g.mu.Lock()
--- a/internal/mesh/slots/admission.go
+++ b/internal/mesh/slots/admission.go
@@ -43,6 +43,8 @@
 	repeats   repeatBucket
 	usage     usage
 	nested    nestedLoad
+	// stop is set in a planned stop of the host.
+	stop *plannedStop
 }
 
 // New returns the admission of a gate that has no target yet.
--- a/internal/mesh/slots/admit.go
+++ b/internal/mesh/slots/admit.go
@@ -27,6 +27,9 @@
 	}
 	full := !a.fits(now, d) || a.queuedAhead(d)
 	wait := a.expectedWait(now, d)
+	if a.outlastsStop(now.Add(wait), d) {
+		return Decision{Kind: Refuse, Reason: Stopping}
+	}
 	if full && (wait > d.MaxQueueWait || len(a.queue) >= maxQueue) {
 		return Decision{Kind: Refuse, Reason: Full, RetryAfter: max(wait, minRetryAfter)}
 	}
--- a/internal/mesh/slots/decision.go
+++ b/internal/mesh/slots/decision.go
@@ -27,6 +27,8 @@
 	TooLate Reason = "too-late"
 	// RepeatsUsedUp means that the budget for repeated attempts is spent.
 	RepeatsUsedUp Reason = "repeats-used-up"
+	// Stopping means that the attempt may outlast the planned stop of the host.
+	Stopping Reason = "gate-draining"
 	// NoTarget means that the gate has no target that takes new work.
 	NoTarget Reason = "no-target"
 )
--- a/internal/mesh/slots/order.go
+++ b/internal/mesh/slots/order.go
@@ -18,6 +18,10 @@
 			turns = append(turns, Turn{ID: w.ID, Reason: TooLate})
 			continue
 		}
+		if a.outlastsStop(now, w.Demand) {
+			turns = append(turns, Turn{ID: w.ID, Reason: Stopping})
+			continue
+		}
 		if w.Repeat && !a.repeats.available(now) {
 			turns = append(turns, Turn{ID: w.ID, Reason: RepeatsUsedUp})
 			continue
