--- a/internal/mesh/daemon/drain.go
+++ b/internal/mesh/daemon/drain.go
@@ -44,13 +44,15 @@
 	d.stopEnds.Store(&ends)
 	d.draining.Store(true)
 	close(d.drainBegins)
-	d.gate.Drain()
+	// Callers notice the stop only after the process has, but what comes in the second half of the period might not end in it.
+	callersLeave := earlier(noticed.Add(callerDrainTime), started.Add(max(grace/2, 0)))
+	now := d.clock.Now()
+	d.gate.StopBy(now.Add(time.Until(callersLeave)), now.Add(time.Until(ends)))
 	d.config.Loggers.Events.Info().Dur("grace", grace).Dur("late", late).Msg("daemon: draining")
 	if r, known := d.gate.Record(); known && r.State == roster.Gone {
 		d.syncer.Leave()
 	}
-	// Callers notice the stop only after the process has, but what comes in the second half of the period might not end in it.
-	time.Sleep(time.Until(earlier(noticed.Add(callerDrainTime), started.Add(max(grace/2, 0)))))
+	time.Sleep(time.Until(callersLeave))
 	d.refusing.Store(true)
 	deadline := started.Add(max(grace-exitMargin, 0))
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
@@ -63,6 +65,10 @@
 	})
 	defer cancelAll.Stop()
 	d.closeCallers(ctx)
+	for d.finishesEarlier() && ctx.Err() == nil {
+		time.Sleep(drainPollInterval)
+	}
+	d.gate.Drain()
 	for !d.idle() && ctx.Err() == nil {
 		time.Sleep(drainPollInterval)
 	}
@@ -143,6 +149,12 @@
 		Msg("daemon: stopped")
 }
 
+// finishesEarlier reports whether a stop still waits for requests of callers, or for attempts that came before it. The
+// gate admits attempts meanwhile, but they alone do not keep the process.
+func (d *Daemon) finishesEarlier() bool {
+	return !d.meters.inFlight.idle() || d.gate.RunsEarlier()
+}
+
 // idle reports whether neither the entry nor the gate has work in flight.
 func (d *Daemon) idle() bool {
 	return d.meters.inFlight.idle() && d.gate.Idle()
--- a/internal/mesh/gate/exchange.go
+++ b/internal/mesh/gate/exchange.go
@@ -49,15 +49,17 @@
 // received has no such limit, since its sender sets the pace.
 func (e *execution) limitWork() {
 	g := e.gate
-	e.workEnds = e.expires
-	if !e.attempt.Body.Whole() {
-		return
-	}
+	now := g.config.Clock.Now()
 	g.mu.Lock()
 	limit := g.slots.WorkLimit(e.demand, g.config.StopTime())
+	stopping, stopEnds := g.stopping, g.stopEnds
 	g.mu.Unlock()
-	if ends := g.config.Clock.Now().Add(limit); limit > 0 && ends.Before(e.expires) {
-		e.workEnds = ends
+	e.workEnds = e.expires
+	if limit > 0 && e.attempt.Body.Whole() {
+		e.workEnds = min(e.workEnds, now.Add(limit))
+	}
+	if stopping {
+		e.workEnds = min(e.workEnds, stopEnds)
 	}
 }
 
