--- a/internal/mesh/entry/handle.go
+++ b/internal/mesh/entry/handle.go
@@ -41,9 +41,7 @@
 		s.stopTimer = nil
 		s.applyCancelAdvice()
 	case eventStopNear:
-		if s.anyRunning() {
-			s.hedge(ctx)
-		}
+		s.hedgeBeforeStop(ctx)
 	case eventRetryHedge:
 		s.hedgeTimer = nil
 		s.retryHedge(ctx)
--- a/internal/mesh/entry/hedge.go
+++ b/internal/mesh/entry/hedge.go
@@ -32,12 +32,13 @@
 	s.continueHedge(ctx)
 }
 
-// continueHedge tries the next host for a hedge. If there is none, the hedge is tried again after a while.
+// continueHedge tries the next host for a hedge. If there is none, the hedge is tried again after a while in a planned stop. At
+// other times a hung attempt is ended by its target and then repeated.
 func (s *session) continueHedge(ctx context.Context) {
 	if s.mayRepeat() && s.startNext(ctx) {
 		return
 	}
-	if s.hedgeTimer == nil {
+	if s.hedgeTimer == nil && !s.entry.config.StopEnds().IsZero() {
 		s.hedgeTimer = time.AfterFunc(hedgeRetryInterval, func() { s.emit(event{kind: eventRetryHedge}) })
 	}
 }
@@ -53,6 +54,17 @@
 	}
 }
 
+// hedgeBeforeStop starts a hedge, or tries one again that no gate took, while a target works on the request.
+func (s *session) hedgeBeforeStop(ctx context.Context) {
+	switch {
+	case !s.anyRunning():
+	case s.hedging:
+		s.retryHedge(ctx)
+	default:
+		s.hedge(ctx)
+	}
+}
+
 // anyRunning reports whether a target works on the request.
 func (s *session) anyRunning() bool {
 	for _, a := range s.active {
