Take no response of a target without a valid status line (mesh)

Callers see 502, as for any broken answer, where a target sends a status line that is none, or a 101. Until now they got statuses such as 600 and 999 and answers of HTTP/9.9, or lost their connection (000, 007, 099, +20).

Cause: http.ReadResponse accepts 000, +20, each status up to 999, each version and two spaces. A 101 was skipped like other informational responses. ResponseWriter.WriteHeader panics below 100.

Change: hop.StatusLine checks the status line byte by byte; targetconn checks each one before it reads the head.

--- a/internal/hop/hoptest/target.go
+++ b/internal/hop/hoptest/target.go
@@ -13,6 +13,8 @@
 	listener net.Listener
 	// runs counts the requests that it has answered or begun to answer.
 	runs atomic.Int64
+	// conns counts its connections.
+	conns atomic.Int64
 }
 
 // NewTarget starts a target. respond writes the answer to a request and reports whether the connection stays open; if
@@ -29,6 +31,7 @@
 			if err != nil {
 				return
 			}
+			t.conns.Add(1)
 			go t.serve(conn, respond)
 		}
 	}()
@@ -41,6 +44,9 @@
 // Runs returns how many requests reached the target.
 func (t *Target) Runs() int { return int(t.runs.Load()) }
 
+// Conns returns how many connections the target got.
+func (t *Target) Conns() int { return int(t.conns.Load()) }
+
 // Close ends the listener.
 func (t *Target) Close() error { return t.listener.Close() }
 
--- a/internal/mesh/targetconn/conn.go
+++ b/internal/mesh/targetconn/conn.go
@@ -2,12 +2,16 @@
 
 import (
 	"bufio"
+	"errors"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
 	"strings"
 	"syscall"
 	"time"
+
+	"buckthornlatch.example/buckthornlatch/internal/hop"
 )
 
 // bufferSize is the size of a connection's read and write buffers, in bytes. Most requests and responses fit.
@@ -50,9 +54,33 @@
 func (c *conn) readHead(request *http.Request) (*http.Response, error) {
 	c.inHead, c.headLeft = true, maxHeadBytes
 	defer func() { c.inHead = false }()
+	if err := c.checkStatusLine(); err != nil {
+		return nil, err
+	}
 	return http.ReadResponse(c.reader, request)
 }
 
+// checkStatusLine checks the status line of the next response without consuming it. A line that fills the buffer counts as
+// malformed.
+func (c *conn) checkStatusLine() error {
+	var line hop.StatusLine
+	for n := 1; !line.Ended(); n++ {
+		seen, err := c.reader.Peek(n)
+		switch {
+		case errors.Is(err, bufio.ErrBufferFull):
+			return hop.ErrStatusLine
+		case err == io.EOF:
+			return io.ErrUnexpectedEOF
+		case err != nil:
+			return err
+		}
+		if err := line.Add(seen[n-1]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // close closes the connection and ignores the error.
 func (c *conn) close() {
 	_ = c.Close()
--- a/internal/mesh/targetconn/doc.go
+++ b/internal/mesh/targetconn/doc.go
@@ -8,6 +8,9 @@
 // maxBodyBytes, the responses that are skipped by maxResponses and maxStrayBodyBytes, and all of it by the deadline. What
 // exceeds a bound is no answer, or ends as a broken one, and closes the connection.
 //
+// What has no valid status line (hop.StatusLine) is no response: it is not passed on, it is no refusal, and it closes the
+// connection.
+//
 // A request is written at most once. An error says whether a byte of it may have left this process. A connection that
 // holds unsolicited bytes, or whose exchange was cut off, is not reused.
 package targetconn
