Read no answer without a valid status line on a guarded connection

Between hosts of mesh, between daemons of serve, and from a target to serve's gate, an answer whose status line is none, or that changes the protocol unasked, is a broken one. Callers of serve get 502; until now statuses such as 600 and 999 and answers of HTTP/9.9 reached them, and a refusal (503, not run) whose status line was none was passed on as a refusal.

Cause: as in targetconn; net/http's Transport leaves no way to see the status line as it was sent.

Change: hop's guarded connection follows the heads of the answers to each request, informational ones included, and fails the read at the first byte that makes a status line invalid.

--- a/internal/hop/guard.go
+++ b/internal/hop/guard.go
@@ -7,17 +7,41 @@
 )
 
 // guardedConn calls a check before the first byte of each request is written. This is after the last wait (for a
-// free connection), so that a permission cannot expire in a wait between the check and the write.
+// free connection), so that a permission cannot expire in a wait between the check and the write. It reads no answer whose
+// status line is invalid, which net/http would accept.
 type guardedConn struct {
 	net.Conn
 	check atomic.Pointer[func() error]
+	// requested is set when the connection is taken for a request, to whose answers the next bytes belong.
+	requested atomic.Bool
+	// heads is used by the only reader; nil before the first request.
+	heads *answerHeads
 }
 
-// Guard wraps a connection for use with Trace.
+// Guard wraps a connection for use with Trace or CheckedTransport.
 func Guard(conn net.Conn) net.Conn {
 	return &guardedConn{Conn: conn}
 }
 
+// Read implements net.Conn. It returns ErrStatusLine for bytes that are no answer.
+func (g *guardedConn) Read(p []byte) (int, error) {
+	if g.heads != nil && g.heads.err != nil {
+		// net/http may have taken the valid beginning of the line for a whole one and go on.
+		return 0, g.heads.err
+	}
+	n, err := g.Conn.Read(p)
+	if g.requested.Load() && g.requested.Swap(false) {
+		g.heads = &answerHeads{}
+	}
+	if g.heads == nil {
+		return n, err
+	}
+	if valid, headErr := g.heads.check(p[:n]); headErr != nil {
+		return valid, headErr
+	}
+	return n, err
+}
+
 // Write implements net.Conn. If the check fails, nothing is written.
 func (g *guardedConn) Write(p []byte) (int, error) {
 	if check := g.check.Swap(nil); check != nil {
@@ -34,7 +58,9 @@
 	return &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			connected(info.Conn, info.Reused)
-			info.Conn.(*guardedConn).check.Store(&check)
+			conn := info.Conn.(*guardedConn)
+			conn.check.Store(&check)
+			conn.requested.Store(true)
 		},
 	}
 }
