Pass resets on in the fault proxy

The proxy ended the caller's side of a connection that its server had reset with a plain end of stream.

--- a/internal/measuring/faultproxy/forward.go
+++ b/internal/measuring/faultproxy/forward.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -35,7 +36,7 @@
 }
 
 // pump copies one direction. The end of the stream is passed on as a
-// half-close, a failure ends the link.
+// half-close, a failure ends the link, a reset with a reset.
 func (p *Proxy) pump(l *link, d direction, to, from net.Conn) {
 	piece := make([]byte, pieceBytes)
 	for {
@@ -58,9 +59,14 @@
 
 // end passes the end of one direction on.
 func (p *Proxy) end(l *link, to net.Conn, readErr error) {
-	if half, ok := to.(*net.TCPConn); ok && errors.Is(readErr, io.EOF) {
+	half, ok := to.(*net.TCPConn)
+	switch {
+	case ok && errors.Is(readErr, io.EOF):
 		_ = half.CloseWrite()
 		return
+	case ok && errors.Is(readErr, syscall.ECONNRESET):
+		// An answer without a length must not seem complete.
+		_ = half.SetLinger(0)
 	}
 	l.close()
 }
