--- a/internal/mesh/daemon/daemon.go
+++ b/internal/mesh/daemon/daemon.go
@@ -62,7 +62,8 @@
 func New(config Config) *Daemon {
 	config.Headers = config.Headers.Canonical()
 	system := clock.NewSystem()
-	return &Daemon{config: config, clock: system, startedAt: system.Now(),
+	return &Daemon{
+		config: config, clock: system, startedAt: system.Now(),
 		drainBegins: make(chan struct{}), stopping: make(chan struct{}), ending: make(chan struct{}),
 	}
 }
