Describe the wanted host of an attempt by a query

Cause: the chooser took the service and the excluded hosts as arguments, and further conditions (regions, failure domains that are out of use) are about to follow. Change: one type for them; no change of behaviour.

--- a/internal/mesh/choose/chooser.go
+++ b/internal/mesh/choose/chooser.go
@@ -63,10 +63,10 @@
 	c.hosts, c.byService = hosts, byService
 }
 
-// Pick returns the best host for a service that is not excluded. Hosts in backoff come last.
-func (c *Chooser) Pick(now clock.Time, service id.ServiceName, exclude []id.HostID) (id.HostID, bool) {
-	return c.best(now, c.byService[service], func(h *host) bool {
-		return h.serves(service) && !slices.Contains(exclude, h.record.Host)
+// Pick returns the best host that meets a query. Hosts in backoff come last.
+func (c *Chooser) Pick(now clock.Time, q Query) (id.HostID, bool) {
+	return c.best(now, c.byService[q.Service], func(h *host) bool {
+		return h.serves(q.Service) && !slices.Contains(q.Exclude, h.record.Host)
 	})
 }
 
--- a/internal/mesh/choose/chooser_test.go
+++ b/internal/mesh/choose/chooser_test.go
@@ -29,7 +29,7 @@
 	picks := func(c *choose.Chooser, n int) map[id.HostID]int {
 		counts := map[id.HostID]int{}
 		for range n {
-			name, ok := c.Pick(now, "walks", nil)
+			name, ok := c.Pick(now, choose.Query{Service: "walks"})
 			Expect(ok).To(BeTrue())
 			counts[name]++
 		}
@@ -47,7 +47,7 @@
 		c := newChooser(host("a", "north"), leaving, other)
 		Expect(picks(c, 20)).To(Equal(map[id.HostID]int{"a": 20}))
 		Expect(c.ServingTargets("walks")).To(Equal(1))
-		_, ok := c.Pick(now, "walks", []id.HostID{"a"})
+		_, ok := c.Pick(now, choose.Query{Service: "walks", Exclude: []id.HostID{"a"}})
 		Expect(ok).To(BeFalse())
 	})
 
@@ -156,7 +156,7 @@
 		for range 28 {
 			var tried []id.HostID
 			for {
-				name, ok := c.Pick(now, "walks", tried)
+				name, ok := c.Pick(now, choose.Query{Service: "walks", Exclude: tried})
 				Expect(ok).To(BeTrue())
 				if inUse[name] < 5 {
 					inUse[name]++
--- a/internal/mesh/choose/shared.go
+++ b/internal/mesh/choose/shared.go
@@ -29,10 +29,10 @@
 }
 
 // Start picks a host and counts an attempt in flight there; Finish must follow.
-func (s *Shared) Start(service id.ServiceName, exclude []id.HostID) (id.HostID, bool) {
+func (s *Shared) Start(q Query) (id.HostID, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	host, ok := s.chooser.Pick(s.clock.Now(), service, exclude)
+	host, ok := s.chooser.Pick(s.clock.Now(), q)
 	if ok {
 		s.chooser.Started(host)
 	}
