Reserve slots for urgent ranks by their patience

Only nested attempts had reserved slots. Long, less urgent work could take all others, which urgent attempts that can hardly wait could not make up for by going first in the queue. The reserve for nested attempts kept a slot idle even where one became free in time.

The reserve is now kept for each level of urgency from its recent demand, and work that ends within the time that the level may wait does not count against it. A level that is served far below the others starts attempts ahead of its turn. Metrics: attempts refused by class, slots reserved.

--- a/internal/mesh/daemon/daemon.go
+++ b/internal/mesh/daemon/daemon.go
@@ -90,7 +90,7 @@
 		Host:          d.config.Host, Domain: d.config.Domain, Service: d.config.Service, TargetAddress: d.config.TargetAddress,
 		Headers: d.config.Headers, Clock: d.clock, StopTime: func() time.Duration { return stopTime(d.config.Bounds().Grace) },
 		PolicyVersion: d.syncer.Version, PublishRecord: d.syncer.Publish,
-		AttemptLog: d.config.Loggers.Decisions, EventLog: d.config.Loggers.Events, Metrics: d.meters,
+		AttemptLog: d.config.Loggers.Decisions, EventLog: d.config.Loggers.Events, Metrics: d.meters, AdmissionMetrics: d.meters,
 	})
 	d.limits = limits.New(limits.Config{
 		Self: d.config.Host, Clock: d.clock, HTTP: newControlClient(), Distance: d.distance, Incarnation: id.Epoch(rand.Uint64()),
--- a/internal/mesh/daemon/metrics.go
+++ b/internal/mesh/daemon/metrics.go
@@ -31,6 +31,9 @@
 	policiesRejected metrics.Counter
 	policyWarnings   metrics.Gauge
 	recordsIgnored   metrics.Counter
+
+	reservedNested metrics.Gauge
+	reservedRanks  metrics.Gauge
 }
 
 // newMeters creates the metrics.
@@ -47,6 +50,9 @@
 		policiesRejected: scope.Counter("policies_rejected_total"),
 		policyWarnings:   scope.Gauge("policy_warnings"),
 		recordsIgnored:   scope.Counter("host_records_ignored_total"),
+
+		reservedNested: newReservedGauge(scope, "nested"),
+		reservedRanks:  newReservedGauge(scope, "ranks"),
 	}
 }
 
--- a/internal/mesh/gate/admit.go
+++ b/internal/mesh/gate/admit.go
@@ -31,6 +31,8 @@
 	if a.Service == g.config.Service {
 		decision = g.slots.Admit(now, e.demand)
 		g.signalReclaim(decision)
+		e.reserved = decision.Reserved
+		g.scheduleRecheck()
 	}
 	if decision.Kind == slots.Run {
 		g.running[e.demand.ID] = e
--- a/internal/mesh/gate/config.go
+++ b/internal/mesh/gate/config.go
@@ -36,6 +36,8 @@
 	CrashEvidence CrashEvidence
 	// Metrics records attempts.
 	Metrics Metrics
+	// AdmissionMetrics records how slots are divided among classes of attempts; nil records nothing.
+	AdmissionMetrics AdmissionMetrics
 }
 
 // CrashEvidence records crashes of targets and the requests that may have caused them.
--- a/internal/mesh/gate/execution.go
+++ b/internal/mesh/gate/execution.go
@@ -28,7 +28,9 @@
 	gate    *Gate
 	attempt *link.Attempt
 	demand  slots.Demand
-	arrived time.Time
+	// reserved is the number of slots that were reserved for more urgent attempts, if the attempt found no slot.
+	reserved int
+	arrived  time.Time
 	// expires is when Remaining is used up, suspended time included.
 	expires clock.Time
 	// started is when the attempt got its slot, zero until then.
@@ -135,6 +137,8 @@
 	defer g.mu.Unlock()
 	delete(g.running, e.demand.ID)
 	g.deliver(g.slots.Done(g.config.Clock.Now(), e.demand.ID, outcome))
+	g.scheduleRecheck()
+	g.recordReserved()
 }
 
 // newRefusal returns the result of an attempt that did not run.
--- a/internal/mesh/gate/gate.go
+++ b/internal/mesh/gate/gate.go
@@ -30,6 +30,9 @@
 	// running holds the attempts that have a slot.
 	running map[slots.ID]*execution
 
+	// rechecking is set while a recheck of the queue is scheduled.
+	rechecking bool
+
 	// publishing is held while a record is taken and published, so that no record is followed by an earlier one.
 	publishing sync.Mutex
 }
--- a/internal/mesh/slots/admission.go
+++ b/internal/mesh/slots/admission.go
@@ -43,7 +43,8 @@
 	timeouts  timeoutStreaks
 	repeats   repeatBucket
 	usage     usage
-	nested    nestedLoad
+	demand    demand
+	floor     floor
 	// stop is set in a planned stop of the host.
 	stop *plannedStop
 }
--- a/internal/mesh/slots/admit.go
+++ b/internal/mesh/slots/admit.go
@@ -1,6 +1,8 @@
 package slots
 
 import (
+	"time"
+
 	"buckthornlatch.example/buckthornlatch/internal/clock"
 	"buckthornlatch.example/buckthornlatch/internal/invariant"
 )
@@ -8,16 +10,15 @@
 // Admit decides whether a new attempt runs, waits or is refused.
 func (a *Admission) Admit(now clock.Time, d Demand) Decision {
 	decision := a.decide(now, d)
-	if d.Nested {
-		a.nested.add(now, a.expectedWork(d.Route), decision.Kind == Refuse)
-	}
+	a.demand.add(now, d, a.expectedWork(d.Route), decision.Kind == Refuse)
+	a.floor.arrive(now, d, decision.Kind)
 	if decision.Kind == Wait || decision.Reason == Full {
 		decision.Reclaim, decision.HasReclaim = a.reclaim(now)
 	}
 	return decision
 }
 
-// decide is Admit without the record of nested load and without reclaiming a slot.
+// decide is Admit without the record of demand and without reclaiming a slot.
 func (a *Admission) decide(now clock.Time, d Demand) Decision {
 	if !a.open {
 		return Decision{Kind: Refuse, Reason: NoTarget}
@@ -25,13 +26,18 @@
 	if d.Remaining < a.minRemaining(d.Route) {
 		return Decision{Kind: Refuse, Reason: TooLate}
 	}
-	full := !a.fits(now, d) || a.queuedAhead(d)
-	wait := a.expectedWait(now, d)
+	room := a.room(now)
+	reserved := room.reservedBefore(d)
+	full := !a.fits(room, d) || a.queuedAhead(now, room, d)
+	var wait time.Duration
+	if full {
+		wait = a.expectedWait(now, room, d)
+	}
 	if a.outlastsStop(now.Add(wait), d) {
 		return Decision{Kind: Refuse, Reason: Stopping}
 	}
-	if full && (wait > d.MaxQueueWait || len(a.queue) >= maxQueue) {
-		return Decision{Kind: Refuse, Reason: Full, RetryAfter: max(wait, minRetryAfter)}
+	if full && (d.MaxQueueWait <= 0 || wait > d.MaxQueueWait || len(a.queue) >= maxQueue) {
+		return Decision{Kind: Refuse, Reason: Full, RetryAfter: max(wait, minRetryAfter), Reserved: reserved}
 	}
 	if !a.suspicion.allows(now, d) {
 		return Decision{Kind: Refuse, Reason: Suspected, RetryAfter: trialInterval}
@@ -47,34 +53,19 @@
 	}
 	if full {
 		a.queue = append(a.queue, &waiter{Demand: d, arrived: now})
-		return Decision{Kind: Wait}
+		return Decision{Kind: Wait, Reserved: reserved}
 	}
 	a.repeats.spend(d)
 	a.start(now, d)
 	return Decision{Kind: Run}
 }
 
-// fits reports whether a slot is free for the attempt. Some slots are reserved for nested attempts.
-func (a *Admission) fits(now clock.Time, d Demand) bool {
-	if len(a.running) >= a.slots {
-		return false
-	}
-	if d.Nested {
-		return true
-	}
-	others := 0
-	for _, r := range a.running {
-		if !r.Nested {
-			others++
-		}
-	}
-	return others < a.slots-a.nested.reserve(now, a.slots)
-}
-
-// queuedAhead reports whether an attempt of the same or a more urgent class is queued.
-func (a *Admission) queuedAhead(d Demand) bool {
+// queuedAhead reports whether an attempt that is served first is queued and about to get a slot. Those that wait for a
+// reserved slot do not delay an attempt that fits beside the reservation.
+func (a *Admission) queuedAhead(now clock.Time, r *room, d Demand) bool {
+	arriving := &waiter{Demand: d, arrived: now}
 	for _, w := range a.queue {
-		if w.class() <= d.class() {
+		if a.fits(r, w.Demand) && !a.before(now, r, arriving, w) {
 			return true
 		}
 	}
@@ -85,6 +76,7 @@
 func (a *Admission) start(now clock.Time, d Demand) {
 	invariant.Check(len(a.running) < a.slots, "slots-not-exceeded", "%d of %d slots in use", len(a.running), a.slots)
 	a.running[d.ID] = &running{Demand: d, started: now}
+	a.floor.start(d)
 }
 
 // Abandon removes an attempt from the queue. It returns false if the attempt is no longer queued.
--- a/internal/mesh/slots/decision.go
+++ b/internal/mesh/slots/decision.go
@@ -40,6 +40,8 @@
 	Reason Reason
 	// RetryAfter is the time after which another try may succeed; zero when unknown.
 	RetryAfter time.Duration
+	// Reserved is the number of slots that are reserved for more urgent attempts than this one, if it did not run at once.
+	Reserved int
 	// Reclaim is a running attempt that its entry should give up to free the slot, if HasReclaim is set.
 	Reclaim    ID
 	HasReclaim bool
--- a/internal/mesh/slots/demand.go
+++ b/internal/mesh/slots/demand.go
@@ -1,6 +1,7 @@
 package slots
 
 import (
+	"strconv"
 	"time"
 
 	"buckthornlatch.example/buckthornlatch/internal/clock"
@@ -38,6 +39,14 @@
 // the target that made it.
 const nestedClass = -1
 
+// Class returns the name of the attempt's class in metrics: one of a fixed set, whatever ranks a configuration has.
+func (d Demand) Class() string {
+	if d.Nested {
+		return "nested"
+	}
+	return "rank-" + strconv.Itoa(d.level()-1)
+}
+
 // class returns the priority class in the queue; lower classes are served first.
 func (d Demand) class() int {
 	if d.Nested {
--- a/internal/mesh/slots/expect.go
+++ b/internal/mesh/slots/expect.go
@@ -54,21 +54,40 @@
 
 // expectedWait estimates the time until an attempt gets a slot. With n slots in use, the next one becomes free after
 // about 1/n of the average remaining time of the running attempts, and each attempt that is served first adds 1/n of
-// its expected work time.
-func (a *Admission) expectedWait(now clock.Time, d Demand) time.Duration {
-	if a.fits(now, d) && !a.queuedAhead(d) {
-		return 0
-	}
+// its expected work time. Slots that are reserved for more urgent attempts may add to it.
+func (a *Admission) expectedWait(now clock.Time, r *room, d Demand) time.Duration {
 	var ahead time.Duration
-	for _, r := range a.running {
-		usual := a.expectedWork(r.Route)
-		ahead += max(usual-now.Sub(r.started), time.Duration(minResidualShare*float64(usual)))
+	if r.free <= 0 {
+		for _, running := range a.running {
+			ahead += a.remainingWork(now, running)
+		}
+		ahead /= time.Duration(max(len(a.running), 1))
+	}
+	for _, w := range a.queuedBefore(now, r, d) {
+		ahead += a.expectedWork(w.Route)
+	}
+	return max(ahead/time.Duration(a.slots), a.reservedWait(now, r, d))
+}
+
+// queuedBefore returns the queued attempts that are served before an arriving one. Of a level that is served below its floor, only
+// as many as it is entitled to are served ahead of more urgent ones.
+func (a *Admission) queuedBefore(now clock.Time, r *room, d Demand) []*waiter {
+	expected := *r
+	for _, w := range a.queue {
+		if w.level() == d.level() && expected.entitled[d.level()] > 0 {
+			expected.entitled[d.level()]--
+		}
 	}
-	ahead /= time.Duration(max(len(a.running), 1))
+	arriving := &waiter{Demand: d, arrived: now}
+	var before []*waiter
 	for _, w := range a.queue {
-		if w.class() <= d.class() {
-			ahead += a.expectedWork(w.Route)
+		if a.before(now, &expected, arriving, w) {
+			continue
+		}
+		if w.class() > d.class() {
+			expected.entitled[w.level()]--
 		}
+		before = append(before, w)
 	}
-	return ahead / time.Duration(a.slots)
+	return before
 }
--- a/internal/mesh/slots/model_test.go
+++ b/internal/mesh/slots/model_test.go
@@ -12,7 +12,8 @@
 )
 
 // TestAdmissionModel drives an Admission at random and checks that it never exceeds its slots (by its own invariant),
-// that each queued attempt gets exactly one turn, and that none runs after the target has left.
+// that each queued attempt gets exactly one turn, that none runs after the target has left, and that
+// no attempt that may use a free slot stays in the queue when it is served.
 func TestAdmissionModel(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		gate := slots.New()
@@ -83,6 +84,12 @@
 					applyTurns(gate.Done(now, attempt, slots.Outcome(rapid.IntRange(0, 5).Draw(t, "outcome"))))
 				}
 			},
+			"recheck": func(*rapid.T) {
+				applyTurns(gate.Recheck(now))
+				if gate.QueuedFits(now) {
+					t.Fatal("a queued attempt may use a free slot right after the queue was served")
+				}
+			},
 			"abandon": func(t *rapid.T) {
 				if attempt, any := pick(waiting); any {
 					if !gate.Abandon(attempt) {
--- a/internal/mesh/slots/order.go
+++ b/internal/mesh/slots/order.go
@@ -2,17 +2,16 @@
 
 import "buckthornlatch.example/buckthornlatch/internal/clock"
 
-// serveQueue starts queued attempts while slots are free. It refuses those that have too little time left, and repeats
+// serveQueue starts queued attempts while there are slots for them. It refuses those that have too little time left, and repeats
 // for which the budget no longer suffices: they are charged when they run, because most queued attempts go elsewhere.
 func (a *Admission) serveQueue(now clock.Time) []Turn {
 	var turns []Turn
-	for a.open && len(a.queue) > 0 {
-		next := a.next(now)
-		w := a.queue[next]
-		if !a.fits(now, w.Demand) {
-			// Nested attempts are served first, so that no other queued attempt fits either.
+	for a.open && len(a.queue) > 0 && len(a.running) < a.slots {
+		next, any := a.next(now, a.room(now))
+		if !any {
 			break
 		}
+		w := a.queue[next]
 		a.queue = append(a.queue[:next], a.queue[next+1:]...)
 		if w.Remaining-now.Sub(w.arrived) < a.minRemaining(w.Route) {
 			turns = append(turns, Turn{ID: w.ID, Reason: TooLate})
@@ -33,20 +32,25 @@
 	return turns
 }
 
-// next returns the index of the queued attempt that is served next.
-func (a *Admission) next(now clock.Time) int {
-	best := 0
-	for i := 1; i < len(a.queue); i++ {
-		if a.before(now, a.queue[i], a.queue[best]) {
+// next returns the index of the queued attempt that is served next, and false if no slot may be used for any. An attempt that does
+// not fit does not delay the others: what keeps it from a slot is work that outlasts the patience of more urgent attempts, and
+// only attempts that fit beside that reservation are started before it.
+func (a *Admission) next(now clock.Time, r *room) (int, bool) {
+	best := -1
+	for i, w := range a.queue {
+		if a.fits(r, w.Demand) && (best < 0 || a.before(now, r, w, a.queue[best])) {
 			best = i
 		}
 	}
-	return best
+	return best, best >= 0
 }
 
 // before reports whether x is served before y. The queue is in order of arrival, and that order decides ties.
-func (a *Admission) before(now clock.Time, x, y *waiter) bool {
+func (a *Admission) before(now clock.Time, r *room, x, y *waiter) bool {
 	if x.class() != y.class() {
+		if xEntitled, yEntitled := r.entitled[x.level()] > 0, r.entitled[y.level()] > 0; xEntitled != yEntitled {
+			return xEntitled
+		}
 		return x.class() < y.class()
 	}
 	xLate, yLate := a.late(now, x), a.late(now, y)
