--- a/internal/mesh/slots/demand.go
+++ b/internal/mesh/slots/demand.go
@@ -1,10 +1,12 @@
 package slots
 
 import (
+	"strconv"
 	"time"
 
 	"buckthornlatch.example/buckthornlatch/internal/clock"
 	"buckthornlatch.example/buckthornlatch/internal/id"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/customers"
 )
 
 // ID identifies an attempt at one gate.
@@ -15,6 +17,9 @@
 	ID       ID
 	Route    id.RouteID
 	Customer id.CustomerID
+	// CustomerWork is the recent work at all gates that Entry reports to have started for the customer; zero if unknown.
+	CustomerWork time.Duration
+	Entry        customers.Reporter
 	// Rank orders attempts; 0 is the most urgent.
 	Rank int
 	// Nested is set for an attempt that a target makes for a request that it is working on.
@@ -38,6 +43,14 @@
 // the target that made it.
 const nestedClass = -1
 
+// Class returns the name of the attempt's class in metrics: one of a fixed set, whatever ranks a configuration has.
+func (d Demand) Class() string {
+	if d.Nested {
+		return "nested"
+	}
+	return "rank-" + strconv.Itoa(d.level()-1)
+}
+
 // class returns the priority class in the queue; lower classes are served first.
 func (d Demand) class() int {
 	if d.Nested {
--- a/internal/mesh/slots/model_test.go
+++ b/internal/mesh/slots/model_test.go
@@ -12,7 +12,8 @@
 )
 
 // TestAdmissionModel drives an Admission at random and checks that it never exceeds its slots (by its own invariant),
-// that each queued attempt gets exactly one turn, and that none runs after the target has left.
+// that each queued attempt gets exactly one turn, that none runs after the target has left, and that
+// no attempt that may use a free slot stays in the queue when it is served.
 func TestAdmissionModel(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		gate := slots.New()
@@ -59,8 +60,9 @@
 				last++
 				decision := gate.Admit(now, slots.Demand{
 					ID: last, Route: id.RouteID(rapid.SampledFrom([]string{"a", "b"}).Draw(t, "route")),
-					Customer: "c", Rank: rapid.IntRange(0, 2).Draw(t, "rank"), Nested: rapid.Bool().Draw(t, "nested"),
+					Customer: id.CustomerID(rapid.SampledFrom([]string{"c", "d"}).Draw(t, "customer")), Rank: rapid.IntRange(0, 2).Draw(t, "rank"), Nested: rapid.Bool().Draw(t, "nested"),
 					Idempotent: rapid.Bool().Draw(t, "idempotent"), Forced: rapid.Bool().Draw(t, "forced"),
+					CustomerWork: time.Duration(rapid.IntRange(0, 5).Draw(t, "work")) * time.Second, Entry: "e",
 					Remaining: 10 * time.Second, Objective: time.Second,
 					MaxQueueWait: time.Duration(rapid.IntRange(0, 5000).Draw(t, "patience")) * time.Millisecond,
 				})
@@ -70,6 +72,12 @@
 				case slots.Wait:
 					waiting[last] = true
 				}
+				if decision.HasDisplaced {
+					if decision.Displaced == last {
+						t.Fatalf("attempt %d displaces itself", last)
+					}
+					applyTurns([]slots.Turn{{ID: decision.Displaced, Reason: slots.Full}})
+				}
 				if decision.Kind != slots.Refuse && !open {
 					t.Fatalf("attempt %d was admitted after the target had left", last)
 				}
@@ -83,6 +91,12 @@
 					applyTurns(gate.Done(now, attempt, slots.Outcome(rapid.IntRange(0, 5).Draw(t, "outcome"))))
 				}
 			},
+			"recheck": func(*rapid.T) {
+				applyTurns(gate.Recheck(now))
+				if gate.QueuedFits(now) {
+					t.Fatal("a queued attempt may use a free slot right after the queue was served")
+				}
+			},
 			"abandon": func(t *rapid.T) {
 				if attempt, any := pick(waiting); any {
 					if !gate.Abandon(attempt) {
