Count bytes between failure domains by purpose

Bytes between failure domains are the largest cost of a deployment, but a daemon did not tell what they are spent on.

Connections that a host opens to other hosts now count their bytes, in both directions, for answered, refused and other attempts, the shared state and token grants, separately for hosts of the own failure domain and of others. HTTP/1.1 carries one call at a time, so the bytes of a connection since its last call belong to the current one; they stay pending until its purpose is known. The totals between domains are metrics, and a log line tells all of them at the stop and at most once a minute.

Tested: the attribution on reused connections, a streamed answer, both kinds of domain and the bound on log lines, with the packages traffic, link and daemon.

--- a/internal/hop/guard.go
+++ b/internal/hop/guard.go
@@ -52,6 +52,11 @@
 	return g.Conn.Write(p)
 }
 
+// NetConn returns the connection that is wrapped.
+func (g *guardedConn) NetConn() net.Conn {
+	return g.Conn
+}
+
 // Trace returns a client trace that calls check before the first byte of a request is written to a guarded
 // connection, and connected when the connection is ready. It panics on a connection that is not guarded.
 func Trace(connected func(conn net.Conn, reused bool), check func() error) *httptrace.ClientTrace {
--- a/internal/mesh/daemon/daemon.go
+++ b/internal/mesh/daemon/daemon.go
@@ -25,6 +25,7 @@
 	"buckthornlatch.example/buckthornlatch/internal/mesh/roster"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/slots"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/statesync"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/traffic"
 	"buckthornlatch.example/buckthornlatch/internal/metrics/scrape"
 )
 
@@ -37,6 +38,7 @@
 	syncer   *statesync.Syncer
 	gate     *gate.Gate
 	client   *link.Client
+	traffic  *trafficReport
 	chooser  *choose.Shared
 	limits   *limits.Limits
 	evidence *crashes.Evidence
@@ -75,13 +77,15 @@
 		return fault.New("create metrics", "", err)
 	}
 	d.exporter, d.meters = exporter, newMeters(exporter.Scope)
-	d.client = link.NewClient()
+	meter := traffic.NewMeter(func(host id.HostID) bool { return d.distance(host) == 0 })
+	d.traffic = newTrafficReport(meter, exporter.Scope, d.config.Loggers.Events)
+	d.client = link.NewCountingClient(meter)
 	d.chooser = choose.NewShared(choose.New(d.config.Host, d.config.Domain, rand.Uint64()), d.clock)
 	policyBound := func() time.Duration { return d.config.Bounds().Policy }
 	d.syncer = statesync.New(statesync.Config{
 		Self: d.config.Host, Domain: d.config.Domain, Store: d.config.Store, Keys: d.config.Keys, Decode: d.config.DecodePolicy,
 		Seeds: d.config.Seeds, OnChange: d.stateChanged, OnRestored: d.restored, Log: d.config.Loggers.Events,
-		PolicyBound: policyBound, Metrics: d.meters,
+		PolicyBound: policyBound, Traffic: meter, Metrics: d.meters,
 	})
 	d.pauses, d.lag = pause.New(d.clock), lag.New(d.clock)
 	d.evidence = crashes.New(d.config.Host, id.Incarnation(rand.Uint64()), d.clock)
@@ -93,7 +97,7 @@
 		AttemptLog: d.config.Loggers.Decisions, EventLog: d.config.Loggers.Events, Metrics: d.meters,
 	})
 	d.limits = limits.New(limits.Config{
-		Self: d.config.Host, Clock: d.clock, HTTP: newControlClient(), Distance: d.distance, Incarnation: id.Epoch(rand.Uint64()),
+		Self: d.config.Host, Clock: d.clock, HTTP: newControlClient(meter), Distance: d.distance, Incarnation: id.Epoch(rand.Uint64()),
 	})
 	d.entry = entry.New(entry.Config{
 		Service: d.config.Service, Headers: d.config.Headers, Policy: d.syncer, PolicyBound: policyBound, Limits: d.limits, CrashEvidence: d.evidence,
@@ -197,6 +201,7 @@
 			d.removeLostHosts(ctx)
 			d.publishEvidence()
 			d.meters.setDroppedLines(d.config.Loggers.Dropped())
+			d.traffic.update(d.clock.Now())
 		case <-ctx.Done():
 			return
 		}
@@ -252,11 +257,11 @@
 	}
 }
 
-// newControlClient returns the client for control messages to other hosts.
-func newControlClient() *http.Client {
-	dialer := link.Dialer()
+// newControlClient returns the client for token grants, whose traffic the meter counts.
+func newControlClient(meter *traffic.Meter) *http.Client {
+	dial := meter.Dial(link.Dialer().DialContext, traffic.Grants)
 	return &http.Client{Transport: hop.CheckedTransport(&http.Transport{
-		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: controlIdleTimeout, DisableCompression: true,
+		DialContext: dial, MaxIdleConnsPerHost: 1, IdleConnTimeout: controlIdleTimeout, DisableCompression: true,
 	})}
 }
 
--- a/internal/mesh/daemon/drain.go
+++ b/internal/mesh/daemon/drain.go
@@ -145,6 +145,7 @@
 	if requests > 0 || answers > 0 {
 		event = d.config.Loggers.Events.Warn()
 	}
+	d.traffic.log()
 	event.Bool("complete", d.idle() && answers == 0).Int64("requests", requests).Int("conns", conns).Int("answers", answers).Dur("took", took).
 		Msg("daemon: stopped")
 }
--- a/internal/mesh/link/client.go
+++ b/internal/mesh/link/client.go
@@ -16,6 +16,7 @@
 
 	"buckthornlatch.example/buckthornlatch/internal/hop"
 	"buckthornlatch.example/buckthornlatch/internal/id"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/traffic"
 )
 
 const (
@@ -43,11 +44,17 @@
 type Client struct {
 	mu    sync.Mutex
 	peers map[id.HostID]*peer
+	meter *traffic.Meter
 }
 
 // NewClient returns a client.
 func NewClient() *Client {
-	return &Client{peers: map[id.HostID]*peer{}}
+	return NewCountingClient(nil)
+}
+
+// NewCountingClient returns a client whose traffic is counted by a meter, which may be nil.
+func NewCountingClient(meter *traffic.Meter) *Client {
+	return &Client{peers: map[id.HostID]*peer{}, meter: meter}
 }
 
 // Retain drops all hosts for which keep returns false and closes their unused connections.
@@ -68,7 +75,7 @@
 	defer c.mu.Unlock()
 	p := c.peers[host]
 	if p == nil {
-		p = newPeer(string(host))
+		p = newPeer(string(host), c.meter)
 		c.peers[host] = p
 	}
 	return p
@@ -83,8 +90,11 @@
 	call := &call{attempt: a, signals: signals}
 	response, err := transport.RoundTrip(call.request(ctx, p.address))
 	if err == nil {
-		return call.readResult(response)
+		result := call.readResult(response)
+		call.settle(purposeOf(result))
+		return result
 	}
+	call.settle(traffic.Other)
 	result := call.failed(err)
 	switch cause := context.Cause(ctx); {
 	case errors.Is(cause, ErrAcceptTimeout):
@@ -102,6 +112,35 @@
 	signals Signals
 	body    *heldBody
 	sent    atomic.Bool
+	// counted counts the bytes of the attempt; nil before there is a connection and without a meter.
+	counted atomic.Pointer[traffic.Call]
+}
+
+// connected begins to count the bytes on the attempt's connection.
+func (c *call) connected(conn net.Conn, _ bool) {
+	if guarded, ok := conn.(interface{ NetConn() net.Conn }); ok {
+		if counted, ok := guarded.NetConn().(*traffic.Conn); ok {
+			c.counted.Store(counted.Begin())
+		}
+	}
+}
+
+// settle sets the purpose of the attempt's bytes. What is read of a long body later belongs to it, too.
+func (c *call) settle(purpose traffic.Purpose) {
+	if counted := c.counted.Load(); counted != nil {
+		counted.Settle(purpose)
+	}
+}
+
+// purposeOf returns what the bytes of an attempt were exchanged for.
+func purposeOf(r *Result) traffic.Purpose {
+	switch {
+	case r.Verdict == hop.Ran:
+		return traffic.Answered
+	case r.Verdict == hop.NotRun && r.Err == nil:
+		return traffic.Refused
+	}
+	return traffic.Other
 }
 
 // request builds the HTTP request.
@@ -132,7 +171,7 @@
 			r.ContentLength, r.TransferEncoding = -1, []string{"chunked"}
 		}
 	}
-	trace := hop.Trace(func(net.Conn, bool) {}, c.markSent)
+	trace := hop.Trace(c.connected, c.markSent)
 	trace.Got1xxResponse = func(code int, _ textproto.MIMEHeader) error {
 		switch code {
 		case StatusOverdue:
--- a/internal/mesh/link/peer.go
+++ b/internal/mesh/link/peer.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"buckthornlatch.example/buckthornlatch/internal/hop"
+	"buckthornlatch.example/buckthornlatch/internal/id"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/traffic"
 )
 
 const (
@@ -29,20 +31,21 @@
 // peer holds the connections to one host.
 type peer struct {
 	address   string
+	meter     *traffic.Meter
 	transport atomic.Pointer[http.Transport]
 }
 
 // newPeer returns a peer with a new transport.
-func newPeer(address string) *peer {
-	p := &peer{address: address}
-	p.transport.Store(newTransport())
+func newPeer(address string, meter *traffic.Meter) *peer {
+	p := &peer{address: address, meter: meter}
+	p.transport.Store(newTransport(meter))
 	return p
 }
 
 // replaceTransport makes later attempts use new connections after one connection got no reply, because the others use
 // the same path. It does nothing if used was already replaced.
 func (p *peer) replaceTransport(used *http.Transport) {
-	if p.transport.CompareAndSwap(used, newTransport()) {
+	if p.transport.CompareAndSwap(used, newTransport(p.meter)) {
 		used.CloseIdleConnections()
 	}
 }
@@ -56,8 +59,8 @@
 	}
 }
 
-// newTransport returns an HTTP/1.1 transport for attempts.
-func newTransport() *http.Transport {
+// newTransport returns an HTTP/1.1 transport for attempts, whose connections are counted unless meter is nil.
+func newTransport(meter *traffic.Meter) *http.Transport {
 	dialer := Dialer()
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -65,6 +68,9 @@
 			if err != nil {
 				return nil, err
 			}
+			if meter != nil {
+				conn = meter.Conn(conn, id.HostID(address))
+			}
 			return hop.Guard(conn), nil
 		},
 		DisableCompression:  true,
--- a/internal/mesh/statesync/config.go
+++ b/internal/mesh/statesync/config.go
@@ -8,6 +8,7 @@
 	"buckthornlatch.example/buckthornlatch/internal/id"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/policy"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/roster"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/traffic"
 	"buckthornlatch.example/buckthornlatch/internal/platform"
 )
 
@@ -61,8 +62,10 @@
 	// OnRestored is called with the record of this host that the first full scan finds in the store, and before that with
 	// the record that a peer knows. Normally an earlier process of the host wrote it.
 	OnRestored func(roster.Record)
-	Log        zerolog.Logger
-	Metrics    Metrics
+	// Traffic counts the bytes exchanged with peers; nil counts nothing.
+	Traffic *traffic.Meter
+	Log     zerolog.Logger
+	Metrics Metrics
 }
 
 // Metrics records what the syncer could not take over.
--- a/internal/mesh/statesync/noanswer_internal_test.go
+++ b/internal/mesh/statesync/noanswer_internal_test.go
@@ -22,7 +22,7 @@
 				t.Fatal(err)
 			}
 			defer func() { _ = host.Close() }()
-			p := newPeerClient()
+			p := newPeerClient(nil)
 			if got, err := p.fetchState(context.Background(), id.HostID(host.Address()), 0, true); err == nil {
 				t.Errorf("state %+v", got)
 			}
--- a/internal/mesh/statesync/peers.go
+++ b/internal/mesh/statesync/peers.go
@@ -19,6 +19,7 @@
 	"buckthornlatch.example/buckthornlatch/internal/mesh/link"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/policy"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/roster"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/traffic"
 )
 
 const (
@@ -67,17 +68,18 @@
 	relay *http.Client
 }
 
-// newPeerClient returns a client without keep-alive: requests are rare and usually go to a different host each time.
-func newPeerClient() *peerClient {
-	dialer := link.Dialer()
+// newPeerClient returns a client without keep-alive: requests are rare and usually go to a different host each time. Its
+// connections are counted unless meter is nil.
+func newPeerClient(meter *traffic.Meter) *peerClient {
+	dial := meter.Dial(link.Dialer().DialContext, traffic.State)
 	return &peerClient{
 		client: &http.Client{
-			Transport: hop.CheckedTransport(&http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}),
+			Transport: hop.CheckedTransport(&http.Transport{DialContext: dial, DisableKeepAlives: true}),
 			Timeout:   peerTimeout,
 		},
 		relay: &http.Client{
 			Transport: hop.CheckedTransport(&http.Transport{
-				DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: relayIdleTimeout,
+				DialContext: dial, MaxIdleConnsPerHost: 1, IdleConnTimeout: relayIdleTimeout,
 			}),
 		},
 	}
--- a/internal/mesh/statesync/syncer.go
+++ b/internal/mesh/statesync/syncer.go
@@ -104,7 +104,7 @@
 func New(config Config) *Syncer {
 	return &Syncer{
 		config: config, relays: newRelays(config.Self, config.Domain), removed: map[id.HostID]platform.Revision{},
-		peers: newPeerClient(), wake: make(chan struct{}, 1), hint: make(chan id.HostID, 1),
+		peers: newPeerClient(config.Traffic), wake: make(chan struct{}, 1), hint: make(chan id.HostID, 1),
 		askNow: make(chan struct{}, 1), policyScanned: make(chan struct{}), news: make(chan struct{}),
 		confirmed: map[part]time.Time{}, confirmations: rand.Uint64(),
 		view: roster.NewPartialView(nil), records: map[id.HostID]storedRecord{}, ignored: map[id.HostID]platform.Revision{},
