Keep attempts in the failure domain unless leaving helps

An entry preferred a host of another failure domain as soon as it was less busy by a constant, and tried other domains after each refusal.

An attempt now stays inside as long as a host there may have room. Without room, the share of package locality leaves; after refusals outside a smaller part of it asks another gate. The rest waits inside, the first time for no longer than leaving would cost: a gate refuses at once what it expects to wait for longer. A request whose first wait was in vain may leave in any case, because it would be lost otherwise. A domain without a usable host is left as before.

--- a/internal/mesh/choose/chooser.go
+++ b/internal/mesh/choose/chooser.go
@@ -1,18 +1,20 @@
 package choose
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
 
 	"buckthornlatch.example/buckthornlatch/internal/clock"
 	"buckthornlatch.example/buckthornlatch/internal/id"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/locality"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/roster"
 )
 
 const (
 	// crossDomainPenalty is the utilization by which a host of another failure domain must be less busy to be
-	// preferred.
+	// preferred where package locality does not decide.
 	crossDomainPenalty = 0.3
 	// lowUtilization is the utilization below which hosts count as equal. Preferring the least busy of them makes no
 	// request faster, and entries that know of the same free hosts would leave the others without work.
@@ -33,6 +35,8 @@
 	hosts  map[id.HostID]*host
 	// byService lists the hosts of each service.
 	byService map[id.ServiceName][]*host
+	// deciders holds the decisions on leaving the failure domain, by service.
+	deciders map[id.ServiceName]*locality.Decider
 }
 
 // New returns a chooser without hosts for the entry on the host self.
@@ -40,6 +44,7 @@
 	return &Chooser{
 		self: self, domain: domain, random: rand.New(rand.NewPCG(seed, 0)),
 		hosts: map[id.HostID]*host{}, byService: map[id.ServiceName][]*host{},
+		deciders: map[id.ServiceName]*locality.Decider{},
 	}
 }
 
@@ -61,13 +66,17 @@
 		byService[record.Service] = append(byService[record.Service], h)
 	}
 	c.hosts, c.byService = hosts, byService
+	maps.DeleteFunc(c.deciders, func(service id.ServiceName, _ *locality.Decider) bool { return byService[service] == nil })
 }
 
-// Pick returns the best host that meets a query. Hosts in backoff come last.
+// Pick returns the best host that meets a query. It is one inside the failure domain as long as one there has room. It
+// returns none if the request should wait at a host of q.Refused instead. Hosts in backoff come last.
 func (c *Chooser) Pick(now clock.Time, q Query) (id.HostID, bool) {
-	return c.best(now, c.byService[q.Service], func(h *host) bool {
+	hosts := c.byService[q.Service]
+	eligible := func(h *host) bool {
 		return h.serves(q.Service) && !slices.Contains(q.Exclude, h.record.Host)
-	})
+	}
+	return c.pickByDomain(now, hosts, q, eligible)
 }
 
 // PickAmong returns the best of the given hosts.
@@ -78,18 +87,19 @@
 			hosts = append(hosts, h)
 		}
 	}
-	return c.best(now, hosts, func(h *host) bool { return h.serves(h.record.Service) })
+	return c.best(now, hosts, c.penalty(now, hosts), func(h *host) bool { return h.serves(h.record.Service) })
 }
 
-// best returns the host of the lowest cost among those that are eligible.
-func (c *Chooser) best(now clock.Time, hosts []*host, eligible func(*host) bool) (id.HostID, bool) {
+// best returns the host of the lowest cost among those that are eligible. penalty is added to the cost of hosts of other
+// failure domains.
+func (c *Chooser) best(now clock.Time, hosts []*host, penalty float64, eligible func(*host) bool) (id.HostID, bool) {
 	var best *host
 	var bestCost float64
 	for _, h := range hosts {
 		if !eligible(h) {
 			continue
 		}
-		if cost := c.cost(now, h); best == nil || cost < bestCost {
+		if cost := c.cost(now, h, penalty); best == nil || cost < bestCost {
 			best, bestCost = h, cost
 		}
 	}
@@ -100,10 +110,10 @@
 }
 
 // cost returns the value by which hosts are compared; lower is better.
-func (c *Chooser) cost(now clock.Time, h *host) float64 {
+func (c *Chooser) cost(now clock.Time, h *host, penalty float64) float64 {
 	cost := max(h.utilization(now), lowUtilization) + jitter*c.random.Float64()
 	if h.record.Domain != c.domain {
-		cost += crossDomainPenalty
+		cost += penalty
 	}
 	if h.record.Host == c.self {
 		cost -= localBonus
@@ -137,6 +147,7 @@
 	if r.LoadKnown {
 		h.load, h.loadAt, h.loadKnown = r.Load, now, true
 	}
+	c.observeLocality(now, h, r)
 	switch r.Kind {
 	case Answered, Busy:
 		h.failures, h.backoffUntil = 0, 0
@@ -149,7 +160,7 @@
 		h.backoffUntil = max(h.backoffUntil, now.Add(backoff))
 	case Unreachable:
 		h.markUnreachable(now)
-	case Ended:
+	case Started, Ended:
 	}
 }
 
--- a/internal/mesh/choose/chooser_test.go
+++ b/internal/mesh/choose/chooser_test.go
@@ -59,6 +59,49 @@
 		Expect(picks(c, 50)).To(HaveKeyWithValue(id.HostID("far"), 50))
 	})
 
+	// Guards against requests without a host in a failure domain that has none of the service, or only lost ones.
+	It("leaves a failure domain without a usable host", func() {
+		c := newChooser(host("far", "south"))
+		q := choose.Query{Service: "walks", Draw: 0.99}
+		name, ok := c.Pick(now, q)
+		Expect(ok).To(BeTrue())
+		Expect(name).To(Equal(id.HostID("far")))
+		for range 50 {
+			c.Observe(now, "far", choose.Observation{Kind: choose.Busy, Backoff: time.Second})
+			now = now.Add(100 * time.Millisecond)
+		}
+		_, ok = c.Pick(now, q)
+		Expect(ok).To(BeTrue())
+		c = newChooser(host("near", "north"), host("far", "south"))
+		c.Observe(now, "near", choose.Observation{Kind: choose.Unreachable})
+		name, ok = c.Pick(now, q)
+		Expect(ok).To(BeTrue())
+		Expect(name).To(Equal(id.HostID("far")))
+	})
+
+	// Guards against asking one host after the other in other failure domains that are as full as the own one.
+	It("lets requests wait inside if those that left found no room", func() {
+		c := newChooser(host("near", "north"), host("far", "south"))
+		full := choose.Observation{Kind: choose.Busy, Backoff: time.Second, LoadKnown: true, Load: choose.Load{InUse: 5, Slots: 5}}
+		for range 50 {
+			now = now.Add(100 * time.Millisecond)
+			c.Observe(now, "near", full)
+			c.Observe(now, "far", full)
+			c.Pick(now, choose.Query{Service: "walks", Exclude: []id.HostID{"near"}, Refused: []id.HostID{"near"}})
+		}
+		Expect(c.LeavingShares(now)["walks"]).To(BeNumerically("<", 0.2))
+		q := choose.Query{Service: "walks", Exclude: []id.HostID{"near"}, Refused: []id.HostID{"near"}, Draw: 0.5}
+		_, ok := c.Pick(now, q)
+		Expect(ok).To(BeFalse())
+		q.Draw = 0
+		now = now.Add(time.Second)
+		name, ok := c.Pick(now, q)
+		Expect(ok).To(BeTrue())
+		Expect(name).To(Equal(id.HostID("far")))
+		_, ok = c.StayLimit(now, "far", q)
+		Expect(ok).To(BeFalse())
+	})
+
 	// Guards against using a load forever that was reported once.
 	It("discounts a reported load with its age", func() {
 		c := newChooser(host("a", "north"), host("b", "north"))
--- /dev/null
+++ b/internal/mesh/choose/leaving.go
@@ -0,0 +1,155 @@
+package choose
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"buckthornlatch.example/buckthornlatch/internal/clock"
+	"buckthornlatch.example/buckthornlatch/internal/id"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/locality"
+)
+
+const (
+	// roomBelow is the estimated utilization below which a host may have room.
+	roomBelow = 0.95
+	// clearRoomBelow is the utilization below which it has so despite refusals of other hosts of its domain.
+	clearRoomBelow = 0.7
+	// lostFactor times the longest wait that a request bears stands for a longer one, which loses the request.
+	lostFactor = 3
+)
+
+// decider returns the decider of a service.
+func (c *Chooser) decider(now clock.Time, service id.ServiceName) *locality.Decider {
+	d := c.deciders[service]
+	if d == nil {
+		d = locality.New(now)
+		c.deciders[service] = d
+	}
+	return d
+}
+
+// inside reports whether a host is in the entry's failure domain.
+func (c *Chooser) inside(h *host) bool {
+	return h.record.Domain == c.domain
+}
+
+// pickByDomain picks among the eligible hosts of a service, inside the failure domain or outside.
+func (c *Chooser) pickByDomain(now clock.Time, hosts []*host, q Query, eligible func(*host) bool) (id.HostID, bool) {
+	decider := c.decider(now, q.Service)
+	refusedInside, refusedOutside := false, 0
+	for _, name := range q.Refused {
+		switch h := c.hosts[name]; {
+		case h == nil:
+		case c.inside(h):
+			refusedInside = true
+		default:
+			refusedOutside++
+		}
+	}
+	insideBelow := clearRoomBelow
+	if !refusedInside {
+		insideBelow = roomBelow - (roomBelow-clearRoomBelow)*decider.RefusedInside(now)
+	}
+	canStay := refusedInside
+	near, found := c.best(now, hosts, crossDomainPenalty, func(h *host) bool {
+		if !c.inside(h) || !eligible(h) || h.backedOff(now) {
+			return false
+		}
+		canStay = true
+		return h.utilization(now) < insideBelow
+	})
+	if found {
+		return near, true
+	}
+	if !canStay {
+		return c.best(now, hosts, crossDomainPenalty, eligible)
+	}
+	decider.NoRoom(now, q.Patience)
+	leaves := q.Draw < decider.ShareAfter(now, refusedOutside)
+	if leaves {
+		if far, found := c.bestOutside(now, hosts, eligible); found {
+			return far, true
+		}
+	}
+	if near, found := c.best(now, hosts, crossDomainPenalty, func(h *host) bool { return c.inside(h) && eligible(h) }); found || !leaves {
+		return near, found
+	}
+	return c.best(now, hosts, crossDomainPenalty, eligible)
+}
+
+// penalty returns what the cost of hosts outside is raised by where a request has to wait at one of the given hosts, which
+// serve one service. If many attempts may leave, waiting outside is no worse.
+func (c *Chooser) penalty(now clock.Time, hosts []*host) float64 {
+	if len(hosts) == 0 {
+		return crossDomainPenalty
+	}
+	return crossDomainPenalty * (1 - c.decider(now, hosts[0].record.Service).Share(now))
+}
+
+// bestOutside returns the best eligible host outside the failure domain that may have room, or is clearly less busy than
+// all hosts inside.
+func (c *Chooser) bestOutside(now clock.Time, hosts []*host, eligible func(*host) bool) (id.HostID, bool) {
+	least := math.Inf(1)
+	for _, h := range hosts {
+		if c.inside(h) && h.serves(h.record.Service) && !h.backedOff(now) {
+			least = min(least, h.utilization(now))
+		}
+	}
+	below := max(roomBelow, least-crossDomainPenalty)
+	return c.best(now, hosts, crossDomainPenalty, func(h *host) bool {
+		return !c.inside(h) && eligible(h) && !h.backedOff(now) && h.utilization(now) < below
+	})
+}
+
+// StayLimit returns how long a request should wait for a slot at a host before it leaves the failure domain. It returns
+// false if the host is outside or hardly any request gains by leaving.
+func (c *Chooser) StayLimit(now clock.Time, name id.HostID, q Query) (time.Duration, bool) {
+	h := c.hosts[name]
+	if h == nil || !c.inside(h) {
+		return 0, false
+	}
+	_, found := c.bestOutside(now, c.byService[q.Service], func(h *host) bool {
+		return h.serves(q.Service) && !slices.Contains(q.Exclude, h.record.Host)
+	})
+	d := c.decider(now, q.Service)
+	return d.Bound(now, q.Patience), found && d.Share(now) > locality.MinShare
+}
+
+// observeLocality passes an observation to the decider of the host's service.
+func (c *Chooser) observeLocality(now clock.Time, h *host, r Observation) {
+	d := c.decider(now, h.record.Service)
+	outside := !c.inside(h)
+	switch {
+	case r.Kind == Started && r.Queued:
+		if !outside {
+			d.Waited(now, r.Took)
+		}
+	case r.Kind == Started:
+		d.Latency(now, outside, r.Took)
+		d.Asked(now, outside, true, 0)
+	case r.Kind == Busy && r.Backoff > 0:
+		wait := r.Backoff
+		if r.MaxWait > 0 && wait > r.MaxWait {
+			// The request cannot be served there at all.
+			wait = max(wait, lostFactor*r.MaxWait)
+		}
+		d.Asked(now, outside, false, wait)
+	case r.Kind == Busy && r.Queued && !outside:
+		d.Waited(now, r.Took)
+	case r.Kind == Declined:
+		d.Asked(now, outside, false, locality.SuspectedWait)
+	case r.Kind == Unreachable:
+		d.Asked(now, outside, false, 0)
+	}
+}
+
+// LeavingShares returns for each service in use the share of the attempts without room in the failure domain that may
+// leave it.
+func (c *Chooser) LeavingShares(now clock.Time) map[id.ServiceName]float64 {
+	shares := make(map[id.ServiceName]float64, len(c.deciders))
+	for service, d := range c.deciders {
+		shares[service] = d.Share(now)
+	}
+	return shares
+}
--- a/internal/mesh/choose/observation.go
+++ b/internal/mesh/choose/observation.go
@@ -23,6 +23,8 @@
 	Unreachable
 	// Overdue means that the attempt takes far longer than usual.
 	Overdue
+	// Started means that the attempt has got a slot.
+	Started
 	// Ended means that the attempt ended without information about the host.
 	Ended
 )
@@ -34,5 +36,11 @@
 	// LoadKnown is set if Load is valid.
 	LoadKnown bool
 	// Backoff is the backoff that a declining gate asked for; zero selects the default.
+	// Backoff of a Busy observation is the wait that the gate expects; zero when unknown.
 	Backoff time.Duration
+	// Took is the time from the start of the attempt, Queued whether it was permitted to wait for a slot.
+	Took   time.Duration
+	Queued bool
+	// MaxWait is the longest wait for a slot that the request bears; zero when unknown.
+	MaxWait time.Duration
 }
--- a/internal/mesh/choose/query.go
+++ b/internal/mesh/choose/query.go
@@ -1,10 +1,21 @@
 package choose
 
-import "buckthornlatch.example/buckthornlatch/internal/id"
+import (
+	"time"
+
+	"buckthornlatch.example/buckthornlatch/internal/id"
+)
 
 // Query describes the host that an attempt needs.
 type Query struct {
 	Service id.ServiceName
 	// Exclude lists hosts that must not be picked.
 	Exclude []id.HostID
+	// Refused lists hosts that had no room for the request but at which it can wait or be forced.
+	Refused []id.HostID
+	// Draw is a random number in [0, 1) that stays the same for a request. Without room in the failure domain, the
+	// request leaves it if Draw is below the share that may leave.
+	Draw float64
+	// Patience is how long the request can wait without a loss to its caller.
+	Patience time.Duration
 }
--- a/internal/mesh/choose/shared.go
+++ b/internal/mesh/choose/shared.go
@@ -57,6 +57,20 @@
 	s.chooser.Observe(s.clock.Now(), host, r)
 }
 
+// StayLimit is Chooser.StayLimit.
+func (s *Shared) StayLimit(host id.HostID, q Query) (time.Duration, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.chooser.StayLimit(s.clock.Now(), host, q)
+}
+
+// LeavingShares is Chooser.LeavingShares.
+func (s *Shared) LeavingShares() map[id.ServiceName]float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.chooser.LeavingShares(s.clock.Now())
+}
+
 // Finish ends an attempt that Start counted and records an observation of its host.
 func (s *Shared) Finish(host id.HostID, r Observation) {
 	s.mu.Lock()
--- a/internal/mesh/entry/handle.go
+++ b/internal/mesh/entry/handle.go
@@ -29,6 +29,9 @@
 			return nil, false
 		}
 		e.attempt.running, e.attempt.runningSince = true, e.at
+		s.entry.config.Chooser.Observe(e.attempt.host, choose.Observation{
+			Kind: choose.Started, Took: e.at.Sub(e.attempt.sentAt), Queued: e.attempt.queued,
+		})
 		s.startOverdueTimer(e.attempt)
 		s.applyCancelAdvice()
 	case eventCancelAdvised:
--- a/internal/mesh/entry/inflight.go
+++ b/internal/mesh/entry/inflight.go
@@ -12,6 +12,8 @@
 	host   id.HostID
 	sentAt time.Time
 	cancel context.CancelCauseFunc
+	// queued is true if the attempt may wait for a slot.
+	queued bool
 	// acceptTimer ends the attempt if its host does not acknowledge it; acceptance tells which of both came first.
 	acceptTimer *time.Timer
 	acceptance  acceptance
--- a/internal/mesh/entry/next.go
+++ b/internal/mesh/entry/next.go
@@ -22,7 +22,7 @@
 	}
 	chooser := s.entry.config.Chooser
 	if s.fullRefusals < maxFullRefusals && len(s.tried) < maxHostsTried {
-		if host, ok := chooser.Start(choose.Query{Service: s.request.service, Exclude: s.tried}); ok {
+		if host, ok := chooser.Start(s.query()); ok {
 			s.tried = append(s.tried, host)
 			s.start(ctx, host, 0, false)
 			return true
@@ -31,8 +31,7 @@
 	if s.queueWaits < maxQueueWaits {
 		if host, ok := chooser.StartAmong(s.fullHosts); ok {
 			s.fullHosts = slices.DeleteFunc(s.fullHosts, func(h id.HostID) bool { return h == host })
-			s.queueWaits++
-			s.start(ctx, host, s.queueWait(), false)
+			s.start(ctx, host, s.waitAtFull(host), false)
 			return true
 		}
 	}
@@ -56,6 +55,45 @@
 	return min(time.Duration(maxQueueWaitShare*float64(left)), max(inTime, minQueueWait))
 }
 
+// patienceShare is the share of the time that a request has to spare which it may wait for a slot in the failure domain
+// instead of leaving. It leaves most of that time for another attempt.
+const patienceShare = 0.125
+
+// maxPatience bounds the patience of requests without an objective.
+const maxPatience = time.Second
+
+// query describes the host that the next attempt needs. A nested request has no patience: its wait also holds up the
+// request that the target is working on.
+func (s *session) query() choose.Query {
+	q := choose.Query{
+		Service: s.request.service, Exclude: s.tried, Refused: slices.Concat(s.fullHosts, s.suspectedHosts), Draw: s.draw,
+	}
+	if !s.request.nested() {
+		spare := min(s.objective(), s.timeLeft()) - s.entry.worktimes.Mean(s.request.route.ID)
+		q.Patience = min(max(time.Duration(patienceShare*float64(spare)), 0), maxPatience)
+	}
+	return q
+}
+
+// waitAtFull returns how long the request waits at a full host. The first time, if it may gain by leaving the failure
+// domain, it waits for no longer than leaving costs: a gate refuses at once what it expects to wait for longer. After a
+// first wait in vain it may leave in any case, since it would be lost otherwise.
+func (s *session) waitAtFull(host id.HostID) time.Duration {
+	wait := s.queueWait()
+	limit, leaves := s.entry.config.Chooser.StayLimit(host, s.query())
+	if s.stayed || !leaves || limit >= wait {
+		s.queueWaits++
+	} else {
+		wait = limit
+	}
+	if !s.stayed {
+		s.stayed, s.draw = true, 0
+		// One refusal is that of the wait, so that one host outside may be asked after it.
+		s.fullRefusals = min(s.fullRefusals, maxFullRefusals-2)
+	}
+	return wait
+}
+
 // start sends an attempt to a host. The chooser already counts the attempt as in flight.
 func (s *session) start(ctx context.Context, host id.HostID, queueWait time.Duration, forced bool) {
 	req := s.request
@@ -63,7 +101,7 @@
 		s.entry.config.Metrics.Repeat()
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
-	a := &attempt{host: host, sentAt: time.Now(), cancel: cancel}
+	a := &attempt{host: host, sentAt: time.Now(), queued: queueWait > 0, cancel: cancel}
 	a.acceptTimer = time.AfterFunc(acceptTimeout, func() { s.emit(event{kind: eventAcceptTimeout, attempt: a}) })
 	s.active[host] = a
 	message := &link.Attempt{
--- a/internal/mesh/entry/outcome.go
+++ b/internal/mesh/entry/outcome.go
@@ -17,7 +17,9 @@
 	a.stopTimers()
 	delete(s.active, a.host)
 	s.records = append(s.records, newAttemptRecord(a, result))
-	s.entry.config.Chooser.Finish(a.host, reportOf(result))
+	report := reportOf(result)
+	report.Took, report.Queued, report.MaxWait = e.at.Sub(a.sentAt), a.queued, s.queueWait()
+	s.entry.config.Chooser.Finish(a.host, report)
 	s.lastRefused = result.Verdict == hop.NotRun
 	switch result.Verdict {
 	case hop.Ran:
--- a/internal/mesh/entry/session.go
+++ b/internal/mesh/entry/session.go
@@ -63,6 +63,10 @@
 	repeatRefusals int
 	// hedging is true once a hedge was permitted. If its attempt is refused, another host is tried.
 	hedging bool
+	// draw decides whether the request may leave the failure domain when that has no room.
+	draw float64
+	// stayed is true once the request has waited for a slot.
+	stayed bool
 	// lastRefused is true if the latest event was the end of an attempt that did not run.
 	lastRefused bool
 	// quarantined is true if a gate refused the request because it crashes targets.
@@ -83,7 +87,7 @@
 }
 
 func newSession(e *Entry, req *request) *session {
-	return &session{entry: e, request: req, events: newEventQueue(), active: map[id.HostID]*attempt{}}
+	return &session{entry: e, request: req, events: newEventQueue(), active: map[id.HostID]*attempt{}, draw: e.config.Random()}
 }
 
 // run attempts the request until there is an answer or a refusal.
