Show which share of attempts leaves the failure domain

An operator could not see whether an entry keeps a service's attempts in its failure domain, and why bytes between domains change.

--- a/internal/mesh/choose/chooser.go
+++ b/internal/mesh/choose/chooser.go
@@ -8,7 +8,6 @@
 
 	"buckthornlatch.example/buckthornlatch/internal/clock"
 	"buckthornlatch.example/buckthornlatch/internal/id"
-	"buckthornlatch.example/buckthornlatch/internal/mesh/locality"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/roster"
 )
 
@@ -35,8 +34,8 @@
 	hosts  map[id.HostID]*host
 	// byService lists the hosts of each service.
 	byService map[id.ServiceName][]*host
-	// deciders holds the decisions on leaving the failure domain, by service.
-	deciders map[id.ServiceName]*locality.Decider
+	// services holds the decisions on leaving the failure domain, by service.
+	services map[id.ServiceName]*serviceState
 }
 
 // New returns a chooser without hosts for the entry on the host self.
@@ -44,7 +43,7 @@
 	return &Chooser{
 		self: self, domain: domain, random: rand.New(rand.NewPCG(seed, 0)),
 		hosts: map[id.HostID]*host{}, byService: map[id.ServiceName][]*host{},
-		deciders: map[id.ServiceName]*locality.Decider{},
+		services: map[id.ServiceName]*serviceState{},
 	}
 }
 
@@ -66,7 +65,7 @@
 		byService[record.Service] = append(byService[record.Service], h)
 	}
 	c.hosts, c.byService = hosts, byService
-	maps.DeleteFunc(c.deciders, func(service id.ServiceName, _ *locality.Decider) bool { return byService[service] == nil })
+	maps.DeleteFunc(c.services, func(service id.ServiceName, _ *serviceState) bool { return byService[service] == nil })
 }
 
 // Pick returns the best host that meets a query. It is one inside the failure domain as long as one there has room. It
@@ -128,6 +127,7 @@
 func (c *Chooser) Started(name id.HostID) {
 	if h := c.hosts[name]; h != nil {
 		h.inFlight++
+		c.countAttempt(h)
 	}
 }
 
--- a/internal/mesh/choose/chooser_test.go
+++ b/internal/mesh/choose/chooser_test.go
@@ -89,7 +89,7 @@
 			c.Observe(now, "far", full)
 			c.Pick(now, choose.Query{Service: "walks", Exclude: []id.HostID{"near"}, Refused: []id.HostID{"near"}})
 		}
-		Expect(c.LeavingShares(now)["walks"]).To(BeNumerically("<", 0.2))
+		Expect(c.Leaving(now)["walks"].Share).To(BeNumerically("<", 0.2))
 		q := choose.Query{Service: "walks", Exclude: []id.HostID{"near"}, Refused: []id.HostID{"near"}, Draw: 0.5}
 		_, ok := c.Pick(now, q)
 		Expect(ok).To(BeFalse())
--- a/internal/mesh/choose/leaving.go
+++ b/internal/mesh/choose/leaving.go
@@ -21,12 +21,12 @@
 
 // decider returns the decider of a service.
 func (c *Chooser) decider(now clock.Time, service id.ServiceName) *locality.Decider {
-	d := c.deciders[service]
-	if d == nil {
-		d = locality.New(now)
-		c.deciders[service] = d
+	s := c.services[service]
+	if s == nil {
+		s = &serviceState{Decider: locality.New(now)}
+		c.services[service] = s
 	}
-	return d
+	return s.Decider
 }
 
 // inside reports whether a host is in the entry's failure domain.
@@ -144,12 +144,37 @@
 	}
 }
 
-// LeavingShares returns for each service in use the share of the attempts without room in the failure domain that may
-// leave it.
-func (c *Chooser) LeavingShares(now clock.Time) map[id.ServiceName]float64 {
-	shares := make(map[id.ServiceName]float64, len(c.deciders))
-	for service, d := range c.deciders {
-		shares[service] = d.Share(now)
+// Leaving tells how the attempts at a service are divided.
+type Leaving struct {
+	// Share is the share of the attempts without room in the failure domain that may leave it.
+	Share float64
+	// Inside and Outside count the attempts inside the failure domain and outside.
+	Inside, Outside int64
+}
+
+// serviceState is what a chooser knows of a service.
+type serviceState struct {
+	*locality.Decider
+	inside, outside int64
+}
+
+// Leaving returns how the attempts at each service in use are divided.
+func (c *Chooser) Leaving(now clock.Time) map[id.ServiceName]Leaving {
+	all := make(map[id.ServiceName]Leaving, len(c.services))
+	for service, s := range c.services {
+		all[service] = Leaving{Share: s.Share(now), Inside: s.inside, Outside: s.outside}
+	}
+	return all
+}
+
+// countAttempt counts an attempt at a host.
+func (c *Chooser) countAttempt(h *host) {
+	s := c.services[h.record.Service]
+	switch {
+	case s == nil:
+	case c.inside(h):
+		s.inside++
+	default:
+		s.outside++
 	}
-	return shares
 }
--- a/internal/mesh/choose/shared.go
+++ b/internal/mesh/choose/shared.go
@@ -64,11 +64,11 @@
 	return s.chooser.StayLimit(s.clock.Now(), host, q)
 }
 
-// LeavingShares is Chooser.LeavingShares.
-func (s *Shared) LeavingShares() map[id.ServiceName]float64 {
+// Leaving is Chooser.Leaving.
+func (s *Shared) Leaving() map[id.ServiceName]Leaving {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.chooser.LeavingShares(s.clock.Now())
+	return s.chooser.Leaving(s.clock.Now())
 }
 
 // Finish ends an attempt that Start counted and records an observation of its host.
--- a/internal/mesh/daemon/daemon.go
+++ b/internal/mesh/daemon/daemon.go
@@ -39,6 +39,7 @@
 	gate     *gate.Gate
 	client   *link.Client
 	traffic  *trafficReport
+	leaving  *leavingReport
 	chooser  *choose.Shared
 	limits   *limits.Limits
 	evidence *crashes.Evidence
@@ -79,6 +80,7 @@
 	d.exporter, d.meters = exporter, newMeters(exporter.Scope)
 	meter := traffic.NewMeter(func(host id.HostID) bool { return d.distance(host) == 0 })
 	d.traffic = newTrafficReport(meter, exporter.Scope, d.config.Loggers.Events)
+	d.leaving = newLeavingReport(exporter.Scope, d.config.Loggers.Events)
 	d.client = link.NewCountingClient(meter)
 	d.chooser = choose.NewShared(choose.New(d.config.Host, d.config.Domain, rand.Uint64()), d.clock)
 	policyBound := func() time.Duration { return d.config.Bounds().Policy }
@@ -202,6 +204,7 @@
 			d.publishEvidence()
 			d.meters.setDroppedLines(d.config.Loggers.Dropped())
 			d.traffic.update(d.clock.Now())
+			d.leaving.update(d.clock.Now(), d.chooser.Leaving())
 		case <-ctx.Done():
 			return
 		}
