Shorten refusals between daemons

Refused attempts make up about half of the bytes between failure domains. The entry takes the verdict of a refusal from Bl-Result and does not read its status, but the status 503 costs a long reason phrase and needs a Content-Length.

Gates send refusals with status 204 instead: 85 instead of 113 bytes for one with a load that closes its connection.

Tested: both statuses at the client, the size, and packages gate, link and daemon.

--- a/internal/mesh/gate/handler.go
+++ b/internal/mesh/gate/handler.go
@@ -61,7 +61,11 @@
 func (r *reply) write(result *link.Result) {
 	header := r.w.Header()
 	status := http.StatusServiceUnavailable
-	if result.Verdict == hop.Ran {
+	switch result.Verdict {
+	case hop.NotRun:
+		// The entry reads the verdict, not the status. This one has the shortest head, as it needs no Content-Length.
+		status = http.StatusNoContent
+	case hop.Ran:
 		status = result.Status
 		for name, values := range result.Header {
 			header[name] = values
--- a/internal/mesh/link/traffic_test.go
+++ b/internal/mesh/link/traffic_test.go
@@ -21,25 +21,33 @@
 func (noSignals) Overdue()       {}
 func (noSignals) CancelAdvised() {}
 
-// Guards against attempts that are not counted, or whose bytes count for another purpose, on reused connections.
+// Guards against attempts that are not counted, or whose bytes count for another purpose, on reused connections, and
+// against refusals with a long head, or of which only that of one version can be read.
 func TestTrafficOfAttempts(t *testing.T) {
 	const long = 200 << 10
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		result := &link.Result{Verdict: hop.NotRun, Reason: "full"}
-		if r.URL.Path == "/answered" {
+		result, status := &link.Result{Verdict: hop.NotRun, Reason: "full"}, http.StatusNoContent
+		switch r.URL.Path {
+		case "/refused-503":
+			status = http.StatusServiceUnavailable
+		case "/answered":
+			status = http.StatusOK
 			result = &link.Result{Verdict: hop.Ran, Reason: link.Answered, Body: []byte(strings.Repeat("x", long)), Length: long}
 		}
 		result.Encode(w.Header())
-		link.WriteBody(w, http.StatusOK, result)
+		link.WriteBody(w, status, result)
 	}))
 	defer server.Close()
 	meter := traffic.NewMeter(func(id.HostID) bool { return false })
 	client := link.NewCountingClient(meter)
 	host := id.HostID(server.Listener.Addr().String())
-	for _, uri := range []string{"/refused", "/answered", "/refused"} {
+	for _, uri := range []string{"/refused", "/answered", "/refused-503"} {
 		result := client.Send(t.Context(), host, &link.Attempt{
 			Service: "s", Idempotent: true, Method: http.MethodGet, URI: uri, Host: "h", Header: http.Header{}, Body: &link.Body{},
 		}, noSignals{})
+		if wanted := map[bool]hop.Verdict{true: hop.Ran, false: hop.NotRun}[uri == "/answered"]; result.Verdict != wanted {
+			t.Errorf("%s: %+v", uri, result)
+		}
 		if result.Rest != nil {
 			if _, err := io.Copy(io.Discard, result.Rest); err != nil {
 				t.Fatal(err)
@@ -48,7 +56,7 @@
 		}
 	}
 	got := meter.Cross()
-	if refused := got[traffic.Refused]; refused.Calls != 2 || refused.Sent < 2*50 || refused.Received < 2*50 || refused.Received > 2*300 {
+	if refused := got[traffic.Refused]; refused.Calls != 2 || refused.Sent < 2*50 || refused.Received < 2*50 || refused.Received > 160 {
 		t.Errorf("refused: %+v", refused)
 	}
 	if answered := got[traffic.Answered]; answered.Calls != 1 || answered.Received < long || answered.Received > long+600 {
--- a/internal/mesh/link/write.go
+++ b/internal/mesh/link/write.go
@@ -21,7 +21,9 @@
 		}
 	}
 	if r.Verdict != hop.Ran {
-		header["Content-Length"] = []string{"0"}
+		if !hop.Bodyless(status) {
+			header["Content-Length"] = []string{"0"}
+		}
 		w.WriteHeader(status)
 		return
 	}
