Let only requests that can leave search again after a wait

After its first wait in vain a request asked one more host without queueing, also in a fleet with a single failure domain, where that only adds a refusal. It does so now only if there is a host outside to go to.

--- a/internal/mesh/choose/leaving.go
+++ b/internal/mesh/choose/leaving.go
@@ -102,8 +102,8 @@
 	})
 }
 
-// StayLimit returns how long a request should wait for a slot at a host before it leaves the failure domain. It returns
-// false if the host is outside or hardly any request gains by leaving.
+// StayLimit returns how long a request should wait for a slot at a host before it leaves the failure domain; there is no
+// limit if hardly any request gains by leaving. It returns false if the host is outside or the request cannot leave.
 func (c *Chooser) StayLimit(now clock.Time, name id.HostID, q Query) (time.Duration, bool) {
 	h := c.hosts[name]
 	if h == nil || !c.inside(h) {
@@ -113,7 +113,10 @@
 		return h.serves(q.Service) && !slices.Contains(q.Exclude, h.record.Host)
 	})
 	d := c.decider(now, q.Service)
-	return d.Bound(now, q.Patience), found && d.Share(now) > locality.MinShare
+	if d.Share(now) <= locality.MinShare {
+		return math.MaxInt64, found
+	}
+	return d.Bound(now, q.Patience), found
 }
 
 // observeLocality passes an observation to the decider of the host's service.
--- a/internal/mesh/choose/play_test.go
+++ b/internal/mesh/choose/play_test.go
@@ -281,13 +281,14 @@
 	if name, ok := s.pickAmong(s.now, s.full); ok && s.waits < 2 {
 		s.full = slices.DeleteFunc(s.full, func(h id.HostID) bool { return h == name })
 		limit, leaves := chooser.StayLimit(s.now, name, s.query())
-		if s.today || s.stayed || !leaves || limit >= wait {
+		if s.today || s.stayed || !leaves {
 			s.waits++
 		} else {
-			wait = limit
-		}
-		if !s.today && !s.stayed {
 			s.stayed, s.draw, s.refusals = true, 0, min(s.refusals, 1)
+			if limit >= wait {
+				s.waits++
+			}
+			wait = min(wait, limit)
 		}
 		s.attempt(name, wait, false)
 		return
--- a/internal/mesh/entry/harness_test.go
+++ b/internal/mesh/entry/harness_test.go
@@ -57,6 +57,8 @@
 	stopEnds time.Time
 	// paused is the length of the pause that has just ended.
 	paused time.Duration
+	// random is returned as a random number.
+	random float64
 	// poison is the fingerprint of a quarantined request.
 	poison string
 }
@@ -104,7 +106,7 @@
 	h.chooser = choose.NewShared(chooser, h.clock)
 	h.entry = entry.New(entry.Config{
 		Service: "desk", Headers: headers, Policy: h, PolicyBound: func() time.Duration { return h.policyBound }, Limits: h, Chooser: h.chooser, Sender: h,
-		Clock: h.clock, Pauses: h, Random: func() float64 { return 0 }, StopLeft: func() time.Duration { return time.Until(h.stopOver) },
+		Clock: h.clock, Pauses: h, Random: func() float64 { return h.random }, StopLeft: func() time.Duration { return time.Until(h.stopOver) },
 		Draining: h.draining, StopEnds: h.endOfStop,
 		Refusing: func() bool { return false }, Stopping: h.stopping, Ending: h.ending,
 		Log: zerolog.New(zerolog.SyncWriter(&h.lines)), Metrics: noMetrics{}, CrashEvidence: h,
@@ -158,6 +160,25 @@
 	return h.sent
 }
 
+// setGate sets the behaviour of one gate.
+func (h *harness) setGate(host id.HostID, gate gateFunc) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.gates[host] = gate
+}
+
+// setDomains sets the failure domains of the hosts; the entry is in the domain north.
+func (h *harness) setDomains(domains ...id.FailureDomain) {
+	var records []roster.Record
+	for i, domain := range domains {
+		records = append(records, roster.Record{
+			Host: id.HostID(fmt.Sprintf("h%d", i)), Domain: domain, Service: "walks", State: roster.Serving, Slots: 5,
+			Target: roster.TargetIncarnation{ID: "t", StartedMS: 1},
+		})
+	}
+	h.chooser.SetView(roster.NewView(records))
+}
+
 // setGates sets the behaviour of every gate.
 func (h *harness) setGates(gate gateFunc) {
 	h.mu.Lock()
--- a/internal/mesh/entry/load_test.go
+++ b/internal/mesh/entry/load_test.go
@@ -9,6 +9,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"buckthornlatch.example/buckthornlatch/internal/id"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/choose"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/link"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/slots"
 )
@@ -81,6 +83,28 @@
 			Expect(seconds).To(BeNumerically("<", 1))
 		})
 
+		// Guards against requests that stay in a full failure domain until they are lost, although another has room.
+		It("leaves the failure domain after a wait in vain", func() {
+			h := newHarness(2)
+			h.random = 0.95
+			h.setDomains("north", "south")
+			h.setGate("h0", refuse(link.Reason(slots.Full), 900*time.Millisecond))
+			for range 4 {
+				h.chooser.Observe("h0", choose.Observation{Kind: choose.Busy, Backoff: 100 * time.Millisecond})
+				h.chooser.Observe("h1", choose.Observation{Kind: choose.Busy, Backoff: 100 * time.Millisecond})
+			}
+			h.clock.Leap(300 * time.Millisecond)
+			Expect(h.do("GET", "/browse/1", "").Code).To(Equal(http.StatusOK))
+			var hosts []id.HostID
+			var waits []time.Duration
+			for _, sent := range h.attempts() {
+				hosts, waits = append(hosts, sent.host), append(waits, sent.attempt.MaxQueueWait)
+			}
+			Expect(hosts).To(Equal([]id.HostID{"h0", "h0", "h1"}))
+			Expect(waits[1]).To(BeNumerically(">", 0))
+			Expect(waits[2]).To(BeZero())
+		})
+
 		// Guards against refusing all requests of a service because all of its targets are suspected.
 		It("uses a suspected target when no other is left", func() {
 			h := newHarness(3)
--- a/internal/mesh/entry/next.go
+++ b/internal/mesh/entry/next.go
@@ -77,21 +77,21 @@
 
 // waitAtFull returns how long the request waits at a full host. The first time, if it may gain by leaving the failure
 // domain, it waits for no longer than leaving costs: a gate refuses at once what it expects to wait for longer. After a
-// first wait in vain it may leave in any case, since it would be lost otherwise.
+// first wait in vain inside it may leave in any case, since it would be lost otherwise.
 func (s *session) waitAtFull(host id.HostID) time.Duration {
 	wait := s.queueWait()
 	limit, leaves := s.entry.config.Chooser.StayLimit(host, s.query())
-	if s.stayed || !leaves || limit >= wait {
+	if s.stayed || !leaves {
 		s.queueWaits++
-	} else {
-		wait = limit
+		return wait
 	}
-	if !s.stayed {
-		s.stayed, s.draw = true, 0
-		// One refusal is that of the wait, so that one host outside may be asked after it.
-		s.fullRefusals = min(s.fullRefusals, maxFullRefusals-2)
+	s.stayed, s.draw = true, 0
+	// One refusal is that of the wait, so that one host outside may be asked after it.
+	s.fullRefusals = min(s.fullRefusals, maxFullRefusals-2)
+	if limit >= wait {
+		s.queueWaits++
 	}
-	return wait
+	return min(wait, limit)
 }
 
 // start sends an attempt to a host. The chooser already counts the attempt as in flight.
--- a/internal/mesh/entry/session.go
+++ b/internal/mesh/entry/session.go
@@ -65,7 +65,7 @@
 	hedging bool
 	// draw decides whether the request may leave the failure domain when that has no room.
 	draw float64
-	// stayed is true once the request has waited for a slot.
+	// stayed is true once the request has waited for a slot in the failure domain although it could leave.
 	stayed bool
 	// lastRefused is true if the latest event was the end of an attempt that did not run.
 	lastRefused bool
