Evacuate a failure domain

The operator could not take the targets of a failure domain out of use. A row op/evacuate/DOMAIN now does: while it exists, nothing is sent to the targets of that domain.

statesync keeps the set of evacuated domains with the revision at which it was complete, from the calls that read the policy. Relays and peers pass it on in an optional field, and it replaces the known one only if its revision is not older. Another set ends held polls. A relay of the previous version does not tell the set, so that its confirmations do not count. The gate refuses attempts as evacuated until the first byte was sent, the chooser leaves the hosts out, and the host stays ready. A process that starts admits nothing before it knows the set, unless neither the store nor a peer tells it. Evacuated hosts still count among the gates that share the budget for repeats, so that no part grows before another has shrunk.

Tests of the gate that build a second process now tell it that its domain is in service, as its daemon would; what they check is unchanged.

--- a/internal/command/mesh.go
+++ b/internal/command/mesh.go
@@ -53,7 +53,7 @@
 		Bounds: func() daemon.Bounds {
 			now := source.Current()
 			return daemon.Bounds{
-				Grace: now.GracePeriod, Policy: now.PolicyBound, RepeatRatio: now.RepeatRatio, RepeatSlack: now.RepeatSlack, RepeatWindow: now.RepeatWindow,
+				Grace: now.GracePeriod, Policy: now.PolicyBound, Evacuation: now.EvacuationBound, RepeatRatio: now.RepeatRatio, RepeatSlack: now.RepeatSlack, RepeatWindow: now.RepeatWindow,
 			}
 		},
 		Store:        platform.NewStore(func() string { return source.Current().StoreAddress }),
--- a/internal/mesh/choose/chooser.go
+++ b/internal/mesh/choose/chooser.go
@@ -56,7 +56,7 @@
 		if h.record.Target != record.Target {
 			h.loadKnown, h.failures, h.backoffUntil = false, 0, 0
 		}
-		h.record = record
+		h.record, h.evacuated = record, view.Evacuated(record.Domain)
 		hosts[record.Host] = h
 		byService[record.Service] = append(byService[record.Service], h)
 	}
@@ -159,11 +159,12 @@
 	return h != nil && h.failures > 0
 }
 
-// ServingTargets returns the number of serving targets of a service.
+// ServingTargets returns the number of serving targets of a service, evacuated ones included: the budgets that are divided by
+// this number must not grow on some hosts before the gates of an evacuated failure domain have given up their part.
 func (c *Chooser) ServingTargets(service id.ServiceName) int {
 	n := 0
 	for _, h := range c.byService[service] {
-		if h.serves(service) {
+		if h.hasTarget(service) {
 			n++
 		}
 	}
--- a/internal/mesh/choose/chooser_test.go
+++ b/internal/mesh/choose/chooser_test.go
@@ -172,3 +172,21 @@
 		Expect(refused).To(BeNumerically("<=", 2))
 	})
 })
+
+var _ = Describe("Evacuated hosts", func() {
+	// Guards against attempts at hosts that are certain to refuse them, and against budgets for repeats that grow on the other
+	// hosts before the evacuated ones have given up their parts.
+	It("are not picked and still count as targets", func() {
+		c := choose.New("a", "north", 1)
+		c.SetView(roster.NewView([]roster.Record{
+			{Host: "a", Domain: "north", Service: "walks", State: roster.Serving, Slots: 5},
+			{Host: "b", Domain: "south", Service: "walks", State: roster.Serving, Slots: 5},
+		}).WithEvacuation([]id.FailureDomain{"north"}, true))
+		host, ok := c.Pick(0, choose.Query{Service: "walks"})
+		Expect(ok).To(BeTrue())
+		Expect(host).To(Equal(id.HostID("b")))
+		_, ok = c.PickAmong(0, []id.HostID{"a"})
+		Expect(ok).To(BeFalse())
+		Expect(c.ServingTargets("walks")).To(Equal(2))
+	})
+})
--- a/internal/mesh/choose/host.go
+++ b/internal/mesh/choose/host.go
@@ -34,6 +34,8 @@
 	failures     int
 	failingSince clock.Time
 	backoffUntil clock.Time
+	// evacuated is set while the host's failure domain is evacuated.
+	evacuated bool
 }
 
 // utilization returns the estimated share of the slots in use; waiting attempts count as used slots.
@@ -66,5 +68,10 @@
 
 // serves reports whether the host's target can be used for the service.
 func (h *host) serves(service id.ServiceName) bool {
+	return h.hasTarget(service) && !h.evacuated
+}
+
+// hasTarget reports whether the host has a serving target of the service.
+func (h *host) hasTarget(service id.ServiceName) bool {
 	return h.record.Service == service && h.record.State == roster.Serving
 }
--- a/internal/mesh/daemon/config.go
+++ b/internal/mesh/daemon/config.go
@@ -50,9 +50,21 @@
 	Grace time.Duration
 	// Policy is the time within which a new policy must be in force on all hosts.
 	Policy time.Duration
+	// Evacuation is the time within which no attempt may reach the targets of an evacuated failure domain; zero if it is not
+	// bounded.
+	Evacuation time.Duration
 	// RepeatRatio and RepeatSlack are the budget for repeats of one service in the whole fleet: the fraction of its
 	// requests that may be repeated, and the number of additional repeats, within each RepeatWindow.
 	RepeatRatio  float64
 	RepeatSlack  float64
 	RepeatWindow time.Duration
 }
+
+// stateBound returns the time within which a change of the operator's rows must be in force. The policy and the evacuated failure
+// domains are read by the same calls, so that the shorter bound counts.
+func (b Bounds) stateBound() time.Duration {
+	if b.Evacuation > 0 {
+		return min(b.Policy, b.Evacuation)
+	}
+	return b.Policy
+}
--- a/internal/mesh/daemon/daemon.go
+++ b/internal/mesh/daemon/daemon.go
@@ -78,10 +78,11 @@
 	d.client = link.NewClient()
 	d.chooser = choose.NewShared(choose.New(d.config.Host, d.config.Domain, rand.Uint64()), d.clock)
 	policyBound := func() time.Duration { return d.config.Bounds().Policy }
+	stateBound := func() time.Duration { return d.config.Bounds().stateBound() }
 	d.syncer = statesync.New(statesync.Config{
 		Self: d.config.Host, Domain: d.config.Domain, Store: d.config.Store, Keys: d.config.Keys, Decode: d.config.DecodePolicy,
 		Seeds: d.config.Seeds, OnChange: d.stateChanged, OnRestored: d.restored, Log: d.config.Loggers.Events,
-		PolicyBound: policyBound, Metrics: d.meters,
+		PolicyBound: stateBound, Metrics: d.meters,
 	})
 	d.pauses, d.lag = pause.New(d.clock), lag.New(d.clock)
 	d.evidence = crashes.New(d.config.Host, id.Incarnation(rand.Uint64()), d.clock)
@@ -113,6 +114,10 @@
 		return known
 	})
 	d.limits.Update(d.clock.Now(), p, view)
+	if view.EvacuationKnown() {
+		d.gate.SetEvacuation(view.Evacuated(d.config.Domain))
+	}
+	d.meters.setEvacuated(len(view.EvacuatedDomains()))
 	d.gate.SetRepeatBudget(d.repeatBudget())
 	if err := d.evidence.Merge(view); err != nil {
 		d.config.Loggers.Events.Warn().Err(err).Msg("daemon: unreadable crash evidence of another host ignored")
--- a/internal/mesh/daemon/harness_test.go
+++ b/internal/mesh/daemon/harness_test.go
@@ -167,7 +167,7 @@
 		Bounds: func() daemon.Bounds {
 			return daemon.Bounds{Grace: f.grace, Policy: 2 * time.Second, RepeatRatio: 0.2, RepeatSlack: 50, RepeatWindow: 10 * time.Second}
 		},
-		Store: f.store, Keys: statesync.Keys{PolicyPrefix: "op/", PolicyKey: "op/policy", HostPrefix: "hosts/"},
+		Store: f.store, Keys: statesync.Keys{PolicyPrefix: "op/", PolicyKey: "op/policy", EvacuationPrefix: "op/evacuate/", HostPrefix: "hosts/"},
 		DecodePolicy: decodePolicy, Seeds: func() []id.HostID { return nil },
 		TargetHandler: func(daemon.Announcer) http.Handler { return http.NotFoundHandler() },
 		ProbeHandler: func(ready func() bool) http.Handler {
--- a/internal/mesh/daemon/metrics.go
+++ b/internal/mesh/daemon/metrics.go
@@ -31,6 +31,7 @@
 	policiesRejected metrics.Counter
 	policyWarnings   metrics.Gauge
 	recordsIgnored   metrics.Counter
+	evacuated        metrics.Gauge
 }
 
 // newMeters creates the metrics.
@@ -47,6 +48,7 @@
 		policiesRejected: scope.Counter("policies_rejected_total"),
 		policyWarnings:   scope.Gauge("policy_warnings"),
 		recordsIgnored:   scope.Counter("host_records_ignored_total"),
+		evacuated:        scope.Gauge("failure_domains_evacuated"),
 	}
 }
 
@@ -80,6 +82,9 @@
 // setDroppedLines sets the number of log lines that were dropped because of a slow reader.
 func (m *meters) setDroppedLines(lines int64) { m.droppedLines.Update(float64(lines)) }
 
+// setEvacuated sets the number of evacuated failure domains.
+func (m *meters) setEvacuated(domains int) { m.evacuated.Update(float64(domains)) }
+
 // Repeat implements entry.Metrics.
 func (m *meters) Repeat() { m.repeats.Inc(1) }
 
--- a/internal/mesh/entry/chain_test.go
+++ b/internal/mesh/entry/chain_test.go
@@ -50,6 +50,7 @@
 		PublishRecord: func(roster.Record) <-chan struct{} { return written },
 		AttemptLog:    zerolog.Nop(), EventLog: zerolog.Nop(), Metrics: noGateMetrics{}, CrashEvidence: crashes.New("h0", 1, clock.NewSystem()),
 	})
+	c.gate.SetEvacuation(false)
 	Expect(c.gate.Announce(gate.Announcement{
 		Target: roster.TargetIncarnation{ID: "t", StartedMS: 1}, Service: "walks", State: roster.Serving, Slots: 8, Sequence: 1,
 	})).To(Succeed())
--- a/internal/mesh/gate/admit.go
+++ b/internal/mesh/gate/admit.go
@@ -41,12 +41,13 @@
 		turn = make(chan slots.Turn, 1)
 		g.waiting[e.demand.ID] = turn
 	}
+	refusedFor := g.reasonOf(decision.Reason)
 	g.mu.Unlock()
 	switch decision.Kind {
 	case slots.Run:
 		return nil
 	case slots.Refuse:
-		return newRefusal(link.Reason(decision.Reason), decision.RetryAfter)
+		return newRefusal(refusedFor, decision.RetryAfter)
 	}
 	e.signals.Queued()
 	return e.awaitSlot(ctx, turn)
@@ -79,10 +80,11 @@
 
 // endWait returns nil if the turn gives the attempt a slot, otherwise the refusal.
 func (e *execution) endWait(t slots.Turn) *link.Result {
+	e.gate.mu.Lock()
 	if !t.Run {
-		return newRefusal(link.Reason(t.Reason), 0)
+		defer e.gate.mu.Unlock()
+		return newRefusal(e.gate.reasonOf(t.Reason), 0)
 	}
-	e.gate.mu.Lock()
 	e.target = e.gate.target
 	e.gate.running[e.demand.ID] = e
 	e.gate.mu.Unlock()
@@ -123,6 +125,8 @@
 	switch {
 	case g.draining:
 		return link.GateDraining, true
+	case g.domain == domainEvacuated:
+		return link.Evacuated, true
 	case g.target != t || !g.target.acceptsAttempts():
 		return link.Reason(slots.NoTarget), true
 	}
--- a/internal/mesh/gate/gate.go
+++ b/internal/mesh/gate/gate.go
@@ -20,6 +20,7 @@
 	slots    *slots.Admission
 	target   *target
 	draining bool
+	domain   domainState
 	// stopEnds is when a planned stop ends the attempts that still run, if stopping is set. beforeStop is the last attempt
 	// that came before the stop.
 	stopping   bool
@@ -194,7 +195,7 @@
 // updateAdmission opens or closes the slots according to the state of the gate and its target.
 func (g *Gate) updateAdmission() {
 	t := g.target
-	if g.draining || !t.acceptsAttempts() {
+	if g.draining || g.domain != domainInService || !t.acceptsAttempts() {
 		g.deliver(g.slots.Close())
 		return
 	}
--- a/internal/mesh/gate/harness_test.go
+++ b/internal/mesh/gate/harness_test.go
@@ -105,6 +105,7 @@
 		},
 		AttemptLog: zerolog.Nop(), EventLog: zerolog.Nop(), Metrics: noMetrics{}, CrashEvidence: watchedEvidence{h.evidence, h},
 	})
+	h.gate.SetEvacuation(false)
 	h.gate.SetRepeatBudget(slots.RepeatBudget{Allowance: 10, Window: 10 * time.Second})
 	server := &http.Server{Handler: h.gate, ConnContext: hangup.WithConn}
 	go func() { _ = server.Serve(listener) }()
@@ -189,3 +190,10 @@
 type noMetrics struct{}
 
 func (noMetrics) Attempt(string, string, time.Duration, time.Duration) {}
+
+// restart returns the gate of another process on the host, which knows that its failure domain is in service.
+func (h *harness) restart() *gate.Gate {
+	restarted := gate.New(h.gate.Config())
+	restarted.SetEvacuation(false)
+	return restarted
+}
--- a/internal/mesh/gate/restore_test.go
+++ b/internal/mesh/gate/restore_test.go
@@ -18,7 +18,7 @@
 	// rejects the host, the record there still says that the target is serving.
 	It("uses a restored target only after it has announced itself", func() {
 		h := newHarness(respond)
-		restarted := gate.New(h.gate.Config())
+		restarted := h.restart()
 		restarted.Restore(h.record(roster.Serving))
 		Expect(restarted.Do(ctx, attempt("seats"), &signals{}).Verdict).To(Equal(hop.NotRun))
 		Expect(h.requests()).To(BeEmpty())
@@ -31,7 +31,7 @@
 	DescribeTable("keeps a target out of use that a restored record says is leaving",
 		func(state roster.State) {
 			h := newHarness(respond)
-			restarted := gate.New(h.gate.Config())
+			restarted := h.restart()
 			restarted.Restore(h.record(state))
 			Expect(restarted.Do(ctx, attempt("seats"), &signals{}).Verdict).To(Equal(hop.NotRun))
 			Expect(restarted.Announce(h.announcement(roster.Serving, 1, 9))).To(Succeed())
@@ -49,7 +49,7 @@
 	DescribeTable("a restored record after an announcement",
 		func(state roster.State, started int64, want hop.Verdict) {
 			h := newHarness(respond)
-			restarted := gate.New(h.gate.Config())
+			restarted := h.restart()
 			Expect(restarted.Announce(gate.Announcement{
 				Target: roster.TargetIncarnation{ID: "t", StartedMS: 5}, Service: "walks", State: roster.Serving, Slots: 2, Sequence: 3,
 			})).To(Succeed())
--- a/internal/mesh/link/result.go
+++ b/internal/mesh/link/result.go
@@ -26,6 +26,7 @@
 	GateDraining   Reason = "gate-draining"
 	GateStopped    Reason = "gate-stopped"
 	Quarantined    Reason = "quarantined"
+	Evacuated      Reason = "evacuated"
 	Ended          Reason = "ended"
 )
 
--- a/internal/mesh/roster/view.go
+++ b/internal/mesh/roster/view.go
@@ -12,6 +12,9 @@
 	hosts []Record
 	// whole is set if the view has all records that the store held when it was read.
 	whole bool
+	// evacuated lists the failure domains to whose targets nothing may be sent; see WithEvacuation.
+	evacuated       []id.FailureDomain
+	evacuationKnown bool
 }
 
 // NewView returns a whole view of the records, ordered by host.
--- a/internal/mesh/statesync/config.go
+++ b/internal/mesh/statesync/config.go
@@ -50,7 +50,7 @@
 	Domain id.FailureDomain
 	Store  platform.Feed
 	Keys   Keys
-	// PolicyBound returns the time within which a new policy must be in force.
+	// PolicyBound returns the time within which a new policy or a change of the evacuated failure domains must be in force.
 	PolicyBound func() time.Duration
 	// Decode parses a policy in the operator's format.
 	Decode func(raw []byte) (policy.Document, error)
@@ -80,6 +80,9 @@
 	// PolicyPrefix is the common key prefix of the operator's rows; PolicyKey is the key of the policy's row.
 	PolicyPrefix string
 	PolicyKey    string
+	// EvacuationPrefix is the common key prefix of the operator's rows that evacuate a failure domain; the rest of a key is the
+	// domain's name. It begins with PolicyPrefix. Empty if there are no such rows.
+	EvacuationPrefix string
 	// HostPrefix is the common key prefix of the hosts' records; the rest of a key is the host's name.
 	HostPrefix string
 }
--- a/internal/mesh/statesync/confirmation.go
+++ b/internal/mesh/statesync/confirmation.go
@@ -158,7 +158,7 @@
 func (s *Syncer) readPolicy(ctx context.Context) error {
 	asked := time.Now()
 	s.mu.Lock()
-	since := s.policyThrough
+	since := min(s.policyThrough, s.evacuation.through)
 	s.mu.Unlock()
 	w := s.policyWatcher()
 	_, err := s.watchOnce(ctx, w, since, confirmWait)
@@ -183,7 +183,8 @@
 
 // takeConfirmation takes over what a relay that was asked at some time says about the policy. The same version is confirmed as
 // of the time of the relay's own confirmation. A newer one is taken from the relay if it has sent it, and from the store
-// otherwise.
+// otherwise. A relay of an earlier version, which does not tell which failure domains are evacuated, confirms nothing: the
+// host then asks the store itself.
 func (s *Syncer) takeConfirmation(host id.HostID, got relayedRoster, asked time.Time) {
 	if got.Policy == 0 {
 		return
@@ -197,6 +198,9 @@
 		}
 	}
 	if got.Policy == s.Version() {
+		if got.Evacuation == nil {
+			return
+		}
 		s.takeThrough(got)
 		s.confirm(policyPart, asked.Add(-ageOf(got.PolicyAgeMS)))
 		return
--- a/internal/mesh/statesync/peers.go
+++ b/internal/mesh/statesync/peers.go
@@ -58,6 +58,8 @@
 	Records []roster.Record `json:"records,omitempty"`
 	// Whole is set if Records are all that the store held when the peer read them.
 	Whole bool `json:"whole,omitempty"`
+	// Evacuation is what the peer knows of evacuated failure domains; nil if it does not know them or is of an earlier version.
+	Evacuation *evacuationState `json:"evacuation,omitempty"`
 }
 
 // peerClient fetches state from peers.
@@ -120,7 +122,7 @@
 	// A peer of an earlier version does not say whether it wants the roster, and gets it.
 	records, err := strconv.ParseBool(r.URL.Query().Get(recordsParameter))
 	s.mu.Lock()
-	var out stateResponse
+	out := stateResponse{Evacuation: s.evacuation.state()}
 	if records || err != nil {
 		out.Records, out.Whole = s.view.Hosts(), s.view.Whole()
 	}
@@ -180,8 +182,9 @@
 		case host := <-s.hint:
 			s.pullFromPeer(ctx, host, false)
 		case <-ticker.C:
-			if s.Version() == 0 {
+			if s.Version() == 0 || !s.View().EvacuationKnown() {
 				s.pullFirst(ctx)
+				s.assumeNoEvacuation()
 				continue
 			}
 			polls++
@@ -285,6 +288,7 @@
 	if len(got.Policy) > 0 {
 		s.setPolicy(got.Policy, string(host))
 	}
+	s.adoptEvacuation(got.Evacuation, string(host))
 	if s.merge(got.Records, got.Whole) {
 		s.notify()
 	}
--- a/internal/mesh/statesync/relay.go
+++ b/internal/mesh/statesync/relay.go
@@ -115,7 +115,7 @@
 		*seen = confirmationsSeen{relay: host}
 	}
 	got, err := s.peers.fetchRoster(ctx, host, rosterPoll{
-		since: since, have: s.newestKnown(), seen: seen.number, timeout: s.share(pollShare),
+		since: since, have: s.newestKnown(), seen: seen.number, timeout: s.share(pollShare), evacuation: s.knownEvacuation(),
 	})
 	if err != nil {
 		return 0, err
@@ -126,6 +126,7 @@
 	seen.number = got.Confirmations
 	// The ages that the relay states are those at the end of the time for which it held the request.
 	asked = asked.Add(min(ageOf(got.HeldMS), time.Since(asked)))
+	s.adoptEvacuation(got.Evacuation, string(host))
 	s.takeConfirmation(host, got, asked)
 	age := ageOf(got.AgeMS)
 	// While this host cannot reach the store either, an old roster or policy does not speak against the relay.
@@ -227,7 +228,7 @@
 	out := relayedRoster{
 		Through: s.rosterThrough, AgeMS: s.age(rosterPart).Milliseconds(), PolicyAgeMS: s.age(policyPart).Milliseconds(),
 		HeldMS: held.Milliseconds(), Confirmations: s.confirmations, PolicyThrough: s.policyThrough,
-		AnswerMS: s.answerTime.Milliseconds(),
+		AnswerMS: s.answerTime.Milliseconds(), Evacuation: s.evacuation.state(),
 	}
 	if s.policy != nil {
 		out.Policy = s.policy.Version()
@@ -271,7 +272,7 @@
 	return packed.pack()
 }
 
-// holdForNews waits until this host has a newer policy, another confirmation of it or later rows of the roster than the
+// holdForNews waits until this host has a newer policy or set of evacuated failure domains, another confirmation of it or later rows of the roster than the
 // requester, for at most heldShare. While its roster is too old, which it is right after other hosts have begun to poll it, only a
 // policy is news. It returns how long it has waited.
 func (s *Syncer) holdForNews(r *http.Request, since platform.Revision) time.Duration {
@@ -282,6 +283,7 @@
 		// The requester does not ask for it.
 		return 0
 	}
+	known, tellsEvacuation := parseEvacuation(query)
 	began := time.Now()
 	timeout := time.NewTimer(s.share(heldShare))
 	defer timeout.Stop()
@@ -289,7 +291,8 @@
 		s.mu.Lock()
 		newerPolicy := s.policy != nil && s.policy.Version() > policy.Version(have)
 		otherNews := s.confirmations != seen || min(s.rowsThrough, s.rosterThrough) > since
-		hasNews := newerPolicy || (otherNews && s.age(rosterPart) <= maxRelayAge)
+		newerEvacuation := tellsEvacuation && s.evacuation.isNewsFor(known)
+		hasNews := newerPolicy || newerEvacuation || (otherNews && s.age(rosterPart) <= maxRelayAge)
 		news := s.news
 		s.mu.Unlock()
 		if hasNews {
@@ -311,6 +314,8 @@
 	have    policy.Version
 	seen    uint64
 	timeout time.Duration
+	// evacuation is what the requester knows of evacuated failure domains.
+	evacuation evacuation
 }
 
 // fetchRoster polls a relay. The relay answers once it has news or some time has passed.
@@ -318,10 +323,12 @@
 	ctx, cancel := context.WithTimeout(ctx, poll.timeout)
 	defer cancel()
 	target := url.URL{Scheme: "http", Host: string(host), Path: RosterPath}
-	target.RawQuery = url.Values{
+	query := url.Values{
 		sinceParameter: {strconv.FormatUint(uint64(poll.since), 10)}, haveParameter: {strconv.FormatUint(uint64(poll.have), 16)},
 		seenParameter: {strconv.FormatUint(poll.seen, 16)},
-	}.Encode()
+	}
+	poll.evacuation.addTo(query)
+	target.RawQuery = query.Encode()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target.String(), nil)
 	if err != nil {
 		return relayedRoster{}, fault.New("poll relay", string(host), err)
--- a/internal/mesh/statesync/relayedroster.go
+++ b/internal/mesh/statesync/relayedroster.go
@@ -34,6 +34,8 @@
 	Packed []byte `json:"packed,omitempty"`
 	// HeldMS is how long the relay has held the request, in milliseconds.
 	HeldMS int64 `json:"held_ms,omitempty"`
+	// Evacuation is what the relay knows of evacuated failure domains; nil if it does not know them or is of an earlier version.
+	Evacuation *evacuationState `json:"evacuation,omitempty"`
 }
 
 // relayedRow is a record with the revision of its row.
--- a/internal/mesh/statesync/syncer.go
+++ b/internal/mesh/statesync/syncer.go
@@ -50,6 +50,11 @@
 	storeStatuses map[part]storeStatus
 	own           ownRecord
 	restored      bool
+	evacuation    evacuation
+	// evacuationAssumed is set when the process has started without anyone who could tell which failure domains are
+	// evacuated. policyCallFailed is set once a call to the store for the policy has failed.
+	evacuationAssumed bool
+	policyCallFailed  bool
 	// rosterWhole is set once the roster was read whole, from the store or from a peer that has read it whole.
 	rosterWhole bool
 	relays      *relays
@@ -174,6 +179,7 @@
 func (s *Syncer) markUnreachable(p part, err error) {
 	s.mu.Lock()
 	before := s.storeStatuses[p]
+	s.policyCallFailed = s.policyCallFailed || p == policyPart
 	if !before.unreachable {
 		s.storeStatuses[p] = unreachableFromNow()
 	}
--- a/internal/mesh/statesync/syncer_test.go
+++ b/internal/mesh/statesync/syncer_test.go
@@ -62,7 +62,7 @@
 	n := &node{}
 	n.Syncer = statesync.New(statesync.Config{
 		Self: host, Domain: "north", Store: store,
-		Keys:   statesync.Keys{PolicyPrefix: "operator/", PolicyKey: "operator/policy", HostPrefix: "hosts/"},
+		Keys:   statesync.Keys{PolicyPrefix: "operator/", PolicyKey: "operator/policy", EvacuationPrefix: "operator/evacuate/", HostPrefix: "hosts/"},
 		Decode: decode, PolicyBound: func() time.Duration { return inForce },
 		Seeds:    func() []id.HostID { return seeds },
 		OnChange: changed,
--- a/internal/mesh/statesync/watch.go
+++ b/internal/mesh/statesync/watch.go
@@ -225,6 +225,7 @@
 			s.setPolicy(row.Value, "store")
 		}
 	}
+	s.applyEvacuation(rows, through, complete)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if complete || through > s.policyThrough {
@@ -330,4 +331,5 @@
 	} else {
 		s.view = roster.NewPartialView(records)
 	}
+	s.view = s.view.WithEvacuation(s.evacuation.domains, s.evacuation.known || s.evacuationAssumed)
 }
