Bound the starts at a cold target

A target is slow after its start and crashes if it gets well more than its service's warmup_per_s; the daemon only logged the time that is left.

The policy now has warmup_s and warmup_per_s of services. While the target is cold by its latest heartbeat, its gate starts at most warmup_per_s attempts in any second; starts while it was warm count, too. Others wait in the queue, which a timer serves when the next start is due, or are refused as full with the expected wait. After an evacuation the target counts as cold until its next heartbeat. A cold gate reports as many slots as the rate keeps busy, and the chooser uses the reported number for 3 s.

--- a/internal/mesh/choose/chooser_test.go
+++ b/internal/mesh/choose/chooser_test.go
@@ -190,3 +190,27 @@
 		Expect(c.ServingTargets("walks")).To(Equal(2))
 	})
 })
+
+var _ = Describe("A cold host", func() {
+	// Guards against entries that send a cold target as much as a warm one because its record lists all its slots.
+	It("is judged by the slots that its gate reports, while the report is recent", func() {
+		c := choose.New("self", "north", 1)
+		c.SetView(roster.NewView([]roster.Record{
+			{Host: "cold", Domain: "north", Service: "walks", State: roster.Serving, Slots: 10},
+			{Host: "warm", Domain: "north", Service: "walks", State: roster.Serving, Slots: 10},
+		}))
+		picked := func(now clock.Time) id.HostID {
+			host, ok := c.Pick(now, choose.Query{Service: "walks"})
+			Expect(ok).To(BeTrue())
+			return host
+		}
+		c.Observe(0, "cold", choose.Observation{Kind: choose.Answered, LoadKnown: true, Load: choose.Load{InUse: 2, Slots: 2}})
+		c.Observe(0, "warm", choose.Observation{Kind: choose.Answered, LoadKnown: true, Load: choose.Load{InUse: 6, Slots: 10}})
+		for range 50 {
+			Expect(picked(0)).To(Equal(id.HostID("warm")))
+		}
+		// Old reports say nothing.
+		later := clock.Time(time.Minute)
+		Eventually(func() id.HostID { return picked(later) }).Should(Equal(id.HostID("cold")))
+	})
+})
--- a/internal/mesh/choose/host.go
+++ b/internal/mesh/choose/host.go
@@ -11,6 +11,9 @@
 const (
 	// loadHalfWeightAge is the age at which a reported load has half of its initial weight.
 	loadHalfWeightAge = 700 * time.Millisecond
+	// reportedSlotsExpiry is the age from which a reported number of slots does not count any more. The next attempt then brings
+	// a new report. It is twice the interval of the announcements by which a target becomes warm.
+	reportedSlotsExpiry = 3 * time.Second
 	// unknownUtilization is the utilization assumed of a target whose load is unknown. It is above that of a lightly
 	// loaded one, so that a target that is known to be free is usually preferred.
 	unknownUtilization = 0.45
@@ -40,7 +43,7 @@
 
 // utilization returns the estimated share of the slots in use; waiting attempts count as used slots.
 func (h *host) utilization(now clock.Time) float64 {
-	slots := float64(max(h.record.Slots, 1))
+	slots := float64(h.slots(now))
 	estimate := unknownUtilization
 	if h.loadKnown {
 		age := float64(now.Sub(h.loadAt)) / float64(loadHalfWeightAge)
@@ -51,6 +54,14 @@
 	return max(estimate, float64(h.inFlight)/slots)
 }
 
+// slots returns the number of slots that the target has for entries. Its gate reports fewer while the target is cold.
+func (h *host) slots(now clock.Time) int {
+	if h.loadKnown && h.load.Slots > 0 && now.Sub(h.loadAt) < reportedSlotsExpiry {
+		return h.load.Slots
+	}
+	return max(h.record.Slots, 1)
+}
+
 // backedOff reports whether the host is in backoff.
 func (h *host) backedOff(now clock.Time) bool {
 	return now.Before(h.backoffUntil)
--- a/internal/mesh/daemon/daemon.go
+++ b/internal/mesh/daemon/daemon.go
@@ -114,6 +114,9 @@
 		return known
 	})
 	d.limits.Update(d.clock.Now(), p, view)
+	if p != nil {
+		d.gate.SetWarmUp(p.WarmUp(d.config.Service))
+	}
 	if view.EvacuationKnown() {
 		d.gate.SetEvacuation(view.Evacuated(d.config.Domain))
 	}
@@ -201,6 +204,7 @@
 			d.gate.SetRepeatBudget(d.repeatBudget())
 			d.removeLostHosts(ctx)
 			d.publishEvidence()
+			d.meters.setCold(d.gate.Cold())
 			d.meters.setDroppedLines(d.config.Loggers.Dropped())
 		case <-ctx.Done():
 			return
--- a/internal/mesh/daemon/metrics.go
+++ b/internal/mesh/daemon/metrics.go
@@ -32,6 +32,7 @@
 	policyWarnings   metrics.Gauge
 	recordsIgnored   metrics.Counter
 	evacuated        metrics.Gauge
+	targetCold       metrics.Gauge
 }
 
 // newMeters creates the metrics.
@@ -49,6 +50,7 @@
 		policyWarnings:   scope.Gauge("policy_warnings"),
 		recordsIgnored:   scope.Counter("host_records_ignored_total"),
 		evacuated:        scope.Gauge("failure_domains_evacuated"),
+		targetCold:       scope.Gauge("target_cold"),
 	}
 }
 
@@ -85,6 +87,15 @@
 // setEvacuated sets the number of evacuated failure domains.
 func (m *meters) setEvacuated(domains int) { m.evacuated.Update(float64(domains)) }
 
+// setCold sets whether the starts at the target are bounded because it is cold.
+func (m *meters) setCold(cold bool) {
+	value := 0.0
+	if cold {
+		value = 1
+	}
+	m.targetCold.Update(value)
+}
+
 // Repeat implements entry.Metrics.
 func (m *meters) Repeat() { m.repeats.Inc(1) }
 
--- a/internal/mesh/gate/admit.go
+++ b/internal/mesh/gate/admit.go
@@ -40,6 +40,7 @@
 	if decision.Kind == slots.Wait {
 		turn = make(chan slots.Turn, 1)
 		g.waiting[e.demand.ID] = turn
+		g.scheduleServe()
 	}
 	refusedFor := g.reasonOf(decision.Reason)
 	g.mu.Unlock()
--- a/internal/mesh/gate/announcement.go
+++ b/internal/mesh/gate/announcement.go
@@ -16,7 +16,7 @@
 	Slots   int
 	// Sequence orders the announcements of one incarnation. It is not set for roster.Gone, which is the last one.
 	Sequence uint64
-	// WarmUp is how long the target expects to be slow after its start. It is only logged.
+	// WarmUp is how long the target is still cold; zero if it is warm.
 	WarmUp time.Duration
 }
 
--- a/internal/mesh/gate/evacuation.go
+++ b/internal/mesh/gate/evacuation.go
@@ -30,6 +30,10 @@
 		return
 	}
 	g.domain = state
+	if before == domainEvacuated {
+		// Its target may have become cold meanwhile and not have announced it yet.
+		g.setCold(g.warmUp.Time, "evacuation")
+	}
 	if g.target != nil {
 		g.updateAdmission()
 	}
--- a/internal/mesh/gate/gate.go
+++ b/internal/mesh/gate/gate.go
@@ -7,6 +7,7 @@
 
 	"buckthornlatch.example/buckthornlatch/internal/clock"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/choose"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/policy"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/roster"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/slots"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/targetconn"
@@ -21,6 +22,9 @@
 	target   *target
 	draining bool
 	domain   domainState
+	warmUp   policy.WarmUp
+	// wakeUp serves the queue when a cold target may get its next attempt; nil until the first attempt waits for that.
+	wakeUp *time.Timer
 	// stopEnds is when a planned stop ends the attempts that still run, if stopping is set. beforeStop is the last attempt
 	// that came before the stop.
 	stopping   bool
@@ -179,6 +183,7 @@
 	t.earlierStartLeaves, t.earlier = false, earlierStart{}
 	if a.State != roster.Gone {
 		t.slots = a.Slots
+		g.setCold(a.WarmUp, "announcement")
 	}
 	g.updateAdmission()
 }
@@ -239,12 +244,13 @@
 			wait <- turn
 		}
 	}
+	g.scheduleServe()
 }
 
 // load returns the load that is reported to entries.
 func (g *Gate) load() choose.Load {
-	inUse, waiting, slots := g.slots.Load()
-	return choose.Load{InUse: inUse, Waiting: waiting, Slots: slots}
+	inUse, waiting, _ := g.slots.Load()
+	return choose.Load{InUse: inUse, Waiting: waiting, Slots: g.slots.ReportedSlots(g.config.Clock.Now())}
 }
 
 // TargetLeaving reports whether the target has announced that it is draining or gone.
--- a/internal/mesh/policy/document.go
+++ b/internal/mesh/policy/document.go
@@ -1,10 +1,14 @@
 package policy
 
+import "buckthornlatch.example/buckthornlatch/internal/id"
+
 // Document is a decoded configuration before validation.
 type Document struct {
-	Version   Version
-	Routes    []Route
-	Services  []string
+	Version  Version
+	Routes   []Route
+	Services []string
+	// WarmUps holds the services whose targets are slow after their start.
+	WarmUps   map[id.ServiceName]WarmUp
 	Customers []Customer
 	Bounds    Bounds
 	// KeysRequired is set if requests need a key even if there is no customer left, whose keys would be valid.
--- a/internal/mesh/policy/snapshot.go
+++ b/internal/mesh/policy/snapshot.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 	"strings"
@@ -19,6 +20,7 @@
 	// routes maps hosts and then prefixes to routes.
 	routes           map[string]map[string]*Route
 	services         map[id.ServiceName]bool
+	warmUps          map[id.ServiceName]WarmUp
 	customers        map[id.CustomerID]*Customer
 	customersMissing bool
 	keysRequired     bool
@@ -37,6 +39,7 @@
 		version: d.Version, bounds: d.Bounds, raw: d.Raw,
 		routes:           map[string]map[string]*Route{},
 		services:         map[id.ServiceName]bool{},
+		warmUps:          maps.Clone(d.WarmUps),
 		customers:        map[id.CustomerID]*Customer{},
 		customersMissing: d.CustomersMissing,
 		keysRequired:     d.KeysRequired || d.CustomersMissing || len(d.Customers) > 0,
--- a/internal/mesh/slots/admission.go
+++ b/internal/mesh/slots/admission.go
@@ -44,6 +44,7 @@
 	repeats   repeatBucket
 	usage     usage
 	nested    nestedLoad
+	warmUp    warmUp
 	// stop is set in a planned stop of the host.
 	stop *plannedStop
 }
--- a/internal/mesh/slots/admit.go
+++ b/internal/mesh/slots/admit.go
@@ -56,7 +56,7 @@
 
 // fits reports whether a slot is free for the attempt. Some slots are reserved for nested attempts.
 func (a *Admission) fits(now clock.Time, d Demand) bool {
-	if len(a.running) >= a.slots {
+	if len(a.running) >= a.slots || now.Before(a.warmUp.due(now)) {
 		return false
 	}
 	if d.Nested {
@@ -85,6 +85,7 @@
 func (a *Admission) start(now clock.Time, d Demand) {
 	invariant.Check(len(a.running) < a.slots, "slots-not-exceeded", "%d of %d slots in use", len(a.running), a.slots)
 	a.running[d.ID] = &running{Demand: d, started: now}
+	a.warmUp.started(now)
 }
 
 // Abandon removes an attempt from the queue. It returns false if the attempt is no longer queued.
--- a/internal/mesh/slots/expect.go
+++ b/internal/mesh/slots/expect.go
@@ -54,11 +54,21 @@
 
 // expectedWait estimates the time until an attempt gets a slot. With n slots in use, the next one becomes free after
 // about 1/n of the average remaining time of the running attempts, and each attempt that is served first adds 1/n of
-// its expected work time.
+// its expected work time. A cold target also permits only so many starts a second.
 func (a *Admission) expectedWait(now clock.Time, d Demand) time.Duration {
 	if a.fits(now, d) && !a.queuedAhead(d) {
 		return 0
 	}
+	queuedAhead := 0
+	for _, w := range a.queue {
+		if w.class() <= d.class() {
+			queuedAhead++
+		}
+	}
+	coldWait := a.coldWait(now, queuedAhead)
+	if coldWait > 0 && len(a.running) < a.slots {
+		return coldWait
+	}
 	var ahead time.Duration
 	for _, r := range a.running {
 		usual := a.expectedWork(r.Route)
@@ -70,5 +80,5 @@
 			ahead += a.expectedWork(w.Route)
 		}
 	}
-	return ahead / time.Duration(a.slots)
+	return max(ahead/time.Duration(a.slots), coldWait)
 }
