Keep requests in their allowed regions

A route or a customer may list regions, and its requests, bodies included, may go only to hosts there. The daemon ignored the field.

The policy has the lists, the settings the region of each failure domain, and the entry's query to the chooser names the regions that both lists permit. Without a list nothing changes.

--- a/internal/command/mesh.go
+++ b/internal/command/mesh.go
@@ -59,6 +59,7 @@
 		Store:        platform.NewStore(func() string { return source.Current().StoreAddress }),
 		Keys:         platform.StoreKeys(),
 		DecodePolicy: s.DecodePolicy,
+		RegionOf:     func(domain id.FailureDomain) string { return source.Current().Regions[string(domain)] },
 		Seeds:        func() []id.HostID { return seedPeerAddresses(source.Current()) },
 		TargetHandler: func(a daemon.Announcer) http.Handler {
 			return platform.TargetHandler(a, lines.Events)
--- a/internal/mesh/choose/chooser.go
+++ b/internal/mesh/choose/chooser.go
@@ -33,6 +33,8 @@
 	hosts  map[id.HostID]*host
 	// byService lists the hosts of each service.
 	byService map[id.ServiceName][]*host
+	// regionOf returns the region of a failure domain, empty if it is not known.
+	regionOf func(id.FailureDomain) string
 }
 
 // New returns a chooser without hosts for the entry on the host self.
@@ -40,9 +42,15 @@
 	return &Chooser{
 		self: self, domain: domain, random: rand.New(rand.NewPCG(seed, 0)),
 		hosts: map[id.HostID]*host{}, byService: map[id.ServiceName][]*host{},
+		regionOf: func(id.FailureDomain) string { return "" },
 	}
 }
 
+// SetRegions sets the function that returns the region of a failure domain, empty if it is not known.
+func (c *Chooser) SetRegions(regionOf func(id.FailureDomain) string) {
+	c.regionOf = regionOf
+}
+
 // SetView replaces the known hosts. Observations of a host that stays are kept; its load and backoff are reset if its
 // target has changed.
 func (c *Chooser) SetView(view *roster.View) {
@@ -66,10 +74,15 @@
 // Pick returns the best host that meets a query. Hosts in backoff come last.
 func (c *Chooser) Pick(now clock.Time, q Query) (id.HostID, bool) {
 	return c.best(now, c.byService[q.Service], func(h *host) bool {
-		return h.serves(q.Service) && !slices.Contains(q.Exclude, h.record.Host)
+		return h.serves(q.Service) && !slices.Contains(q.Exclude, h.record.Host) && c.permits(q, h)
 	})
 }
 
+// permits reports whether a host is in a region that a query permits.
+func (c *Chooser) permits(q Query, h *host) bool {
+	return !q.Regions.Limited() || q.Regions.Permit(c.regionOf(h.record.Domain))
+}
+
 // PickAmong returns the best of the given hosts.
 func (c *Chooser) PickAmong(now clock.Time, among []id.HostID) (id.HostID, bool) {
 	hosts := make([]*host, 0, len(among))
--- a/internal/mesh/daemon/config.go
+++ b/internal/mesh/daemon/config.go
@@ -28,7 +28,9 @@
 	Store                                    platform.Feed
 	Keys                                     statesync.Keys
 	DecodePolicy                             func([]byte) (policy.Document, error)
-	Seeds                                    func() []id.HostID
+	// RegionOf returns the region of a failure domain, empty if it is not known. Nil means that none is known.
+	RegionOf func(id.FailureDomain) string
+	Seeds    func() []id.HostID
 	// TargetHandler returns the handler of the target's announcements, which it passes to the Announcer.
 	TargetHandler func(Announcer) http.Handler
 	// ProbeHandler returns the handler of the readiness probes of callers.
--- a/internal/mesh/daemon/daemon.go
+++ b/internal/mesh/daemon/daemon.go
@@ -76,7 +76,11 @@
 	}
 	d.exporter, d.meters = exporter, newMeters(exporter.Scope)
 	d.client = link.NewClient()
-	d.chooser = choose.NewShared(choose.New(d.config.Host, d.config.Domain, rand.Uint64()), d.clock)
+	chooser := choose.New(d.config.Host, d.config.Domain, rand.Uint64())
+	if d.config.RegionOf != nil {
+		chooser.SetRegions(d.config.RegionOf)
+	}
+	d.chooser = choose.NewShared(chooser, d.clock)
 	policyBound := func() time.Duration { return d.config.Bounds().Policy }
 	stateBound := func() time.Duration { return d.config.Bounds().stateBound() }
 	d.syncer = statesync.New(statesync.Config{
--- a/internal/mesh/entry/harness_test.go
+++ b/internal/mesh/entry/harness_test.go
@@ -101,6 +101,7 @@
 	}
 	chooser := choose.New("self", "north", 1)
 	chooser.SetView(roster.NewView(records))
+	chooser.SetRegions(func(domain id.FailureDomain) string { return string(domain) + " region" })
 	h.chooser = choose.NewShared(chooser, h.clock)
 	h.entry = entry.New(entry.Config{
 		Service: "desk", Headers: headers, Policy: h, PolicyBound: func() time.Duration { return h.policyBound }, Limits: h, Chooser: h.chooser, Sender: h,
--- a/internal/mesh/entry/log.go
+++ b/internal/mesh/entry/log.go
@@ -21,6 +21,9 @@
 	if !req.deadline.IsZero() {
 		event.Str("route", string(req.route.ID)).Str("service", string(req.service)).Str("customer", string(req.customerID())).
 			Int("rank", req.rank()).Dur("time_left", time.Until(req.deadline)).Interface("attempts", attempts)
+		if req.regions.Limited() {
+			event.Strs("regions", req.regions.Names())
+		}
 	}
 	event.Msg("entry: request ended")
 }
--- a/internal/mesh/entry/next.go
+++ b/internal/mesh/entry/next.go
@@ -22,7 +22,7 @@
 	}
 	chooser := s.entry.config.Chooser
 	if s.fullRefusals < maxFullRefusals && len(s.tried) < maxHostsTried {
-		if host, ok := chooser.Start(choose.Query{Service: s.request.service, Exclude: s.tried}); ok {
+		if host, ok := chooser.Start(choose.Query{Service: s.request.service, Exclude: s.tried, Regions: s.request.regions}); ok {
 			s.tried = append(s.tried, host)
 			s.start(ctx, host, 0, false)
 			return true
--- a/internal/mesh/entry/request.go
+++ b/internal/mesh/entry/request.go
@@ -43,8 +43,10 @@
 	route     *policy.Route
 	customer  *policy.Customer
 	service   id.ServiceName
-	header    http.Header
-	body      *link.Body
+	// regions are those to whose hosts the request may go.
+	regions policy.Regions
+	header  http.Header
+	body    *link.Body
 	// paced bounds the pauses of the caller while it sends the body; nil without a body.
 	paced       *pacedBody
 	httpRequest *http.Request
@@ -87,6 +89,9 @@
 		return &refusal{code: problem.DeadlineTooShort, status: http.StatusServiceUnavailable, retryAfter: defaultRetryAfter}
 	}
 	req.expires = e.config.Clock.Now().Add(left)
+	if req.regions = req.allowedRegions(); req.regions.None() {
+		return &refusal{code: problem.NoTarget, retryAfter: invalidRetryAfter}
+	}
 	return nil
 }
 
@@ -142,6 +147,14 @@
 	return req.route.Rank
 }
 
+// allowedRegions returns the regions that the route and the customer permit.
+func (req *request) allowedRegions() policy.Regions {
+	if req.customer == nil {
+		return req.route.Regions
+	}
+	return req.route.Regions.And(req.customer.Regions)
+}
+
 // customerID returns the customer's ID, empty for a request without a customer.
 func (req *request) customerID() id.CustomerID {
 	if req.customer == nil {
--- a/internal/mesh/policy/customer.go
+++ b/internal/mesh/policy/customer.go
@@ -12,6 +12,8 @@
 	// RatePerSecond and Burst limit the customer's requests across the whole fleet; a rate of zero means no limit.
 	RatePerSecond float64
 	Burst         int
+	// Regions are those to whose hosts the customer's requests may go.
+	Regions Regions
 	// Unservable is why the customer's requests cannot be served as configured; empty if they can.
 	Unservable string
 }
--- a/internal/mesh/policy/route.go
+++ b/internal/mesh/policy/route.go
@@ -27,6 +27,8 @@
 	Objective time.Duration
 	// Services share the requests of the route. Build leaves out those that are unknown or have no positive weight.
 	Services []WeightedService
+	// Regions are those to whose hosts requests may go.
+	Regions Regions
 	// Unservable is why no request of the route can be served as configured; empty if they can. Such a route keeps its
 	// prefix, so that its requests are refused and do not match a shorter prefix.
 	Unservable string
