--- a/internal/command/mesh.go
+++ b/internal/command/mesh.go
@@ -53,12 +53,13 @@
 		Bounds: func() daemon.Bounds {
 			now := source.Current()
 			return daemon.Bounds{
-				Grace: now.GracePeriod, Policy: now.PolicyBound, RepeatRatio: now.RepeatRatio, RepeatSlack: now.RepeatSlack, RepeatWindow: now.RepeatWindow,
+				Grace: now.GracePeriod, Policy: now.PolicyBound, Evacuation: now.EvacuationBound, RepeatRatio: now.RepeatRatio, RepeatSlack: now.RepeatSlack, RepeatWindow: now.RepeatWindow,
 			}
 		},
 		Store:        platform.NewStore(func() string { return source.Current().StoreAddress }),
 		Keys:         platform.StoreKeys(),
 		DecodePolicy: s.DecodePolicy,
+		RegionOf:     func(domain id.FailureDomain) string { return source.Current().Regions[string(domain)] },
 		Seeds:        func() []id.HostID { return seedPeerAddresses(source.Current()) },
 		TargetHandler: func(a daemon.Announcer) http.Handler {
 			return platform.TargetHandler(a, lines.Events)
--- a/internal/mesh/choose/chooser.go
+++ b/internal/mesh/choose/chooser.go
@@ -36,6 +36,8 @@
 	byService map[id.ServiceName][]*host
 	// services holds the decisions on leaving the failure domain, by service.
 	services map[id.ServiceName]*serviceState
+	// regionOf returns the region of a failure domain, empty if it is not known.
+	regionOf func(id.FailureDomain) string
 }
 
 // New returns a chooser without hosts for the entry on the host self.
@@ -44,9 +46,15 @@
 		self: self, domain: domain, random: rand.New(rand.NewPCG(seed, 0)),
 		hosts: map[id.HostID]*host{}, byService: map[id.ServiceName][]*host{},
 		services: map[id.ServiceName]*serviceState{},
+		regionOf: func(id.FailureDomain) string { return "" },
 	}
 }
 
+// SetRegions sets the function that returns the region of a failure domain, empty if it is not known.
+func (c *Chooser) SetRegions(regionOf func(id.FailureDomain) string) {
+	c.regionOf = regionOf
+}
+
 // SetView replaces the known hosts. Observations of a host that stays are kept; its load and backoff are reset if its
 // target has changed.
 func (c *Chooser) SetView(view *roster.View) {
@@ -60,7 +68,7 @@
 		if h.record.Target != record.Target {
 			h.loadKnown, h.failures, h.backoffUntil = false, 0, 0
 		}
-		h.record = record
+		h.record, h.evacuated = record, view.Evacuated(record.Domain)
 		hosts[record.Host] = h
 		byService[record.Service] = append(byService[record.Service], h)
 	}
@@ -73,11 +81,16 @@
 func (c *Chooser) Pick(now clock.Time, q Query) (id.HostID, bool) {
 	hosts := c.byService[q.Service]
 	eligible := func(h *host) bool {
-		return h.serves(q.Service) && !slices.Contains(q.Exclude, h.record.Host)
+		return h.serves(q.Service) && !slices.Contains(q.Exclude, h.record.Host) && c.permits(q, h)
 	}
 	return c.pickByDomain(now, hosts, q, eligible)
 }
 
+// permits reports whether a host is in a region that a query permits.
+func (c *Chooser) permits(q Query, h *host) bool {
+	return !q.Regions.Limited() || q.Regions.Permit(c.regionOf(h.record.Domain))
+}
+
 // PickAmong returns the best of the given hosts.
 func (c *Chooser) PickAmong(now clock.Time, among []id.HostID) (id.HostID, bool) {
 	hosts := make([]*host, 0, len(among))
@@ -170,11 +183,12 @@
 	return h != nil && h.failures > 0
 }
 
-// ServingTargets returns the number of serving targets of a service.
+// ServingTargets returns the number of serving targets of a service, evacuated ones included: the budgets that are divided by
+// this number must not grow on some hosts before the gates of an evacuated failure domain have given up their part.
 func (c *Chooser) ServingTargets(service id.ServiceName) int {
 	n := 0
 	for _, h := range c.byService[service] {
-		if h.serves(service) {
+		if h.hasTarget(service) {
 			n++
 		}
 	}
--- a/internal/mesh/choose/query.go
+++ b/internal/mesh/choose/query.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"buckthornlatch.example/buckthornlatch/internal/id"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/policy"
 )
 
 // Query describes the host that an attempt needs.
@@ -18,4 +19,6 @@
 	Draw float64
 	// Patience is how long the request can wait without a loss to its caller.
 	Patience time.Duration
+	// Regions are those in which the host must be.
+	Regions policy.Regions
 }
--- a/internal/mesh/daemon/daemon.go
+++ b/internal/mesh/daemon/daemon.go
@@ -82,12 +82,17 @@
 	d.traffic = newTrafficReport(meter, exporter.Scope, d.config.Loggers.Events)
 	d.leaving = newLeavingReport(exporter.Scope, d.config.Loggers.Events)
 	d.client = link.NewCountingClient(meter)
-	d.chooser = choose.NewShared(choose.New(d.config.Host, d.config.Domain, rand.Uint64()), d.clock)
+	chooser := choose.New(d.config.Host, d.config.Domain, rand.Uint64())
+	if d.config.RegionOf != nil {
+		chooser.SetRegions(d.config.RegionOf)
+	}
+	d.chooser = choose.NewShared(chooser, d.clock)
 	policyBound := func() time.Duration { return d.config.Bounds().Policy }
+	stateBound := func() time.Duration { return d.config.Bounds().stateBound() }
 	d.syncer = statesync.New(statesync.Config{
 		Self: d.config.Host, Domain: d.config.Domain, Store: d.config.Store, Keys: d.config.Keys, Decode: d.config.DecodePolicy,
 		Seeds: d.config.Seeds, OnChange: d.stateChanged, OnRestored: d.restored, Log: d.config.Loggers.Events,
-		PolicyBound: policyBound, Traffic: meter, Metrics: d.meters,
+		PolicyBound: stateBound, Traffic: meter, Metrics: d.meters,
 	})
 	d.pauses, d.lag = pause.New(d.clock), lag.New(d.clock)
 	d.evidence = crashes.New(d.config.Host, id.Incarnation(rand.Uint64()), d.clock)
@@ -119,6 +124,13 @@
 		return known
 	})
 	d.limits.Update(d.clock.Now(), p, view)
+	if p != nil {
+		d.gate.SetWarmUp(p.WarmUp(d.config.Service))
+	}
+	if view.EvacuationKnown() {
+		d.gate.SetEvacuation(view.Evacuated(d.config.Domain))
+	}
+	d.meters.setEvacuated(len(view.EvacuatedDomains()))
 	d.gate.SetRepeatBudget(d.repeatBudget())
 	if err := d.evidence.Merge(view); err != nil {
 		d.config.Loggers.Events.Warn().Err(err).Msg("daemon: unreadable crash evidence of another host ignored")
@@ -202,6 +214,7 @@
 			d.gate.SetRepeatBudget(d.repeatBudget())
 			d.removeLostHosts(ctx)
 			d.publishEvidence()
+			d.meters.setCold(d.gate.Cold())
 			d.meters.setDroppedLines(d.config.Loggers.Dropped())
 			d.traffic.update(d.clock.Now())
 			d.leaving.update(d.clock.Now(), d.chooser.Leaving())
--- a/internal/mesh/daemon/metrics.go
+++ b/internal/mesh/daemon/metrics.go
@@ -31,6 +31,8 @@
 	policiesRejected metrics.Counter
 	policyWarnings   metrics.Gauge
 	recordsIgnored   metrics.Counter
+	evacuated        metrics.Gauge
+	targetCold       metrics.Gauge
 
 	reservedNested metrics.Gauge
 	reservedRanks  metrics.Gauge
@@ -50,6 +52,8 @@
 		policiesRejected: scope.Counter("policies_rejected_total"),
 		policyWarnings:   scope.Gauge("policy_warnings"),
 		recordsIgnored:   scope.Counter("host_records_ignored_total"),
+		evacuated:        scope.Gauge("failure_domains_evacuated"),
+		targetCold:       scope.Gauge("target_cold"),
 
 		reservedNested: newReservedGauge(scope, "nested"),
 		reservedRanks:  newReservedGauge(scope, "ranks"),
@@ -86,6 +90,18 @@
 // setDroppedLines sets the number of log lines that were dropped because of a slow reader.
 func (m *meters) setDroppedLines(lines int64) { m.droppedLines.Update(float64(lines)) }
 
+// setEvacuated sets the number of evacuated failure domains.
+func (m *meters) setEvacuated(domains int) { m.evacuated.Update(float64(domains)) }
+
+// setCold sets whether the starts at the target are bounded because it is cold.
+func (m *meters) setCold(cold bool) {
+	value := 0.0
+	if cold {
+		value = 1
+	}
+	m.targetCold.Update(value)
+}
+
 // Repeat implements entry.Metrics.
 func (m *meters) Repeat() { m.repeats.Inc(1) }
 
--- a/internal/mesh/entry/next.go
+++ b/internal/mesh/entry/next.go
@@ -67,6 +67,7 @@
 func (s *session) query() choose.Query {
 	q := choose.Query{
 		Service: s.request.service, Exclude: s.tried, Refused: slices.Concat(s.fullHosts, s.suspectedHosts), Draw: s.draw,
+		Regions: s.request.regions,
 	}
 	if !s.request.nested() {
 		spare := min(s.objective(), s.timeLeft()) - s.entry.worktimes.Mean(s.request.route.ID)
--- a/internal/mesh/slots/admission.go
+++ b/internal/mesh/slots/admission.go
@@ -47,6 +47,7 @@
 	reports   customers.Reports
 	demand    demand
 	floor     floor
+	warmUp    warmUp
 	// stop is set in a planned stop of the host.
 	stop *plannedStop
 }
--- a/internal/mesh/slots/admit.go
+++ b/internal/mesh/slots/admit.go
@@ -89,6 +89,7 @@
 	invariant.Check(len(a.running) < a.slots, "slots-not-exceeded", "%d of %d slots in use", len(a.running), a.slots)
 	a.running[d.ID] = &running{Demand: d, started: now}
 	a.floor.start(d)
+	a.warmUp.started(now)
 }
 
 // Abandon removes an attempt from the queue. It returns false if the attempt is no longer queued.
--- a/internal/mesh/slots/expect.go
+++ b/internal/mesh/slots/expect.go
@@ -54,7 +54,8 @@
 
 // expectedWait estimates the time until an attempt gets a slot. With n slots in use, the next one becomes free after
 // about 1/n of the average remaining time of the running attempts, and each attempt that is served first adds 1/n of
-// its expected work time. Slots that are reserved for more urgent attempts may add to it.
+// its expected work time. Slots that are reserved for more urgent attempts may add to it, and a
+// cold target permits only so many starts a second.
 func (a *Admission) expectedWait(now clock.Time, r *room, d Demand) time.Duration {
 	var ahead time.Duration
 	if r.free <= 0 {
@@ -63,10 +64,15 @@
 		}
 		ahead /= time.Duration(max(len(a.running), 1))
 	}
-	for _, w := range a.queuedBefore(now, r, d) {
+	before := a.queuedBefore(now, r, d)
+	coldWait := a.coldWait(now, len(before))
+	if coldWait > 0 && len(a.running) < a.slots {
+		return max(coldWait, a.reservedWait(now, r, d))
+	}
+	for _, w := range before {
 		ahead += a.expectedWork(w.Route)
 	}
-	return max(ahead/time.Duration(a.slots), a.reservedWait(now, r, d))
+	return max(ahead/time.Duration(a.slots), a.reservedWait(now, r, d), coldWait)
 }
 
 // queuedBefore returns the queued attempts that are served before an arriving one. Of a level that is served below its floor, only
--- a/internal/mesh/slots/reserve.go
+++ b/internal/mesh/slots/reserve.go
@@ -101,6 +101,9 @@
 func (a *Admission) room(now clock.Time) *room {
 	a.demand.decay(now)
 	r := &room{free: a.slots - len(a.running)}
+	if now.Before(a.warmUp.due(now)) {
+		r.free = 0
+	}
 	for i := range r.entitled {
 		r.entitled[i] = a.floor.entitled(i)
 	}
