Ask fewer gates outside while targets decline

When all targets of a service reject half of what arrives, a request asks up to eight gates, most of them outside a domain with few hosts, which refuse it as suspected or without retry budget. A slot outside whose target then declined also counted as room.

An attempt that a target declines no longer counts as room found outside, nor as a wait inside. A request that all hosts inside have turned away asks one host outside, and further ones with the share that package locality reduces for each refusal outside.

--- a/internal/mesh/choose/chooser.go
+++ b/internal/mesh/choose/chooser.go
@@ -69,7 +69,7 @@
 }
 
 // Pick returns the best host that meets a query. It is one inside the failure domain as long as one there has room. It
-// returns none if the request should wait at a host of q.Refused instead. Hosts in backoff come last.
+// returns none if the request should wait at a host of q.Refused instead, or if asking another host outside is in vain. Hosts in backoff come last.
 func (c *Chooser) Pick(now clock.Time, q Query) (id.HostID, bool) {
 	hosts := c.byService[q.Service]
 	eligible := func(h *host) bool {
--- a/internal/mesh/choose/leaving.go
+++ b/internal/mesh/choose/leaving.go
@@ -37,21 +37,12 @@
 // pickByDomain picks among the eligible hosts of a service, inside the failure domain or outside.
 func (c *Chooser) pickByDomain(now clock.Time, hosts []*host, q Query, eligible func(*host) bool) (id.HostID, bool) {
 	decider := c.decider(now, q.Service)
-	refusedInside, refusedOutside := false, 0
-	for _, name := range q.Refused {
-		switch h := c.hosts[name]; {
-		case h == nil:
-		case c.inside(h):
-			refusedInside = true
-		default:
-			refusedOutside++
-		}
-	}
+	refusedInside, refusedOutside := c.countByDomain(q.Refused)
 	insideBelow := clearRoomBelow
-	if !refusedInside {
+	if refusedInside == 0 {
 		insideBelow = roomBelow - (roomBelow-clearRoomBelow)*decider.RefusedInside(now)
 	}
-	canStay := refusedInside
+	canStay := refusedInside > 0
 	near, found := c.best(now, hosts, crossDomainPenalty, func(h *host) bool {
 		if !c.inside(h) || !eligible(h) || h.backedOff(now) {
 			return false
@@ -63,6 +54,11 @@
 		return near, true
 	}
 	if !canStay {
+		near, far := c.countByDomain(q.Exclude)
+		if near > 0 && far > 0 && q.Draw >= decider.ShareAfter(now, far) {
+			// Hosts inside did not serve the request, nor did one outside, where hardly any attempt finds room.
+			return "", false
+		}
 		return c.best(now, hosts, crossDomainPenalty, eligible)
 	}
 	decider.NoRoom(now, q.Patience)
@@ -78,6 +74,20 @@
 	return c.best(now, hosts, crossDomainPenalty, eligible)
 }
 
+// countByDomain counts the hosts inside the failure domain and outside.
+func (c *Chooser) countByDomain(names []id.HostID) (near, far int) {
+	for _, name := range names {
+		switch h := c.hosts[name]; {
+		case h == nil:
+		case c.inside(h):
+			near++
+		default:
+			far++
+		}
+	}
+	return near, far
+}
+
 // penalty returns what the cost of hosts outside is raised by where a request has to wait at one of the given hosts, which
 // serve one service. If many attempts may leave, waiting outside is no worse.
 func (c *Chooser) penalty(now clock.Time, hosts []*host) float64 {
@@ -140,6 +150,10 @@
 		d.Asked(now, outside, false, wait)
 	case r.Kind == Busy && r.Queued && !outside:
 		d.Waited(now, r.Took)
+	case r.Kind == Declined && r.Admitted:
+		if outside {
+			d.Declined(now)
+		}
 	case r.Kind == Declined:
 		d.Asked(now, outside, false, locality.SuspectedWait)
 	case r.Kind == Unreachable:
--- a/internal/mesh/choose/observation.go
+++ b/internal/mesh/choose/observation.go
@@ -41,6 +41,8 @@
 	// Took is the time from the start of the attempt, Queued whether it was permitted to wait for a slot.
 	Took   time.Duration
 	Queued bool
+	// Admitted is set for the end of an attempt that had a slot.
+	Admitted bool
 	// MaxWait is the longest wait for a slot that the request bears; zero when unknown.
 	MaxWait time.Duration
 }
--- a/internal/mesh/entry/outcome.go
+++ b/internal/mesh/entry/outcome.go
@@ -18,6 +18,7 @@
 	delete(s.active, a.host)
 	s.records = append(s.records, newAttemptRecord(a, result))
 	report := reportOf(result)
+	report.Admitted = a.running
 	report.Took, report.Queued, report.MaxWait = e.at.Sub(a.sentAt), a.queued, s.queueWait()
 	s.entry.config.Chooser.Finish(a.host, report)
 	s.lastRefused = result.Verdict == hop.NotRun
--- a/internal/mesh/locality/decider.go
+++ b/internal/mesh/locality/decider.go
@@ -93,6 +93,11 @@
 	}
 }
 
+// Declined records that the target declined an attempt that had found room outside. Such room helps nobody.
+func (d *Decider) Declined(now clock.Time) {
+	d.found.add(now, -min(d.found.at(now), 1))
+}
+
 // Waited records a wait inside.
 func (d *Decider) Waited(now clock.Time, wait time.Duration) {
 	if wait > 0 {
--- a/internal/mesh/locality/decider_test.go
+++ b/internal/mesh/locality/decider_test.go
@@ -96,6 +96,21 @@
 	}
 }
 
+// Guards against leaving for gates with room whose targets decline what they get.
+func TestDeclinedIsNoRoom(t *testing.T) {
+	d := locality.New(start)
+	now := start
+	for range 50 {
+		now = now.Add(100 * time.Millisecond)
+		d.Asked(now, false, false, 500*time.Millisecond)
+		d.Asked(now, true, true, 0)
+		d.Declined(now)
+	}
+	if got := d.Share(now); got != locality.MinShare {
+		t.Fatalf("share %.2f", got)
+	}
+}
+
 // Guards against leaving for gates that are as full, and against staying where the wait outside is much shorter.
 func TestComparesWaits(t *testing.T) {
 	for outside, leaves := range map[time.Duration]bool{4 * time.Second: false, time.Second: true} {
