Keep the condition of a query in one place

Pick and StayLimit each had their own copy of the condition that a host must meet. Query.eligible now holds it.

Tested: package choose.

--- a/internal/mesh/choose/chooser.go
+++ b/internal/mesh/choose/chooser.go
@@ -3,7 +3,6 @@
 import (
 	"maps"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"buckthornlatch.example/buckthornlatch/internal/clock"
@@ -69,13 +68,10 @@
 }
 
 // Pick returns the best host that meets a query. It is one inside the failure domain as long as one there has room. It
-// returns none if the request should wait at a host of q.Refused instead, or if asking another host outside is in vain. Hosts in backoff come last.
+// returns none if the request should wait at a host of q.Refused instead, or if asking another host outside is in vain.
+// Hosts in backoff come last.
 func (c *Chooser) Pick(now clock.Time, q Query) (id.HostID, bool) {
-	hosts := c.byService[q.Service]
-	eligible := func(h *host) bool {
-		return h.serves(q.Service) && !slices.Contains(q.Exclude, h.record.Host)
-	}
-	return c.pickByDomain(now, hosts, q, eligible)
+	return c.pickByDomain(now, c.byService[q.Service], q, q.eligible)
 }
 
 // PickAmong returns the best of the given hosts.
--- a/internal/mesh/choose/doc.go
+++ b/internal/mesh/choose/doc.go
@@ -3,7 +3,8 @@
 // Each gate knows its own target; an entry has only the loads that earlier answers reported and the number of its own
 // attempts in flight. The older a reported load is, the closer the estimate moves to a default utilization. Hosts of
 // the entry's own failure domain are preferred as long as one of them has room, because traffic between domains costs
-// money and time. Package locality decides which share of the attempts without room inside may leave. Hosts of low utilization count as equal, so that all targets of a lightly used service get work.
+// money and time. Package locality decides which share of the attempts without room inside may leave. Hosts of low
+// utilization count as equal, so that all targets of a lightly used service get work.
 //
 // A host that cannot be reached or does not respond is avoided for an exponentially growing time. This is evidence
 // about the network path and is not shared between entries. A host whose gate refuses because of its target's state, or
--- a/internal/mesh/choose/leaving.go
+++ b/internal/mesh/choose/leaving.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	"buckthornlatch.example/buckthornlatch/internal/clock"
@@ -68,7 +67,8 @@
 			return far, true
 		}
 	}
-	if near, found := c.best(now, hosts, crossDomainPenalty, func(h *host) bool { return c.inside(h) && eligible(h) }); found || !leaves {
+	near, found = c.best(now, hosts, crossDomainPenalty, func(h *host) bool { return c.inside(h) && eligible(h) })
+	if found || !leaves {
 		return near, found
 	}
 	return c.best(now, hosts, crossDomainPenalty, eligible)
@@ -119,9 +119,7 @@
 	if h == nil || !c.inside(h) {
 		return 0, false
 	}
-	_, found := c.bestOutside(now, c.byService[q.Service], func(h *host) bool {
-		return h.serves(q.Service) && !slices.Contains(q.Exclude, h.record.Host)
-	})
+	_, found := c.bestOutside(now, c.byService[q.Service], q.eligible)
 	d := c.decider(now, q.Service)
 	if d.Share(now) <= locality.MinShare {
 		return math.MaxInt64, found
--- a/internal/mesh/choose/query.go
+++ b/internal/mesh/choose/query.go
@@ -1,6 +1,7 @@
 package choose
 
 import (
+	"slices"
 	"time"
 
 	"buckthornlatch.example/buckthornlatch/internal/id"
@@ -19,3 +20,8 @@
 	// Patience is how long the request can wait without a loss to its caller.
 	Patience time.Duration
 }
+
+// eligible reports whether a host meets the query.
+func (q Query) eligible(h *host) bool {
+	return h.serves(q.Service) && !slices.Contains(q.Exclude, h.record.Host)
+}
