--- a/internal/mesh/choose/query.go
+++ b/internal/mesh/choose/query.go
@@ -1,6 +1,7 @@
 package choose
 
 import (
+	"slices"
 	"time"
 
 	"buckthornlatch.example/buckthornlatch/internal/id"
@@ -22,3 +23,8 @@
 	// Regions are those in which the host must be.
 	Regions policy.Regions
 }
+
+// eligible reports whether a host meets the query.
+func (q Query) eligible(h *host) bool {
+	return h.serves(q.Service) && !slices.Contains(q.Exclude, h.record.Host)
+}
