--- a/internal/mesh/slots/load_test.go
+++ b/internal/mesh/slots/load_test.go
@@ -106,7 +106,7 @@
 	rechecking map[*slots.Admission]bool
 	startable  map[*slots.Admission]clock.Time
 	// touched holds the gates that the current event concerns.
-	touched map[*slots.Admission]bool
+	touched []*slots.Admission
 	// reserved is the largest number of slots that were reserved for ranks in the measured time.
 	reserved int
 }
@@ -114,7 +114,7 @@
 func newSimulation(seed uint64, n int) *simulation {
 	s := &simulation{
 		slots: n, random: rand.New(rand.NewPCG(seed, 1)), waiting: map[slots.ID]*simRequest{}, tallies: map[string]*tally{},
-		rechecking: map[*slots.Admission]bool{}, startable: map[*slots.Admission]clock.Time{}, touched: map[*slots.Admission]bool{},
+		rechecking: map[*slots.Admission]bool{}, startable: map[*slots.Admission]clock.Time{},
 	}
 	for range simulatedGates {
 		gate := slots.New()
@@ -140,10 +140,10 @@
 		e := heap.Pop(&s.events).(simEvent)
 		s.now = e.at
 		e.run()
-		for gate := range s.touched {
+		for _, gate := range s.touched {
 			s.check(gate)
 		}
-		clear(s.touched)
+		s.touched = s.touched[:0]
 	}
 	return s.tallies
 }
@@ -221,7 +221,7 @@
 	if len(s.entries) > 0 {
 		d.CustomerWork, d.Entry = s.entries[r.entry].Of(s.now, r.customer), customers.Reporter(strconv.Itoa(r.entry))
 	}
-	s.touched[gate] = true
+	s.touched = append(s.touched, gate)
 	decision := gate.Admit(s.now, d)
 	switch decision.Kind {
 	case slots.Run:
@@ -232,7 +232,7 @@
 		s.waiting[d.ID] = r
 		s.after(wait, func() {
 			if s.waiting[d.ID] != nil {
-				s.touched[gate] = true
+				s.touched = append(s.touched, gate)
 				Expect(gate.Abandon(d.ID)).To(BeTrue())
 				delete(s.waiting, d.ID)
 				s.try(r)
@@ -261,7 +261,7 @@
 		if len(s.entries) > 0 {
 			s.entries[r.entry].Add(s.now, r.customer, took)
 		}
-		s.touched[gate] = true
+		s.touched = append(s.touched, gate)
 		s.deliver(gate.Done(s.now, attempt, slots.Succeeded))
 	})
 }
@@ -284,7 +284,7 @@
 		s.rechecking[gate] = true
 		s.after(after, func() {
 			s.rechecking[gate] = false
-			s.touched[gate] = true
+			s.touched = append(s.touched, gate)
 			s.deliver(gate.Recheck(s.now))
 		})
 	}
@@ -383,6 +383,35 @@
 		Expect(sums["urgent"].servedShare()).To(BeNumerically(">=", sums["least"].servedShare()))
 	})
 
+	// Guards against serving a less urgent class better than a more urgent one, and against starving one of three ranks. With an order
+	// of the queue alone, the least urgent was starved in the bursts of the others, and the middle one in those of the urgent.
+	DescribeTable("serves three ranks in their order", func(burst id.RouteID, factor float64) {
+		kinds := classes(burst, factor)
+		kinds[1].share -= 0.2
+		middle := kind{name: "middle", rank: 1, work: 900 * time.Millisecond, objective: 3 * time.Second, timeout: 6 * time.Second, share: 0.2, burst: 1}
+		if burst == middle.name {
+			middle.burst = factor
+		}
+		sums, _ := playSeeds(10, append(kinds, middle), 1.5)
+		all := &tally{}
+		for _, name := range []string{"nested", "urgent", "middle", "least"} {
+			all.offered += sums[name].offered
+			all.served += sums[name].served
+		}
+		ranks := []*tally{sums["urgent"], sums["middle"], sums["least"]}
+		for i, less := range ranks {
+			Expect(less.servedShare()).To(BeNumerically(">=", 0.25*all.servedShare()))
+			for _, more := range ranks[:i] {
+				Expect(less.servedShare()).To(BeNumerically("<=", more.servedShare()+0.05))
+				Expect(less.inTimeShare()).To(BeNumerically("<=", more.inTimeShare()+0.15))
+			}
+		}
+	},
+		Entry("with a burst of urgent requests", id.RouteID("urgent"), 10.0),
+		Entry("with a burst of the middle rank", id.RouteID("middle"), 5.0),
+		Entry("with a burst of the least urgent", id.RouteID("least"), 2.0),
+	)
+
 	// Guards against slots that stay idle for a class that does not ask for them.
 	It("reserves nothing without urgent demand", func() {
 		kinds := classes("", 1)
