Send a customer's work in letters that are no flags

The number among the flags of an attempt was written in digits, which a later version may use as flags and would mistake them for such.

It is written with the letters A to J for the digits. A number that no duration holds makes the message malformed. With -race: link, gate and entry pass.

--- a/internal/mesh/link/encode.go
+++ b/internal/mesh/link/encode.go
@@ -40,9 +40,10 @@
 	flagRepeat     = 'r'
 	flagForced     = 'f'
 	flagNested     = 'n'
-	// flagWork is the last flag; the customer's work follows it in units of workUnit. The previous version ignores flags that it
-	// does not know, but refuses a message with a further field.
-	flagWork = 'w'
+	// The flags end with the customer's work, in units of workUnit, as a decimal number whose digits are the letters from workZero
+	// on, which are no flags. The previous version ignores flags that it does not know, but refuses a message with a further field.
+	workZero = 'A'
+	workBase = 10
 	workUnit = 100 * time.Millisecond
 )
 
@@ -58,7 +59,9 @@
 		}
 	}
 	if units := int64(a.CustomerWork / workUnit); units > 0 {
-		flags = strconv.AppendInt(append(flags, flagWork), units, 10)
+		for _, digit := range strconv.FormatInt(units, workBase) {
+			flags = append(flags, byte(digit-'0'+workZero))
+		}
 	}
 	header[HeaderAttempt] = []string{strings.Join([]string{
 		encodeName(string(a.Service)), encodeName(string(a.Caller)), encodeName(string(a.Route)), encodeName(string(a.Customer)),
@@ -93,9 +96,7 @@
 		Method: r.Method, URI: uri, Host: r.Host, Header: r.Header,
 		Body: &Body{Length: r.ContentLength},
 	}
-	if _, work, given := strings.Cut(fields[5], string(flagWork)); given {
-		a.CustomerWork = p.millis(work) * time.Duration(workUnit/time.Millisecond)
-	}
+	a.CustomerWork = p.work(fields[5])
 	if r.Body != nil && r.ContentLength != 0 {
 		a.Body.Rest, a.BodyHeld = r.Body, true
 	}
@@ -166,6 +167,24 @@
 	return time.Duration(n) * time.Millisecond
 }
 
+// work parses the customer's work among the flags.
+func (p *parser) work(flags string) time.Duration {
+	digits := strings.Map(func(r rune) rune {
+		if r < workZero || r >= workZero+workBase {
+			return -1
+		}
+		return r - workZero + '0'
+	}, flags)
+	if digits == "" {
+		return 0
+	}
+	n := p.number(digits, workBase)
+	if n > uint64(math.MaxInt64/workUnit) && p.err == nil {
+		p.err = ErrMalformed
+	}
+	return time.Duration(n) * workUnit
+}
+
 // formatMillis formats a duration in milliseconds; a negative one becomes zero.
 func formatMillis(d time.Duration) string {
 	return strconv.FormatInt(max(d.Milliseconds(), 0), 10)
