Bound what callers hold of the mesh daemon

Cause: unfinished heads, connections and readers were bounded by constants or not at all, and the operator's max_header_bytes, header_timeout_ms and idle_timeout_ms were not enforced. Change: all servers of the daemon use connlimit with one account for limits.memory_mb and limits.max_fds (new, optional, 4,096 without it). Callers and probes get the operator's limits. Requests served ahead are charged; what is read ahead on all connections is a tenth of the account at most. A body ends at its request's deadline (408, not run). Metrics connection_memory_bytes, connections and connections_refused_total; one log line a period for each reason. Tested: go test of callerconn, entry, mesh/daemon, command, platform.

--- a/internal/command/mesh.go
+++ b/internal/command/mesh.go
@@ -64,7 +64,8 @@
 			return platform.TargetHandler(a, lines.Events)
 		},
 		ProbeHandler: platform.ReadyHandler,
-		Loggers:      lines,
+		MemoryBytes:  s.MemoryBytes, MaxFiles: s.MaxFiles,
+		Loggers: lines,
 	}
 }
 
--- a/internal/mesh/callerconn/conn.go
+++ b/internal/mesh/callerconn/conn.go
@@ -88,6 +88,9 @@
 	return c
 }
 
+// NetConn returns the connection that c wraps.
+func (c *Conn) NetConn() net.Conn { return c.Conn }
+
 // begin marks the beginning of the next handler. It returns the request if it is served ahead, and when it was received.
 // cancel is called when the caller leaves.
 func (c *Conn) begin(cancel context.CancelFunc) (*served, time.Time) {
@@ -114,8 +117,9 @@
 
 // forget removes a request that was served ahead, if it is one. The caller must hold c.mu.
 func (c *Conn) forget(number int) {
-	if c.ahead[number] != nil {
+	if s := c.ahead[number]; s != nil {
 		delete(c.ahead, number)
+		s.release()
 		c.front.servedAhead.Add(-1)
 	}
 }
@@ -269,7 +273,8 @@
 		if c.left != nil || c.front.Draining() || len(c.ahead) >= maxServedAhead || c.front.servedAhead.Load() >= maxServedAheadInAll {
 			return
 		}
-		request, err := parseRequest(r.data)
+		data := r.data
+		request, err := parseRequest(data)
 		r.data = nil
 		if err != nil {
 			c.searching = false
@@ -278,8 +283,14 @@
 		if !c.front.MayServeAhead(request) {
 			continue
 		}
+		release, ok := c.front.hold(c.Conn, data)
+		if !ok {
+			// The request waits for its turn.
+			continue
+		}
 		request.RemoteAddr = c.RemoteAddr().String()
 		s := newServed(context.WithValue(c.ctx, receivedKey{}, r.received), request)
+		s.release = release
 		c.ahead[r.number] = s
 		c.front.servedAhead.Add(1)
 		go s.run(c.front.Handler)
@@ -323,7 +334,7 @@
 
 // hasRoom reports whether another read ahead stays within the bounds. The caller must hold c.mu.
 func (c *Conn) hasRoom() bool {
-	return len(c.in)+readSize <= maxAhead && c.front.aheadBytes.Load()+readSize <= maxAheadInAll
+	return len(c.in)+readSize <= maxAhead && c.front.aheadBytes.Load()+readSize <= c.front.maxAheadInAll()
 }
 
 // readAhead reads until the caller leaves, a deadline of the server passes or the bounds are reached.
@@ -423,9 +434,9 @@
 	if broken == nil {
 		return
 	}
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0)
-		_ = tcp.Close()
+	if socket, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok {
+		_ = socket.SetLinger(0)
+		_ = c.Conn.Close()
 	}
 	panic(broken)
 }
--- a/internal/mesh/callerconn/doc.go
+++ b/internal/mesh/callerconn/doc.go
@@ -18,7 +18,7 @@
 // Serving ahead needs the boundaries of requests. A Conn finds them only in a sequence of complete GET and HEAD requests
 // without a body; at anything else it passes all later bytes of the connection through as they are.
 //
-// Bounds: maxAhead bytes and maxServedAhead requests for each connection, maxAheadInAll and maxServedAheadInAll for all
+// Bounds: maxAhead bytes and maxServedAhead requests for each connection, MaxAhead and maxServedAheadInAll for all
 // of them, maxBufferedAnswer bytes of an answer before its turn. Beyond them requests wait for their turn, and a caller's
 // leaving is noticed at the next turn of its connection.
 package callerconn
--- a/internal/mesh/callerconn/front.go
+++ b/internal/mesh/callerconn/front.go
@@ -1,6 +1,7 @@
 package callerconn
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"net"
@@ -14,8 +15,8 @@
 )
 
 const (
-	// maxAheadInAll bounds the bytes that are read ahead on all connections of a Front.
-	maxAheadInAll = 8 << 20
+	// defaultMaxAhead is MaxAhead where it is zero.
+	defaultMaxAhead = 8 << 20
 	// maxServedAheadInAll bounds the requests that are served ahead on all connections of a Front.
 	maxServedAheadInAll = 256
 	// closePollInterval is the interval at which CloseAll checks.
@@ -34,6 +35,10 @@
 	MayServeAhead func(*http.Request) bool
 	// Draining reports whether callers should move to another connection.
 	Draining func() bool
+	// Hold charges a connection with a request that is served ahead, if it is not nil. On false the request waits for its turn.
+	Hold func(conn net.Conn, head []byte) (release func(), ok bool)
+	// MaxAhead bounds the bytes that are read ahead on all connections.
+	MaxAhead int64
 
 	// aheadBytes counts the bytes that were read ahead, servedAhead the requests that are served ahead until their answer
 	// is written or their connection ends.
@@ -45,6 +50,17 @@
 	open map[*Conn]struct{}
 }
 
+// hold is Hold, if that is set.
+func (f *Front) hold(conn net.Conn, head []byte) (release func(), ok bool) {
+	if f.Hold == nil {
+		return func() {}, true
+	}
+	return f.Hold(conn, head)
+}
+
+// maxAheadInAll returns the bound on the bytes that are read ahead.
+func (f *Front) maxAheadInAll() int64 { return cmp.Or(f.MaxAhead, defaultMaxAhead) }
+
 // Listener returns a listener whose connections are Conns.
 func (f *Front) Listener(inner net.Listener) net.Listener {
 	return &listener{Listener: inner, front: f}
--- a/internal/mesh/callerconn/served.go
+++ b/internal/mesh/callerconn/served.go
@@ -32,6 +32,8 @@
 	// out is the connection's writer once the turn has come; turn is closed then.
 	out  http.ResponseWriter
 	turn chan struct{}
+	// release takes off what Front.Hold has charged for the request.
+	release func()
 }
 
 // newServed returns a request to serve ahead. ctx ends it.
--- a/internal/mesh/daemon/config.go
+++ b/internal/mesh/daemon/config.go
@@ -33,6 +33,9 @@
 	TargetHandler func(Announcer) http.Handler
 	// ProbeHandler returns the handler of the readiness probes of callers.
 	ProbeHandler func(ready func() bool) http.Handler
+	// MemoryBytes and MaxFiles are the memory and the descriptors of the host; zero selects defaults.
+	MemoryBytes int64
+	MaxFiles    int
 	// SignalDelay returns how long ago a stop signal may have been sent that is noticed now. If it is nil, the daemon measures that.
 	SignalDelay func() time.Duration
 	Loggers     *logging.Loggers
--- a/internal/mesh/daemon/daemon.go
+++ b/internal/mesh/daemon/daemon.go
@@ -15,11 +15,13 @@
 	"buckthornlatch.example/buckthornlatch/internal/lag"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/callerconn"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/choose"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/connlimit"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/crashes"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/entry"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/gate"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/limits"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/link"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/memaccount"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/pause"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/policy"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/roster"
@@ -44,6 +46,7 @@
 	lag      *lag.Monitor
 	entry    *entry.Entry
 	front    *callerconn.Front
+	account  *memaccount.Account
 	servers  []*server
 	// answers are those to attempts of other hosts.
 	answers  openAnswers
@@ -101,7 +104,11 @@
 		Clock: d.clock, Pauses: d.pauses, Random: rand.Float64, StopLeft: d.stopLeft, Draining: d.drainBegins, StopEnds: d.endOfStop,
 		Refusing: d.refusing.Load, Stopping: d.stopping, Ending: d.ending, Log: d.config.Loggers.Decisions, Metrics: d.meters,
 	})
-	d.front = &callerconn.Front{Handler: d.entry, MayServeAhead: d.entry.MayServeAhead, Draining: d.draining.Load}
+	d.account = newAccount(d.config)
+	d.front = &callerconn.Front{
+		Handler: d.entry, MayServeAhead: d.entry.MayServeAhead, Draining: d.draining.Load, Hold: connlimit.HoldAhead,
+		MaxAhead: int64(aheadShare * float64(d.account.Size())),
+	}
 	return d.listen()
 }
 
@@ -197,6 +204,7 @@
 			d.removeLostHosts(ctx)
 			d.publishEvidence()
 			d.meters.setDroppedLines(d.config.Loggers.Dropped())
+			d.reportConns()
 		case <-ctx.Done():
 			return
 		}
--- a/internal/mesh/daemon/harness_test.go
+++ b/internal/mesh/daemon/harness_test.go
@@ -263,6 +263,12 @@
 	Key     string
 }
 
+// operatorHeaderBytes and operatorHeaderTimeout are the limits of the tests' policies.
+const (
+	operatorHeaderBytes   = 8 << 10
+	operatorHeaderTimeout = 500 * time.Millisecond
+)
+
 // decodePolicy decodes a test's policy, which has an idempotent, a booking and an upload route to one service and one
 // customer.
 func decodePolicy(raw []byte) (policy.Document, error) {
@@ -279,6 +285,7 @@
 			{ID: "photos", Host: "trails.example", Prefix: "/photos/", Rank: 1, MaxAttempts: 3, Timeout: time.Minute, Services: part},
 		},
 		Customers: []policy.Customer{{ID: "school", Keys: []string{d.Key}}},
+		Bounds:    policy.Bounds{HeaderBytes: operatorHeaderBytes, HeaderTimeout: operatorHeaderTimeout},
 	}, nil
 }
 
--- a/internal/mesh/daemon/metrics.go
+++ b/internal/mesh/daemon/metrics.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"buckthornlatch.example/buckthornlatch/internal/mesh/connlimit"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/memaccount"
 	"buckthornlatch.example/buckthornlatch/internal/metrics"
 )
 
@@ -27,6 +29,12 @@
 	repeats      metrics.Counter
 	droppedLines metrics.Gauge
 	inFlight     inFlight
+	// heldBytes and heldConns show what the connections of each owner hold.
+	heldBytes, heldConns map[memaccount.Owner]metrics.Gauge
+
+	// endedMu guards ended, which counts refusals and ended connections since they were logged last.
+	endedMu sync.Mutex
+	ended   map[endedKey]int64
 
 	policiesRejected metrics.Counter
 	policyWarnings   metrics.Gauge
@@ -35,7 +43,7 @@
 
 // newMeters creates the metrics.
 func newMeters(scope metrics.Scope) *meters {
-	return &meters{
+	m := &meters{
 		scope:        scope,
 		latency:      scope.Histogram("request_latency_seconds", latencyBuckets),
 		gateWait:     scope.Histogram("gate_wait_seconds", latencyBuckets),
@@ -47,7 +55,46 @@
 		policiesRejected: scope.Counter("policies_rejected_total"),
 		policyWarnings:   scope.Gauge("policy_warnings"),
 		recordsIgnored:   scope.Counter("host_records_ignored_total"),
+
+		heldBytes: map[memaccount.Owner]metrics.Gauge{}, heldConns: map[memaccount.Owner]metrics.Gauge{},
+	}
+	for _, owner := range memaccount.Owners {
+		label := metrics.Label{Name: "owner", Value: owner.String()}
+		m.heldBytes[owner], m.heldConns[owner] = scope.Gauge("connection_memory_bytes", label), scope.Gauge("connections", label)
+	}
+	return m
+}
+
+// endedKey identifies refusals and ended connections.
+type endedKey struct {
+	owner  memaccount.Owner
+	reason connlimit.Reason
+}
+
+// connEnded counts a refusal by the limits of connections, or the end of a connection.
+func (m *meters) connEnded(owner memaccount.Owner, reason connlimit.Reason) {
+	m.counter("connections_refused_total", metrics.Label{Name: "owner", Value: owner.String()}, metrics.Label{Name: "reason", Value: string(reason)}).Inc(1)
+	m.endedMu.Lock()
+	defer m.endedMu.Unlock()
+	if m.ended == nil {
+		m.ended = map[endedKey]int64{}
 	}
+	m.ended[endedKey{owner: owner, reason: reason}]++
+}
+
+// takeEnded returns what was counted since the last call.
+func (m *meters) takeEnded() map[endedKey]int64 {
+	m.endedMu.Lock()
+	defer m.endedMu.Unlock()
+	ended := m.ended
+	m.ended = nil
+	return ended
+}
+
+// setHeld sets what the connections of an owner hold.
+func (m *meters) setHeld(owner memaccount.Owner, held memaccount.Bound) {
+	m.heldBytes[owner].Update(float64(held.Bytes))
+	m.heldConns[owner].Update(float64(held.Conns))
 }
 
 // counterKey identifies a counter with two labels.
--- a/internal/mesh/daemon/server.go
+++ b/internal/mesh/daemon/server.go
@@ -6,27 +6,17 @@
 	"log"
 	"net"
 	"net/http"
-	"time"
 
 	"github.com/rs/zerolog"
 
 	"buckthornlatch.example/buckthornlatch/internal/fault"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/connlimit"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/hangup"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/limits"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/link"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/statesync"
 )
 
-const (
-	// headerTimeout bounds the time to receive a request's header.
-	headerTimeout = 10 * time.Second
-	// idleTimeout closes idle connections. It is longer than the longest time for which callers are told that they may
-	// reuse a connection, so that no request is sent on a connection that is being closed.
-	idleTimeout = 90 * time.Second
-	// maxHeader bounds the size of a request's header in bytes.
-	maxHeader = 64 << 10
-)
-
 // Names of the servers, for logs.
 const (
 	callersServer = "callers"
@@ -40,6 +30,7 @@
 type server struct {
 	name     string
 	listener net.Listener
+	guard    *connlimit.Guard
 	http     *http.Server
 }
 
@@ -62,10 +53,13 @@
 		if err != nil {
 			return fault.New("listen for "+s.name, s.address, err)
 		}
-		server := &server{name: s.name, listener: listener, http: &http.Server{
+		guard := d.newGuard(s.name)
+		listener = guard.Accepting(listener)
+		server := &server{name: s.name, listener: listener, guard: guard, http: &http.Server{
 			// Otherwise net/http answers "OPTIONS *" itself.
 			DisableGeneralOptionsHandler: true,
-			Handler:                      s.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
+			// The guard enforces the limits on heads and on idle connections. These are above all that it allows.
+			Handler: s.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxServerHeader,
 			ErrorLog: log.New(serverLog{name: s.name, log: d.config.Loggers.Events}, "", 0),
 		}}
 		switch s.name {
@@ -77,6 +71,7 @@
 			}
 			server.http.ConnState = d.answers.connState
 		}
+		guard.Attach(server.http)
 		d.servers = append(d.servers, server)
 	}
 	return nil
@@ -102,7 +97,7 @@
 
 // serve serves until the server is closed.
 func (s *server) serve() error {
-	err := s.http.Serve(s.listener)
+	err := s.http.Serve(s.guard.Reading(s.listener))
 	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
 		return nil
 	}
--- a/internal/mesh/entry/handler.go
+++ b/internal/mesh/entry/handler.go
@@ -166,7 +166,7 @@
 	if bounds.BodyBytes > 0 && r.ContentLength > bounds.BodyBytes {
 		return &refusal{code: problem.BodyTooLarge}
 	}
-	req.paced = newPacedBody(r.Body, w, bounds.IdleTimeout)
+	req.paced = newPacedBody(r.Body, w, bounds.IdleTimeout, req.deadline)
 	r.Body = req.paced
 	if bounds.BodyBytes > 0 {
 		r.Body = http.MaxBytesReader(nil, r.Body, bounds.BodyBytes)
