Bound what callers hold of the serving daemon

Cause: unfinished heads took the other daemon to 298 MiB with 1,000 callers. Change: the servers of internal/daemon use connlimit with an account for the new settings limits.memory_mb (184) and limits.max_files (4,100); with TLS only connections, writes and max_header_bytes are bounded, since the guard is under the TLS layer. Metrics as for mesh. The entry resets connections through any number of wrappers. Tested: go test of settings, metrics, daemon, command; entry fails in "permission expired", also on.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -25,6 +25,7 @@
 	"buckthornlatch.example/buckthornlatch/internal/id"
 	"buckthornlatch.example/buckthornlatch/internal/ledgerrun"
 	"buckthornlatch.example/buckthornlatch/internal/membership"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/memaccount"
 	"buckthornlatch.example/buckthornlatch/internal/metrics"
 	"buckthornlatch.example/buckthornlatch/internal/metrics/scrape"
 	"buckthornlatch.example/buckthornlatch/internal/permits"
@@ -51,7 +52,9 @@
 	exporter          *scrape.Exporter
 	metrics           *metrics.Set
 
-	listeners        listeners
+	listeners listeners
+	// account bounds what the connections of all servers hold.
+	account          *memaccount.Account
 	platform         *platform.Client
 	store            *cataloguestore.Store
 	syncer           *catalogsync.Syncer
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"buckthornlatch.example/buckthornlatch/internal/fault"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/memaccount"
 )
 
 // Run serves until ctx ends, then drains. It returns nil after a complete drain.
@@ -18,6 +19,7 @@
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
 	group, running := errgroup.WithContext(background)
+	d.account = memaccount.Plan(int64(d.settings.Limits.MemoryMB)<<20, d.settings.Limits.MaxFiles)
 	servers := d.servers()
 	for _, s := range servers {
 		group.Go(func() error { return s.serve() })
--- a/internal/daemon/sampler.go
+++ b/internal/daemon/sampler.go
@@ -63,6 +63,7 @@
 	d.quarantine.With(func(q *quarantine.Quarantine, at clock.Time) { suspects = len(q.Publish(at)) })
 	s.set.CrashEvidence.Update(float64(suspects))
 	s.targets(d.PublishedTargets())
+	s.sampleConns()
 }
 
 // targets counts the host's targets by state, and new ejections.
--- a/internal/daemon/servers.go
+++ b/internal/daemon/servers.go
@@ -12,6 +12,7 @@
 	"buckthornlatch.example/buckthornlatch/internal/gate"
 	"buckthornlatch.example/buckthornlatch/internal/hop"
 	"buckthornlatch.example/buckthornlatch/internal/ledgerrun"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/memaccount"
 	"buckthornlatch.example/buckthornlatch/internal/targetapi"
 	rpccatalogue "buckthornlatch.example/buckthornlatch/rpc/catalogue"
 	"buckthornlatch.example/buckthornlatch/rpc/fate"
@@ -24,23 +25,29 @@
 // servers returns the daemon's HTTP servers.
 func (d *Daemon) servers() []*server {
 	return []*server{
-		d.server("callers", d.listeners.caller, d.callerTLS(), d.metrics.Handler(d.entry)),
-		d.server("peers", d.listeners.peer, d.peerTLS(), d.peerHandler()),
-		d.server("targets", d.listeners.local, nil, d.localHandler()),
-		d.server("operators", d.listeners.admin, d.callerTLS(), d.adminHandler()),
+		d.server(memaccount.Callers, d.listeners.caller, d.callerTLS(), d.metrics.Handler(d.entry)),
+		d.server(memaccount.Peers, d.listeners.peer, d.peerTLS(), d.peerHandler()),
+		d.server(memaccount.Targets, d.listeners.local, nil, d.localHandler()),
+		d.server(memaccount.Operators, d.listeners.admin, d.callerTLS(), d.adminHandler()),
 	}
 }
 
 // server returns one server with the timeouts and limits of the settings; without a TLS
-// configuration it uses plain HTTP.
-func (d *Daemon) server(name string, listener net.Listener, tlsConfig *tls.Config, handler http.Handler) *server {
-	return &server{name: name, listener: listener, http: &http.Server{
+// configuration it uses plain HTTP, whose heads are held back until they are whole.
+func (d *Daemon) server(owner memaccount.Owner, listener net.Listener, tlsConfig *tls.Config, handler http.Handler) *server {
+	guard := d.guard(owner)
+	s := &server{name: owner.String(), listener: guard.Accepting(listener), http: &http.Server{
 		Handler:           handler,
 		TLSConfig:         tlsConfig,
 		ReadHeaderTimeout: d.settings.Timeouts.ReadHeader,
 		IdleTimeout:       d.settings.Timeouts.Idle,
 		MaxHeaderBytes:    d.settings.Limits.MaxHeaderBytes,
 	}}
+	if tlsConfig == nil {
+		s.listener = guard.Reading(s.listener)
+		guard.Attach(s.http)
+	}
+	return s
 }
 
 // peerHandler serves attempts and control messages.
--- a/internal/entry/caller.go
+++ b/internal/entry/caller.go
@@ -75,11 +75,11 @@
 
 // reset resets a connection, without the end of a TLS session.
 func reset(conn net.Conn) {
-	if secure, ok := conn.(interface{ NetConn() net.Conn }); ok {
-		conn = secure.NetConn()
+	for outer, ok := conn.(interface{ NetConn() net.Conn }); ok; outer, ok = conn.(interface{ NetConn() net.Conn }) {
+		conn = outer.NetConn()
 	}
-	if tcp, ok := conn.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0)
+	if socket, ok := conn.(interface{ SetLinger(sec int) error }); ok {
+		_ = socket.SetLinger(0)
 	}
 	_ = conn.Close()
 }
--- a/internal/mesh/connlimit/guard.go
+++ b/internal/mesh/connlimit/guard.go
@@ -41,6 +41,9 @@
 	GaveWay       Reason = "gave-way"
 )
 
+// Reasons lists all reasons.
+var Reasons = []Reason{TooManyConns, HeadTooLarge, HeadTooSlow, HeadNoMemory, BodyNoMemory, BodyTooSlow, ReaderTooSlow, GaveWay}
+
 // Config holds the settings and dependencies of a Guard.
 type Config struct {
 	Account *memaccount.Account
--- a/internal/metrics/set.go
+++ b/internal/metrics/set.go
@@ -7,6 +7,8 @@
 	"buckthornlatch.example/buckthornlatch/internal/freshness"
 	"buckthornlatch.example/buckthornlatch/internal/hop"
 	"buckthornlatch.example/buckthornlatch/internal/membership"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/connlimit"
+	"buckthornlatch.example/buckthornlatch/internal/mesh/memaccount"
 	"buckthornlatch.example/buckthornlatch/internal/problem"
 )
 
@@ -85,6 +87,14 @@
 	DutiesConfirmed Gauge
 	// KnownHosts is the number of hosts with a membership record.
 	KnownHosts Gauge
+	// ConnMemory and Conns show what the connections of each owner hold; Refused counts refusals and ended connections.
+	ConnMemory, Conns map[memaccount.Owner]Gauge
+	Refused           map[memaccount.Owner]Family
+}
+
+// ConnRefused counts a refusal by the limits of connections, or the end of a connection.
+func (s *Set) ConnRefused(owner memaccount.Owner, reason connlimit.Reason) {
+	s.Refused[owner].Inc(string(reason))
 }
 
 // AttemptFamilies holds a counter by verdict for each route class.
@@ -104,7 +114,7 @@
 func New(scope Scope) *Set {
 	results := []string{OK, Failed}
 	verdicts := []string{string(hop.NotRun), string(hop.Ran), string(hop.Unknown), Broken}
-	return &Set{
+	s := &Set{
 		Requests: newFamily(scope, "requests_total", "status", []string{"1xx", "2xx", "3xx", "4xx", "5xx"}),
 		Aborted:  scope.Counter("requests_aborted_total"),
 		Refusals: newFamily(scope, "refusals_total", "code", codes),
@@ -132,7 +142,19 @@
 		Fresh:           freshGauges(scope),
 		DutiesConfirmed: scope.Gauge("duties_confirmed"),
 		KnownHosts:      scope.Gauge("known_hosts"),
+
+		ConnMemory: make(map[memaccount.Owner]Gauge), Conns: make(map[memaccount.Owner]Gauge), Refused: make(map[memaccount.Owner]Family),
+	}
+	var reasons []string
+	for _, reason := range connlimit.Reasons {
+		reasons = append(reasons, string(reason))
+	}
+	for _, owner := range memaccount.Owners {
+		label := Label{"owner", owner.String()}
+		s.ConnMemory[owner], s.Conns[owner] = scope.Gauge("connection_memory_bytes", label), scope.Gauge("connections", label)
+		s.Refused[owner] = newFamily(scope, "connections_refused_total", "reason", reasons, label)
 	}
+	return s
 }
 
 // targetGauges creates a gauge for each target state.
--- a/internal/settings/checker.go
+++ b/internal/settings/checker.go
@@ -79,6 +79,8 @@
 func (c *checker) numbers(s Settings) {
 	c.atLeastOne("limits.max_header_bytes", int64(s.Limits.MaxHeaderBytes))
 	c.atLeastOne("limits.gc_percent", int64(s.Limits.GCPercent))
+	c.atLeastOne("limits.memory_mb", int64(s.Limits.MemoryMB))
+	c.atLeastOne("limits.max_files", int64(s.Limits.MaxFiles))
 	c.atLeastOne("limits.max_answer_bytes", int64(s.Limits.MaxResponseBytes))
 	c.atLeastOne("tickets.max_claims", int64(s.Tickets.MaxClaims))
 	c.atLeastOne("tickets.max_stored_bytes", s.Tickets.MaxStoredBytes)
--- a/internal/settings/defaults.go
+++ b/internal/settings/defaults.go
@@ -26,6 +26,8 @@
 			MaxResponseBytes: 64 << 10,
 			RetryFraction:    0.2,
 			GCPercent:        40,
+			MemoryMB:         184,
+			MaxFiles:         4100,
 		},
 		Tickets: Tickets{
 			Window:         time.Hour,
--- a/internal/settings/limits.go
+++ b/internal/settings/limits.go
@@ -12,4 +12,8 @@
 	// GCPercent is the heap growth in percent that starts a garbage collection. Smaller values
 	// trade CPU time for memory. The environment variable GOGC overrides it. Default 40.
 	GCPercent int `toml:"gc_percent"`
+	// MemoryMB is the memory of the host in MiB, from which the bound on what connections hold is derived. Default 184.
+	MemoryMB int `toml:"memory_mb"`
+	// MaxFiles is the number of descriptors of the process, from which the bounds on connections are derived. Default 4100.
+	MaxFiles int `toml:"max_files"`
 }
