--- a/internal/mesh/slots/repeats.go
+++ b/internal/mesh/slots/repeats.go
@@ -76,7 +76,8 @@
 }
 
 // reserved returns the number of tokens that are reserved for more urgent levels than the given one: 1.5 times as many as these
-// have recently asked for, but not all, so that a full bucket is open to every level.
+// have recently asked for, but at most half of those beyond the first. A bucket holds two tokens where a service has many gates;
+// kept nearly full, it would lose the tokens that no longer fit, and with them repeats that no more urgent level needs.
 func (r *repeatBucket) reserved(now clock.Time, level int) float64 {
 	if level <= urgentLevel {
 		return 0
@@ -86,7 +87,7 @@
 	for _, n := range r.asked[:level] {
 		sum += n
 	}
-	return min(max(math.Ceil(reserveFactor*sum-forgottenRepeats), 0), r.capacity()-1)
+	return min(max(math.Ceil(reserveFactor*sum-forgottenRepeats), 0), (r.capacity()-1)/2)
 }
 
 // ask records a repeat that asks for a token, and reports whether there is one. A refused repeat counts in part only, since it asks
