--- a/internal/mesh/policy/document.go
+++ b/internal/mesh/policy/document.go
@@ -11,6 +11,8 @@
 	WarmUps   map[id.ServiceName]WarmUp
 	Customers []Customer
 	Bounds    Bounds
+	// ZeroBounds names the limits that are written as zero, which means no limit, as if they were missing.
+	ZeroBounds []string
 	// KeysRequired is set if requests need a key even if there is no customer left, whose keys would be valid.
 	KeysRequired bool
 	// CustomersMissing is set if a customer could not be decoded, so that an unknown key may belong to it.
--- a/internal/mesh/policy/snapshot.go
+++ b/internal/mesh/policy/snapshot.go
@@ -84,7 +84,7 @@
 	}
 	r.Rank = s.validRank(r.Rank, item)
 	s.keepValidServices(&r, item)
-	r.Host = canonicalHost(r.Host)
+	r.Host = CanonicalHost(r.Host)
 	byPrefix := s.routes[r.Host]
 	if byPrefix == nil {
 		byPrefix = map[string]*Route{}
@@ -104,10 +104,18 @@
 	}
 	s.warn(item, "prefix %q does not begin and end with a slash; not served", r.Prefix)
 	r.Unservable = "the prefix does not begin and end with a slash"
-	r.Prefix = "/" + strings.Trim(r.Prefix, "/") + "/"
-	if r.Prefix == "//" {
-		r.Prefix = "/"
+	r.Prefix = CanonicalPrefix(r.Prefix)
+}
+
+// CanonicalPrefix returns the prefix of a route with the slashes that it needs at its ends.
+func CanonicalPrefix(prefix string) string {
+	if strings.HasPrefix(prefix, "/") && strings.HasSuffix(prefix, "/") {
+		return prefix
+	}
+	if inner := strings.Trim(prefix, "/"); inner != "" {
+		return "/" + inner + "/"
 	}
+	return "/"
 }
 
 // MaxRank is the least urgent rank. Daemons exchange ranks as small non-negative numbers.
@@ -195,7 +203,7 @@
 // Match returns the route at the host with the longest prefix of the path, or nil. The path is the escaped path of the
 // request, without a query.
 func (s *Snapshot) Match(host, path string) *Route {
-	byPrefix := s.routes[canonicalHost(host)]
+	byPrefix := s.routes[CanonicalHost(host)]
 	if byPrefix == nil {
 		return nil
 	}
@@ -207,8 +215,8 @@
 	return nil
 }
 
-// canonicalHost returns the host in lower case and without its port.
-func canonicalHost(host string) string {
+// CanonicalHost returns the host in lower case and without its port.
+func CanonicalHost(host string) string {
 	if at := strings.LastIndexByte(host, ':'); at >= 0 && !strings.HasSuffix(host, "]") {
 		host = host[:at]
 	}
