--- a/internal/mesh/daemon/server.go
+++ b/internal/mesh/daemon/server.go
@@ -23,8 +23,8 @@
 	// idleTimeout closes idle connections. It is longer than the longest time for which callers are told that they may
 	// reuse a connection, so that no request is sent on a connection that is being closed.
 	idleTimeout = 90 * time.Second
-	// maxHeader bounds the size of a request's header in bytes.
-	maxHeader = 64 << 10
+	// MaxHeaderBytes bounds the size of a request's header in bytes.
+	MaxHeaderBytes = 64 << 10
 )
 
 // Names of the servers, for logs.
@@ -65,7 +65,7 @@
 		server := &server{name: s.name, listener: listener, http: &http.Server{
 			// Otherwise net/http answers "OPTIONS *" itself.
 			DisableGeneralOptionsHandler: true,
-			Handler:                      s.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
+			Handler:                      s.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: MaxHeaderBytes,
 			ErrorLog: log.New(serverLog{name: s.name, log: d.config.Loggers.Events}, "", 0),
 		}}
 		switch s.name {
--- a/internal/mesh/entry/request.go
+++ b/internal/mesh/entry/request.go
@@ -24,8 +24,8 @@
 	noPolicyRetryAfter = 250 * time.Millisecond
 	// invalidRetryAfter is the Retry-After of refusals that last until the operator corrects the configuration.
 	invalidRetryAfter = 5 * time.Second
-	// defaultTimeout applies to routes without a timeout.
-	defaultTimeout = 30 * time.Second
+	// DefaultTimeout applies to routes without a timeout.
+	DefaultTimeout = 30 * time.Second
 	// bearerScheme is the prefix of the Authorization header, compared without case.
 	bearerScheme = "bearer "
 )
@@ -116,7 +116,7 @@
 func (e *Entry) deadline(req *request) time.Time {
 	limit := req.route.Timeout
 	if limit <= 0 {
-		limit = defaultTimeout
+		limit = DefaultTimeout
 	}
 	given, err := strconv.ParseInt(req.httpRequest.Header.Get(e.config.Headers.Deadline), 10, 64)
 	if err != nil || given <= 0 || given > int64(limit/time.Millisecond) {
