--- a/internal/command/check_test.go
+++ b/internal/command/check_test.go
@@ -74,6 +74,23 @@
 		Expect(stdout.String()).NotTo(ContainSubstring("secret"))
 	})
 
+	// Guards against a decoder's error that repeats the keys that it could not read.
+	DescribeTable("prints no key that cannot be read",
+		func(keys string) {
+			text := strings.Replace(clean, `["secret-one"]`, keys, 1)
+			check := command.Check{InForce: write(clean), OperatorConfig: []string{write(strings.Replace(text, `"version":"2"`, `"version":"3"`, 1))}}
+			var stdout bytes.Buffer
+			err := check.Run(context.Background(), &stdout)
+			Expect(command.ExitCode(err)).To(Equal(command.ExitBadInput))
+			Expect(stdout.String()).To(ContainSubstring("error: customer t: api_keys cannot be read"))
+			Expect(stdout.String() + err.Error()).NotTo(Or(ContainSubstring("secret"), ContainSubstring("7712345")))
+		},
+		Entry("a text", `"secret-one"`),
+		Entry("a number", `7712345`),
+		Entry("a list with a number", `["secret-one",7712345]`),
+		Entry("an object", `{"secret-one":7712345}`),
+	)
+
 	DescribeTable("names the file that it cannot use",
 		func(check command.Check, code int, want ...string) {
 			err := check.Run(context.Background(), &bytes.Buffer{})
