--- a/internal/mesh/daemon/connlimits.go
+++ b/internal/mesh/daemon/connlimits.go
@@ -18,8 +18,8 @@
 	// maxHeader bounds the size of a request's header in bytes where the operator sets no bound, and between hosts: an attempt's header
 	// is the caller's with some fields more.
 	maxHeader = 64 << 10
-	// maxServerHeader bounds headers that are not bounded otherwise.
-	maxServerHeader = 1 << 20
+	// MaxHeaderBytes bounds headers whatever the operator permits, in bytes.
+	MaxHeaderBytes = 1 << 20
 	// readerTimeout bounds the time in which the reader of an answer takes nothing, where the operator sets no idle timeout.
 	readerTimeout = 30 * time.Second
 	// messageTimeout bounds the time for the body of a heartbeat or a probe. Real ones are a few hundred bytes long.
