Consider allowed regions when a request decides to leave the failure domain

Cause: the bound on the wait inside looked for room at all hosts outside, also at those in regions that the request must not reach. Change: one condition for hosts, used by both. Tested: the specs of choose.

--- a/internal/mesh/choose/chooser.go
+++ b/internal/mesh/choose/chooser.go
@@ -79,13 +79,14 @@
 // returns none if the request should wait at a host of q.Refused instead, or if asking another host outside is in vain.
 // Hosts in backoff come last.
 func (c *Chooser) Pick(now clock.Time, q Query) (id.HostID, bool) {
-	eligible := func(h *host) bool { return q.eligible(h) && c.permits(q, h) }
-	return c.pickByDomain(now, c.byService[q.Service], q, eligible)
+	return c.pickByDomain(now, c.byService[q.Service], q, c.eligible(q))
 }
 
-// permits reports whether a host is in a region that a query permits.
-func (c *Chooser) permits(q Query, h *host) bool {
-	return !q.Regions.Limited() || q.Regions.Permit(c.regionOf(h.record.Domain))
+// eligible returns the condition that a host must meet for a query.
+func (c *Chooser) eligible(q Query) func(*host) bool {
+	return func(h *host) bool {
+		return q.eligible(h) && (!q.Regions.Limited() || q.Regions.Permit(c.regionOf(h.record.Domain)))
+	}
 }
 
 // PickAmong returns the best of the given hosts.
--- a/internal/mesh/choose/leaving.go
+++ b/internal/mesh/choose/leaving.go
@@ -119,7 +119,7 @@
 	if h == nil || !c.inside(h) {
 		return 0, false
 	}
-	_, found := c.bestOutside(now, c.byService[q.Service], q.eligible)
+	_, found := c.bestOutside(now, c.byService[q.Service], c.eligible(q))
 	d := c.decider(now, q.Service)
 	if d.Share(now) <= locality.MinShare {
 		return math.MaxInt64, found
