--- a/internal/mesh/policy/document.go
+++ b/internal/mesh/policy/document.go
@@ -11,7 +11,7 @@
 	WarmUps   map[id.ServiceName]WarmUp
 	Customers []Customer
 	Bounds    Bounds
-	// ZeroBounds names the limits that are written as zero, which means no limit, as if they were missing.
+	// ZeroBounds names the limits that are written as zero, which counts as missing.
 	ZeroBounds []string
 	// KeysRequired is set if requests need a key even if there is no customer left, whose keys would be valid.
 	KeysRequired bool
--- a/internal/mesh/policycheck/policycheck_test.go
+++ b/internal/mesh/policycheck/policycheck_test.go
@@ -125,9 +125,9 @@
 			"conflict: customer c: the burst 10 has no effect, since a rate of 0 means no limit"),
 		Entry("a limit of 0", func(d *policy.Document) {
 			d.Bounds.BodyBytes, d.ZeroBounds = 0, []string{"max_body_bytes"}
-		}, "conflict: limits: max_body_bytes is 0, which means no limit"),
+		}, "conflict: limits: max_body_bytes is 0, which counts as missing"),
 		Entry("a header limit above that of the daemon", func(d *policy.Document) { d.Bounds.HeaderBytes = 64<<10 + 1 },
-			"conflict: limits: the header limit of 65537 bytes is above the 65536 bytes that a daemon accepts"),
+			"conflict: limits: the header limit of 65537 bytes is above the 65536 bytes that daemons accept from each other"),
 		Entry("a body limit above what a daemon holds", func(d *policy.Document) { d.Bounds.BodyBytes = 64<<10 + 1 },
 			"conflict: limits: the body limit of 65537 bytes is above the 65536 bytes that a daemon holds; requests with longer bodies are sent once, whatever max_attempts says"),
 		Entry("a header timeout above the idle timeout", func(d *policy.Document) { d.Bounds.HeaderTimeout = 16 * time.Second },
@@ -259,9 +259,9 @@
 		Entry("a body limit", func(d *policy.Document) { d.Bounds.BodyBytes = 0 },
 			"change: limits: body limit in bytes: 65536 -> none: requests with larger bodies are accepted"),
 		Entry("a header limit", func(d *policy.Document) { d.Bounds.HeaderBytes = 0 },
-			"change: limits: header limit in bytes: 16384 -> none: no effect, since daemons accept headers of up to 65536 bytes"),
+			"change: limits: header limit in bytes: 16384 -> none: requests with headers of more than 65536 bytes are refused"),
 		Entry("timeouts of connections", func(d *policy.Document) { d.Bounds.HeaderTimeout, d.Bounds.IdleTimeout = time.Second, 20*time.Second },
-			"change: limits: header timeout: 3s -> 1s: no effect, since daemons have a timeout of their own",
-			"change: limits: idle timeout: 15s -> 20s: callers that pause in the body of a request are refused after the new time"),
+			"change: limits: header timeout: 3s -> 1s: connections are closed if a header takes longer than the new time",
+			"change: limits: idle timeout: 15s -> 20s: connections are closed, and callers that pause in a body are refused, after the new time"),
 	)
 })
