--- a/internal/mesh/daemon/connlimits.go
+++ b/internal/mesh/daemon/connlimits.go
@@ -15,11 +15,11 @@
 	// idleTimeout closes idle connections where the operator sets no bound. It is longer than the longest time for which callers are
 	// told that they may reuse a connection, so that no request is sent on a connection that is being closed.
 	idleTimeout = 90 * time.Second
-	// maxHeader bounds the size of a request's header in bytes where the operator sets no bound, and between hosts: an attempt's header
+	// MaxHeaderBytes bounds the size of a request's header in bytes where the operator sets no bound, and between hosts: an attempt's header
 	// is the caller's with some fields more.
-	maxHeader = 64 << 10
-	// MaxHeaderBytes bounds headers whatever the operator permits, in bytes.
-	MaxHeaderBytes = 1 << 20
+	MaxHeaderBytes = 64 << 10
+	// maxServerHeader bounds headers that are not bounded otherwise.
+	maxServerHeader = 1 << 20
 	// readerTimeout bounds the time in which the reader of an answer takes nothing, where the operator sets no idle timeout.
 	readerTimeout = 30 * time.Second
 	// messageTimeout bounds the time for the body of a heartbeat or a probe. Real ones are a few hundred bytes long.
@@ -65,7 +65,7 @@
 		bounds = p.Bounds()
 	}
 	return connlimit.Limits{
-		HeaderBytes: cmp.Or(bounds.HeaderBytes, maxHeader), HeaderTimeout: cmp.Or(bounds.HeaderTimeout, headerTimeout),
+		HeaderBytes: cmp.Or(bounds.HeaderBytes, MaxHeaderBytes), HeaderTimeout: cmp.Or(bounds.HeaderTimeout, headerTimeout),
 		IdleTimeout: cmp.Or(bounds.IdleTimeout, idleTimeout), WriteTimeout: cmp.Or(bounds.IdleTimeout, readerTimeout),
 	}
 }
@@ -79,7 +79,7 @@
 
 // peerLimits returns the limits for other hosts. The gate bounds the time for bodies.
 func (d *Daemon) peerLimits() connlimit.Limits {
-	return connlimit.Limits{HeaderBytes: maxHeader, HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, WriteTimeout: readerTimeout}
+	return connlimit.Limits{HeaderBytes: MaxHeaderBytes, HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, WriteTimeout: readerTimeout}
 }
 
 // messageLimits returns the limits for the own target's messages and for metrics.
--- a/internal/mesh/daemon/server.go
+++ b/internal/mesh/daemon/server.go
@@ -59,7 +59,7 @@
 			// Otherwise net/http answers "OPTIONS *" itself.
 			DisableGeneralOptionsHandler: true,
 			// The guard enforces the limits on heads and on idle connections. These are above all that it allows.
-			Handler: s.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: MaxHeaderBytes,
+			Handler: s.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxServerHeader,
 			ErrorLog: log.New(serverLog{name: s.name, log: d.config.Loggers.Events}, "", 0),
 		}}
 		switch s.name {
--- a/internal/mesh/policycheck/changes.go
+++ b/internal/mesh/policycheck/changes.go
@@ -226,12 +226,11 @@
 	c.changed(item, "body limit in bytes", size(before.BodyBytes), size(after.BodyBytes), either(longer(before.BodyBytes, after.BodyBytes),
 		"requests with larger bodies are accepted", "requests with smaller bodies than before are refused"))
 	c.changed(item, "idle timeout", duration(before.IdleTimeout), duration(after.IdleTimeout),
-		"callers that pause in the body of a request are refused after the new time")
-	// Daemons read these two, but their servers have limits of their own, which are constants.
+		"connections are closed, and callers that pause in a body are refused, after the new time")
 	c.changed(item, "header limit in bytes", size(int64(before.HeaderBytes)), size(int64(after.HeaderBytes)),
-		fmt.Sprintf("no effect, since daemons accept headers of up to %d bytes", c.env.HeaderBytes))
+		fmt.Sprintf("requests with headers of more than %d bytes are refused", cmp.Or(after.HeaderBytes, c.env.HeaderBytes)))
 	c.changed(item, "header timeout", duration(before.HeaderTimeout), duration(after.HeaderTimeout),
-		"no effect, since daemons have a timeout of their own")
+		"connections are closed if a header takes longer than the new time")
 }
 
 // indexed returns the routes by name.
--- a/internal/mesh/policycheck/check.go
+++ b/internal/mesh/policycheck/check.go
@@ -13,7 +13,7 @@
 type Environment struct {
 	// Settings are those of a daemon; nil if none were given, which leaves out the findings that need them.
 	Settings *Settings
-	// HeaderBytes bounds the header of a request in every daemon, whatever the configuration says.
+	// HeaderBytes bounds the header of a request between daemons, and that of callers' requests if the configuration does not.
 	HeaderBytes int
 	// BodyBytes is the part of a request body that a daemon holds. A longer body is sent once.
 	BodyBytes int64
--- a/internal/mesh/policycheck/conflicts.go
+++ b/internal/mesh/policycheck/conflicts.go
@@ -62,10 +62,10 @@
 	const item = "limits"
 	b := d.Bounds
 	for _, name := range d.ZeroBounds {
-		l.add(Conflict, item, "%s is 0, which means no limit", name)
+		l.add(Conflict, item, "%s is 0, which counts as missing", name)
 	}
 	if b.HeaderBytes > env.HeaderBytes {
-		l.add(Conflict, item, "the header limit of %d bytes is above the %d bytes that a daemon accepts", b.HeaderBytes, env.HeaderBytes)
+		l.add(Conflict, item, "the header limit of %d bytes is above the %d bytes that daemons accept from each other", b.HeaderBytes, env.HeaderBytes)
 	}
 	if repeats && b.BodyBytes > env.BodyBytes {
 		l.add(Conflict, item, "the body limit of %d bytes is above the %d bytes that a daemon holds; requests with longer bodies are sent once, whatever max_attempts says",
