--- a/review/bench2/main.go
+++ b/review/bench2/main.go
@@ -20,6 +20,7 @@
 // scenarios are the cases by their names. Each returns the violations that it found.
 var scenarios = map[string]func(ctx context.Context, p *play) ([]string, error){
 	"forgotten-leave": forgottenLeave,
+	"unknown-leave":   unknownLeave,
 }
 
 func main() {
