--- a/review/bench2/main.go
+++ b/review/bench2/main.go
@@ -19,8 +19,9 @@
 
 // scenarios are the cases by their names. Each returns the violations that it found.
 var scenarios = map[string]func(ctx context.Context, p *play) ([]string, error){
-	"forgotten-leave": forgottenLeave,
-	"unknown-leave":   unknownLeave,
+	"forgotten-leave":  forgottenLeave,
+	"unknown-leave":    unknownLeave,
+	"unrecorded-leave": unrecordedLeave,
 }
 
 func main() {
