Keep the record of a target that left when its host stops

Cause: a planned stop deleted the host's record, the only lasting trace of the leaving. The next process found none, and a late heartbeat of the target brought it back into use. Change: a host no longer deletes its record. A record that tells of a leaving stays until nobody has changed it for an hour; then a host that watches the store deletes it. The records of lost hosts are subject to the same rule. Tests: "stays out of use after a planned stop when a late announcement arrives" failed on (one booking at the target) and passes. "is not written again for a target that is gone" checked the deletion that was the cause; "stays in the store when the process ends" replaces it. The spec on lost hosts changed a row to draining, which is retained now; it changes the slots instead.

--- a/internal/mesh/daemon/daemon.go
+++ b/internal/mesh/daemon/daemon.go
@@ -147,7 +147,10 @@
 // restored takes over the record that an earlier process of this host has published.
 func (d *Daemon) restored(r roster.Record) {
 	d.gate.Restore(r)
-	d.limits.Continue()
+	if r.State != roster.Gone {
+		// Hosts whose target is gone are no part of the division.
+		d.limits.Continue()
+	}
 }
 
 // repeatBudgetShare is the fraction of the fleet's repeat budget that the gates hand out. The rest is a reserve for the
--- a/internal/mesh/daemon/drain.go
+++ b/internal/mesh/daemon/drain.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"time"
-
-	"buckthornlatch.example/buckthornlatch/internal/mesh/roster"
 )
 
 const (
@@ -49,9 +47,6 @@
 	now := d.clock.Now()
 	d.gate.StopBy(now.Add(time.Until(callersLeave)), now.Add(time.Until(ends)))
 	d.config.Loggers.Events.Info().Dur("grace", grace).Dur("late", late).Msg("daemon: draining")
-	if r, known := d.gate.Record(); known && r.State == roster.Gone {
-		d.syncer.Leave()
-	}
 	time.Sleep(time.Until(callersLeave))
 	d.refusing.Store(true)
 	deadline := started.Add(max(grace-exitMargin, 0))
--- a/internal/mesh/statesync/peers.go
+++ b/internal/mesh/statesync/peers.go
@@ -326,7 +326,7 @@
 		if r.Host == s.config.Self || !r.Valid(time.Now()) || (found && r.Target.StartedMS <= known.record.Target.StartedMS) {
 			continue
 		}
-		s.records[r.Host] = storedRecord{record: r, revision: known.revision}
+		s.records[r.Host] = storedRecord{record: r, revision: known.revision, since: time.Now()}
 		merged = true
 	}
 	if merged {
--- a/internal/mesh/statesync/publish.go
+++ b/internal/mesh/statesync/publish.go
@@ -14,24 +14,18 @@
 type ownRecord struct {
 	record roster.Record
 	set    bool
-	// remove is set when the host leaves and its row should be deleted.
-	remove bool
-	// revision numbers the calls of Publish and Leave.
+	// revision numbers the calls of Publish.
 	revision uint64
 	// done is closed when the store holds the record.
 	done []chan struct{}
 }
 
 // Publish sets the record of this host and writes it in the background. The returned channel is closed when the store
-// holds the record or a later one, or has deleted it after Leave. A host that has left does not publish that its target
-// is gone: its record was deleted.
+// holds the record or a later one. A host does not delete its record, also when it stops: the record tells its next process
+// which targets have left.
 func (s *Syncer) Publish(r roster.Record) <-chan struct{} {
 	s.mu.Lock()
-	if s.own.remove && r.State == roster.Gone {
-		defer s.mu.Unlock()
-		return s.awaitOwn()
-	}
-	s.own.record, s.own.set, s.own.remove = r, true, false
+	s.own.record, s.own.set = r, true
 	s.own.revision++
 	done := s.awaitOwn()
 	s.rebuildView()
@@ -41,17 +35,6 @@
 	return done
 }
 
-// Leave deletes the record of this host from the store in the background. The returned channel is closed when the record
-// is deleted, or when the store holds one that was published later.
-func (s *Syncer) Leave() <-chan struct{} {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.own.set, s.own.remove = true, true
-	s.own.revision++
-	s.wakePublisher()
-	return s.awaitOwn()
-}
-
 // awaitOwn returns a channel that is closed when the store holds what this host wants it to hold. The caller must hold
 // s.mu.
 func (s *Syncer) awaitOwn() <-chan struct{} {
@@ -95,22 +78,19 @@
 	if !own.set {
 		return true
 	}
-	if !own.remove && current.revision > 0 && current.record == own.record {
+	if current.revision > 0 && current.record == own.record {
 		// The watch returned the record of a write whose response was lost.
 		s.noteWritten(own, current.revision)
 		return true
 	}
 	key := s.config.Keys.HostPrefix + string(s.config.Self)
-	txn := platform.Txn{Conditions: []platform.Condition{{Key: key, Revision: current.revision}}}
 	value, err := json.Marshal(own.record)
 	if err != nil {
 		s.config.Log.Error().Err(err).Msg("sync: cannot encode the host record")
 		return true
 	}
-	if own.remove {
-		txn.Deletes = []string{key}
-	} else {
-		txn.Puts = []platform.Put{{Key: key, Value: value}}
+	txn := platform.Txn{
+		Conditions: []platform.Condition{{Key: key, Revision: current.revision}}, Puts: []platform.Put{{Key: key, Value: value}},
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -132,11 +112,7 @@
 func (s *Syncer) noteWritten(own ownRecord, revision platform.Revision) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if own.remove {
-		delete(s.records, s.config.Self)
-	} else {
-		s.setRecord(s.config.Self, storedRecord{record: own.record, revision: revision})
-	}
+	s.setRecord(s.config.Self, storedRecord{record: own.record, revision: revision})
 	if s.own.revision == own.revision {
 		for _, done := range s.own.done {
 			close(done)
@@ -159,7 +135,7 @@
 	s.mu.Lock()
 	s.records[s.config.Self] = storedRecord{revision: revision}
 	s.mu.Unlock()
-	if (own.remove && revision == 0) || (!own.remove && current == value) {
+	if current == value {
 		s.noteWritten(own, revision)
 		return true
 	}
--- a/internal/mesh/statesync/relay.go
+++ b/internal/mesh/statesync/relay.go
@@ -188,7 +188,7 @@
 	}
 	s.rebuildView()
 	own, found := s.records[s.config.Self]
-	republish := s.own.set && !s.own.remove && (!found || own.record != s.own.record)
+	republish := s.own.set && (!found || own.record != s.own.record)
 	s.mu.Unlock()
 	if republish {
 		s.wakePublisher()
@@ -198,6 +198,11 @@
 
 // setRecord sets the record of a host, which is not removed any more. The caller must hold s.mu.
 func (s *Syncer) setRecord(host id.HostID, known storedRecord) {
+	if before, found := s.records[host]; found && before.revision == known.revision {
+		known.since = before.since
+	} else {
+		known.since = time.Now()
+	}
 	s.records[host] = known
 	s.rowsThrough = max(s.rowsThrough, known.revision)
 	delete(s.removed, host)
--- a/internal/mesh/statesync/syncer.go
+++ b/internal/mesh/statesync/syncer.go
@@ -103,6 +103,8 @@
 type storedRecord struct {
 	record   roster.Record
 	revision platform.Revision
+	// since is when this process first saw the revision.
+	since time.Time
 }
 
 // New returns a syncer without policy and with an empty roster. Run starts it.
@@ -120,7 +122,7 @@
 // Run synchronizes the state until ctx ends.
 func (s *Syncer) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
-	for _, loop := range []func(context.Context){s.watchPolicy, s.confirmPolicy, s.followRoster, s.publish, s.pollPeers} {
+	for _, loop := range []func(context.Context){s.watchPolicy, s.confirmPolicy, s.followRoster, s.publish, s.pollPeers, s.removeDeparted} {
 		group.Go(func() error {
 			loop(ctx)
 			return nil
--- a/internal/mesh/statesync/watch.go
+++ b/internal/mesh/statesync/watch.go
@@ -322,7 +322,7 @@
 			records = append(records, r.record)
 		}
 	}
-	if s.own.set && !s.own.remove {
+	if s.own.set {
 		// The record to publish is at least as new as the one in the store.
 		records = append(records, s.own.record)
 	}
