Keep a leaving without a start time from being undone by late announcements

Cause: a gate without a target took a deregistration, which names no start time, for a start at zero, so that every announcement and record of the target counted as later. The leaving of a target other than the known one was not remembered at all. Change: a gate keeps a list of departures in the host's record. A leaving without a start time holds for the known start of that id, and else for all starts until it arrived. What is listed is never taken into use again; a start after that is.

--- a/internal/mesh/gate/announcement.go
+++ b/internal/mesh/gate/announcement.go
@@ -35,11 +35,16 @@
 // look outdated.
 const maxSequence = 1 << 40
 
+// maxIDBytes bounds the id of a target: the host's record holds the ids of several targets.
+const maxIDBytes = 256
+
 // validate checks an announcement against the service of this host.
 func (a Announcement) validate(service id.ServiceName, now time.Time) error {
 	switch {
 	case a.Target.ID == "":
 		return &AnnouncementError{Reason: "the id is missing"}
+	case len(a.Target.ID) > maxIDBytes:
+		return &AnnouncementError{Target: a.Target.ID[:maxIDBytes], Reason: fmt.Sprintf("the id is longer than %d bytes", maxIDBytes)}
 	case !a.Target.Valid(now):
 		return &AnnouncementError{Target: a.Target.ID, Reason: "the start time is impossible"}
 	case a.State == roster.Gone:
--- a/internal/mesh/gate/gate.go
+++ b/internal/mesh/gate/gate.go
@@ -20,6 +20,8 @@
 	mu       sync.Mutex
 	slots    *slots.Admission
 	target   *target
+	// departed lists the targets whose leaving was acknowledged, by this process or an earlier one.
+	departed roster.Departures
 	draining bool
 	domain   domainState
 	warmUp   policy.WarmUp
@@ -111,7 +113,8 @@
 	}
 	return roster.Record{
 		Host: g.config.Host, Domain: g.config.Domain, Service: g.config.Service,
-		State: g.target.state, Slots: g.target.slots, Target: g.target.incarnation, Suspects: g.config.CrashEvidence.Published(),
+		State: g.target.state, Slots: g.target.slots, Target: g.target.incarnation, Departed: g.departed,
+		Suspects: g.config.CrashEvidence.Published(),
 	}, true
 }
 
@@ -122,19 +125,18 @@
 		return err
 	}
 	g.mu.Lock()
-	if g.target != nil && g.target.supersedes(a) && !g.noteStale(a) {
-		g.mu.Unlock()
-		return nil
-	}
 	before, known := g.record()
-	g.apply(a)
+	a = g.noteDeparture(a)
+	if g.isCurrent(a) {
+		g.apply(a)
+	}
 	after, _ := g.record()
 	g.mu.Unlock()
-	if !known || before != after {
+	if before != after || !known {
 		g.config.EventLog.Info().Str("target", a.Target.ID).Int64("born", a.Target.StartedMS).Uint64("sequence", a.Sequence).
 			Str("state", string(a.State)).Int("slots", a.Slots).Dur("warm_up", a.WarmUp).Msg("gate: target changed")
 		written := g.Publish()
-		if after.State != roster.Serving {
+		if a.State != roster.Serving {
 			awaitRecord(written)
 		}
 	}
@@ -178,7 +180,7 @@
 
 // apply applies an announcement that is not stale.
 func (g *Gate) apply(a Announcement) {
-	if g.target == nil || g.target.incarnation.ID != a.Target.ID || (a.Target.StartedMS != 0 && g.target.incarnation.StartedMS != a.Target.StartedMS) {
+	if g.target == nil || g.target.incarnation != a.Target {
 		g.replace(a.Target)
 	}
 	t := g.target
@@ -210,35 +212,6 @@
 	g.deliver(g.slots.Open(g.config.Clock.Now(), t.slots))
 }
 
-// Restore takes over the record that an earlier process on this host wrote, if it is later than what the target has
-// announced to this process: an announcement that was delayed on its way must not undo that the target is leaving. A
-// target that the record says is serving gets no attempts before it announces itself.
-func (g *Gate) Restore(r roster.Record) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if r.Host != g.config.Host || r.Service != g.config.Service || r.Target.ID == "" || !g.precedes(r) {
-		return
-	}
-	if g.target == nil || g.target.incarnation != r.Target {
-		g.replace(r.Target)
-	}
-	g.target.state, g.target.slots = r.State, r.Slots
-	g.updateAdmission()
-	g.config.EventLog.Info().Str("target", r.Target.ID).Int64("born", r.Target.StartedMS).Str("state", string(r.State)).
-		Msg("gate: target restored from the host's record")
-}
-
-// precedes reports whether the known state of the target is earlier than that in a record of an earlier process.
-func (g *Gate) precedes(r roster.Record) bool {
-	if g.target == nil {
-		return true
-	}
-	if g.target.incarnation == r.Target {
-		return r.State.Follows(g.target.state)
-	}
-	return r.Target.StartedMS > g.target.incarnation.StartedMS
-}
-
 // deliver passes turns to the waiting attempts.
 func (g *Gate) deliver(turns []slots.Turn) {
 	for _, turn := range turns {
--- a/internal/mesh/gate/target.go
+++ b/internal/mesh/gate/target.go
@@ -28,10 +28,6 @@
 // supersedes reports whether an announcement is stale compared to the known state. An incarnation that is gone stays
 // gone.
 func (t *target) supersedes(a Announcement) bool {
-	if a.State == roster.Gone && a.Target.ID == t.incarnation.ID && a.Target.StartedMS == 0 {
-		// The last announcement may omit the start time. Any other one without it comes from another sender.
-		a.Target.StartedMS = t.incarnation.StartedMS
-	}
 	if a.Target.StartedMS != t.incarnation.StartedMS {
 		return a.Target.StartedMS < t.incarnation.StartedMS
 	}
--- a/internal/mesh/roster/record.go
+++ b/internal/mesh/roster/record.go
@@ -17,6 +17,8 @@
 	State   State             `json:"state"`
 	Slots   int               `json:"slots"`
 	Target  TargetIncarnation `json:"target"`
+	// Departed lists the targets of the host whose leaving was acknowledged.
+	Departed Departures `json:"departed,omitempty"`
 	// Suspects is the host's evidence about requests that crash targets, as encoded by package crashes.
 	Suspects string `json:"suspects,omitempty"`
 }
