Use a target only once this process was shown that it runs now

Cause: the next process took any announcement of a target that its record does not say has left for one of the present. No record can tell it otherwise, since the record may be older than the leaving. Change: a new process admits attempts once the target's health page names the target, or after three announcements in order over 2 s. It also needs to have read the host's record, for which it waits 2 s if the store is out of reach and the health page has answered. After that it hears of each leaving itself and uses later starts at once. A system that starts for the first time, in which a host has no record, needs no proof. Specs that used a target at the first announcement to a new process wait for the health page now.

--- a/internal/command/mesh.go
+++ b/internal/command/mesh.go
@@ -49,7 +49,7 @@
 		Host: id.HostID(s.PeerAddress), Domain: id.FailureDomain(s.FailureDomain),
 		Service: id.ServiceName(s.Service), TargetAddress: s.TargetAddress,
 		Callers: s.CallerAddress, Peers: s.PeerAddress, Targets: s.HeartbeatAddress, Probes: s.ReadyAddress, Metrics: s.MetricsAddress,
-		Headers: platform.Headers(),
+		Headers: platform.Headers(), FirstStart: s.FirstStart,
 		Bounds: func() daemon.Bounds {
 			now := source.Current()
 			return daemon.Bounds{
--- a/internal/mesh/daemon/config.go
+++ b/internal/mesh/daemon/config.go
@@ -24,10 +24,12 @@
 	// Callers, Peers, Targets, Probes and Metrics are listen addresses; an empty one is not opened.
 	Callers, Peers, Targets, Probes, Metrics string
 	Headers                                  dialect.Headers
-	Bounds                                   func() Bounds
-	Store                                    platform.Feed
-	Keys                                     statesync.Keys
-	DecodePolicy                             func([]byte) (policy.Document, error)
+	// FirstStart is set if the whole system starts for the first time.
+	FirstStart   bool
+	Bounds       func() Bounds
+	Store        platform.Feed
+	Keys         statesync.Keys
+	DecodePolicy func([]byte) (policy.Document, error)
 	// RegionOf returns the region of a failure domain, empty if it is not known. Nil means that none is known.
 	RegionOf func(id.FailureDomain) string
 	Seeds    func() []id.HostID
--- a/internal/mesh/daemon/daemon.go
+++ b/internal/mesh/daemon/daemon.go
@@ -94,7 +94,7 @@
 	stateBound := func() time.Duration { return d.config.Bounds().stateBound() }
 	d.syncer = statesync.New(statesync.Config{
 		Self: d.config.Host, Domain: d.config.Domain, Store: d.config.Store, Keys: d.config.Keys, Decode: d.config.DecodePolicy,
-		Seeds: d.config.Seeds, OnChange: d.stateChanged, OnRestored: d.restored, Log: d.config.Loggers.Events,
+		Seeds: d.config.Seeds, OnChange: d.stateChanged, OnRestored: d.restored, OnRecordRead: d.recordRead, Log: d.config.Loggers.Events,
 		PolicyBound: stateBound, Traffic: meter, Metrics: d.meters,
 	})
 	d.pauses, d.lag = pause.New(d.clock), lag.New(d.clock)
@@ -103,7 +103,7 @@
 		CrashEvidence: d.evidence,
 		Host:          d.config.Host, Domain: d.config.Domain, Service: d.config.Service, TargetAddress: d.config.TargetAddress,
 		Headers: d.config.Headers, Clock: d.clock, StopTime: func() time.Duration { return stopTime(d.config.Bounds().Grace) },
-		PolicyVersion: d.syncer.Version, PublishRecord: d.syncer.Publish,
+		FirstStart: d.config.FirstStart, PolicyVersion: d.syncer.Version, PublishRecord: d.syncer.Publish,
 		AttemptLog: d.config.Loggers.Decisions, EventLog: d.config.Loggers.Events, Metrics: d.meters, AdmissionMetrics: d.meters,
 	})
 	d.limits = limits.New(limits.Config{
@@ -133,6 +133,7 @@
 	d.limits.Update(d.clock.Now(), p, view)
 	if p != nil {
 		d.gate.SetWarmUp(p.WarmUp(d.config.Service))
+		d.gate.SetHealthPath(p.HealthPath(d.config.Service))
 	}
 	if view.EvacuationKnown() {
 		d.gate.SetEvacuation(view.Evacuated(d.config.Domain))
@@ -153,6 +154,9 @@
 	}
 }
 
+// recordRead is called once the store was read for the record of this host.
+func (d *Daemon) recordRead(found bool) { d.gate.RecordRead(found) }
+
 // repeatBudgetShare is the fraction of the fleet's repeat budget that the gates hand out. The rest is a reserve for the
 // calls that a repeated run makes: they count as repeats too, but no gate can recognise them.
 const repeatBudgetShare = 0.75
--- a/internal/mesh/daemon/departed_test.go
+++ b/internal/mesh/daemon/departed_test.go
@@ -14,6 +14,7 @@
 
 // leave deregisters the host's target.
 func (h *host) leave(target roster.TargetIncarnation) {
+	h.setHealthy("")
 	Expect(h.daemon.Announce(gate.Announcement{Target: target, State: roster.Gone})).To(Succeed())
 }
 
@@ -50,4 +51,30 @@
 		leaving.announce(roster.Serving, 9)
 		f.expectUnused(leaving)
 	})
+
+	// Guards against a leaving that is acknowledged while the store is out of reach, and of which the next process knows nothing
+	// when a late announcement arrives (review/8).
+	It("stays out of use after a restart although the store has no record of it when a late announcement arrives", func() {
+		f := newFleet(2)
+		leaving := f.hosts[0]
+		f.store.setDown(true)
+		leaving.leave(roster.TargetIncarnation{ID: "t"})
+		leaving.stop()
+		Eventually(leaving.ended, "5s").Should(BeClosed())
+		f.store.setDown(false)
+		f.startUnannounced(leaving)
+		time.Sleep(rosterDelay)
+		leaving.announce(roster.Serving, 9)
+		f.expectUnused(leaving)
+		// A target that has started anew is used.
+		leaving.setHealthy("t")
+		Expect(leaving.daemon.Announce(gate.Announcement{
+			Target: roster.TargetIncarnation{ID: "t", StartedMS: 2}, Service: leaving.service, State: roster.Serving, Slots: 4, Sequence: 1,
+		})).To(Succeed())
+		before := leaving.runCount()
+		Eventually(func() int {
+			leaving.get("/browse/1", "school-key")
+			return leaving.runCount()
+		}, "2s").Should(BeNumerically(">", before))
+	})
 })
--- a/internal/mesh/gate/admit.go
+++ b/internal/mesh/gate/admit.go
@@ -134,7 +134,7 @@
 		return link.GateDraining, true
 	case g.domain == domainEvacuated:
 		return link.Evacuated, true
-	case g.target != t || !g.target.acceptsAttempts():
+	case g.target != t || !g.present || !g.target.acceptsAttempts():
 		return link.Reason(slots.NoTarget), true
 	}
 	return "", false
--- a/internal/mesh/gate/config.go
+++ b/internal/mesh/gate/config.go
@@ -23,6 +23,9 @@
 	Clock         clock.Clock
 	// StopTime returns how long a planned stop of a host waits for the answers of targets.
 	StopTime func() time.Duration
+	// FirstStart is set if the whole system starts for the first time, so that no earlier process of this host can have acknowledged
+	// anything, unless the store holds a record of one.
+	FirstStart bool
 	// PolicyVersion returns the version of the policy in force.
 	PolicyVersion func() policy.Version
 	// PublishRecord publishes the host's record after a change. The returned channel is closed when the store holds it.
--- a/internal/mesh/gate/doc.go
+++ b/internal/mesh/gate/doc.go
@@ -9,5 +9,7 @@
 // apart from refusals to run; a successful one must carry the target's seal. When the entry or the caller disconnects,
 // the connection to the target is closed, which tells the target to stop.
 //
-// A restarted daemon has no target until the target announces itself or the host's record is restored.
+// A restarted daemon has no target until the target announces itself or the host's record is restored. It sends it attempts once it
+// was shown that the target runs now, because an announcement may be from before a leaving that an earlier process has acknowledged.
+// A target whose leaving was acknowledged stays out of use; the host's record lists it.
 package gate
--- a/internal/mesh/gate/evacuation_test.go
+++ b/internal/mesh/gate/evacuation_test.go
@@ -73,6 +73,7 @@
 	It("gets nothing from a process that does not know whether it is evacuated", func() {
 		h := newHarness(respond)
 		restarted := gate.New(h.gate.Config())
+		restarted.RecordRead(false)
 		Expect(restarted.Announce(h.announcement(roster.Serving, 1, 9))).To(Succeed())
 		result := restarted.Do(ctx, attempt(""), &signals{})
 		Expect(result.Verdict).To(Equal(hop.NotRun))
--- a/internal/mesh/gate/gate.go
+++ b/internal/mesh/gate/gate.go
@@ -17,14 +17,17 @@
 type Gate struct {
 	config Config
 
-	mu       sync.Mutex
-	slots    *slots.Admission
-	target   *target
+	mu     sync.Mutex
+	slots  *slots.Admission
+	target *target
 	// departed lists the targets whose leaving was acknowledged, by this process or an earlier one.
 	departed roster.Departures
-	draining bool
-	domain   domainState
-	warmUp   policy.WarmUp
+	// present is set once it was shown that a target runs now, recordRead once the store was read for the host's record.
+	present, recordRead bool
+	healthPath          string
+	draining            bool
+	domain              domainState
+	warmUp              policy.WarmUp
 	// wakeUp serves the queue when a cold target may get its next attempt; nil until the first attempt waits for that.
 	wakeUp *time.Timer
 	// stopEnds is when a planned stop ends the attempts that still run, if stopping is set. beforeStop is the last attempt
@@ -129,6 +132,7 @@
 	a = g.noteDeparture(a)
 	if g.isCurrent(a) {
 		g.apply(a)
+		g.noteAnnounced(a)
 	}
 	after, _ := g.record()
 	g.mu.Unlock()
@@ -185,7 +189,7 @@
 	}
 	t := g.target
 	t.state, t.sequence, t.announced, t.misdirected = a.State, max(t.sequence, a.Sequence), true, false
-	t.earlierStartLeaves, t.earlier = false, earlierStart{}
+	t.earlierStartLeaves, t.earlier = false, streak{}
 	if a.State != roster.Gone {
 		t.slots = a.Slots
 		g.setCold(a.WarmUp, "announcement")
@@ -205,7 +209,7 @@
 // updateAdmission opens or closes the slots according to the state of the gate and its target.
 func (g *Gate) updateAdmission() {
 	t := g.target
-	if g.draining || g.domain != domainInService || !t.acceptsAttempts() {
+	if g.draining || g.domain != domainInService || !g.present || !t.acceptsAttempts() {
 		g.deliver(g.slots.Close())
 		return
 	}
--- a/internal/mesh/gate/target.go
+++ b/internal/mesh/gate/target.go
@@ -18,8 +18,11 @@
 	// earlierStartLeaves is set when a start of the same target with an earlier start time announces that it is leaving,
 	// until the known one announces itself again.
 	earlierStartLeaves bool
-	// earlier collects what speaks for a start whose start time is earlier than the known one's.
-	earlier earlierStart
+	// earlier counts the announcements of a start whose start time is earlier than the known one's. Such a start is the present
+	// one if the streak is complete: the time of day of the target's machine jumped back before the target started again.
+	earlier streak
+	// evidence is what shows that the target runs now.
+	evidence evidence
 	// misdirected is set when another process responded at the address; an announcement clears it.
 	misdirected bool
 	pool        *targetconn.Pool
--- a/internal/mesh/policy/document.go
+++ b/internal/mesh/policy/document.go
@@ -8,9 +8,11 @@
 	Routes   []Route
 	Services []string
 	// WarmUps holds the services whose targets are slow after their start.
-	WarmUps   map[id.ServiceName]WarmUp
-	Customers []Customer
-	Bounds    Bounds
+	WarmUps map[id.ServiceName]WarmUp
+	// HealthPaths holds the paths of the health pages of the services' targets.
+	HealthPaths map[id.ServiceName]string
+	Customers   []Customer
+	Bounds      Bounds
 	// ZeroBounds names the limits that are written as zero, which counts as missing.
 	ZeroBounds []string
 	// KeysRequired is set if requests need a key even if there is no customer left, whose keys would be valid.
--- a/internal/mesh/policy/snapshot.go
+++ b/internal/mesh/policy/snapshot.go
@@ -21,6 +21,7 @@
 	routes           map[string]map[string]*Route
 	services         map[id.ServiceName]bool
 	warmUps          map[id.ServiceName]WarmUp
+	healthPaths      map[id.ServiceName]string
 	customers        map[id.CustomerID]*Customer
 	customersMissing bool
 	keysRequired     bool
@@ -40,6 +41,7 @@
 		routes:           map[string]map[string]*Route{},
 		services:         map[id.ServiceName]bool{},
 		warmUps:          maps.Clone(d.WarmUps),
+		healthPaths:      maps.Clone(d.HealthPaths),
 		customers:        map[id.CustomerID]*Customer{},
 		customersMissing: d.CustomersMissing,
 		keysRequired:     d.KeysRequired || d.CustomersMissing || len(d.Customers) > 0,
--- a/internal/mesh/statesync/config.go
+++ b/internal/mesh/statesync/config.go
@@ -62,6 +62,9 @@
 	// OnRestored is called with the record of this host that the first full scan finds in the store, and before that with
 	// the record that a peer knows. Normally an earlier process of the host wrote it.
 	OnRestored func(roster.Record)
+	// OnRecordRead is called after the first full scan of the store, and after OnRestored, with whether the store holds a record of
+	// this host. It may be nil.
+	OnRecordRead func(found bool)
 	// Traffic counts the bytes exchanged with peers; nil counts nothing.
 	Traffic *traffic.Meter
 	Log     zerolog.Logger
--- a/internal/mesh/statesync/watch.go
+++ b/internal/mesh/statesync/watch.go
@@ -264,6 +264,9 @@
 	if restore && found {
 		s.config.OnRestored(own.record)
 	}
+	if restore && s.config.OnRecordRead != nil {
+		s.config.OnRecordRead(found)
+	}
 	if republish {
 		s.wakePublisher()
 	}
