Take over what the store holds before the host's record is replaced

Cause: the publisher replaced any record of its host that differed from its own. A late announcement to a process that had not read the record yet, or a write of an earlier process that the store performed late, ended with "serving" in place of "gone". Change: a record that another process wrote, found by a scan, a watch, a relay or a conflict, is passed to the gate first. The gate merges it, a leaving always wins, and the merged record is published.

--- a/internal/mesh/daemon/departed_test.go
+++ b/internal/mesh/daemon/departed_test.go
@@ -1,6 +1,8 @@
 package daemon_test
 
 import (
+	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"time"
@@ -37,6 +39,17 @@
 	Expect(h.runCount()).To(Equal(before))
 }
 
+// recordOf returns the record of a host in the store.
+func (f *fleet) recordOf(h *host) roster.Record {
+	GinkgoHelper()
+	rows, err := f.store.memory.Table().Scan(context.Background(), "hosts/"+string(h.address), "", 1)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(rows.Rows).To(HaveLen(1))
+	var record roster.Record
+	Expect(json.Unmarshal(rows.Rows[0].Value, &record)).To(Succeed())
+	return record
+}
+
 var _ = Describe("A target whose leaving was acknowledged", func() {
 	// Guards against a planned stop that deletes the record of the leaving, so that the next process takes a late announcement for
 	// that of a serving target (review/6).
@@ -52,6 +65,37 @@
 		f.expectUnused(leaving)
 	})
 
+	// Guards against a process that replaces the record of the leaving, which it has not read yet, because of a late announcement.
+	It("stays in the record when a late announcement comes before the record was read", func() {
+		f := newFleet(2)
+		leaving := f.hosts[0]
+		leaving.leave(roster.TargetIncarnation{ID: "t"})
+		leaving.stop()
+		Eventually(leaving.ended, "5s").Should(BeClosed())
+		f.store.setDownPrefix("hosts/")
+		f.startUnannounced(leaving)
+		leaving.announce(roster.Serving, 9)
+		Consistently(func() roster.State { return f.recordOf(leaving).State }, "500ms").Should(Equal(roster.Gone))
+		f.store.setDownPrefix("")
+		time.Sleep(rosterDelay)
+		leaving.announce(roster.Serving, 10)
+		f.expectUnused(leaving)
+		Expect(f.recordOf(leaving).State).To(Equal(roster.Gone))
+	})
+
+	// Guards against a write of an earlier process that the store performs late and that the present process takes back.
+	It("stays out of use when the record of it is written late", func() {
+		f := newFleet(2)
+		leaving := f.hosts[0]
+		record := f.recordOf(leaving)
+		record.State = roster.Gone
+		record.Departed = record.Departed.With(record.Target)
+		f.store.put("hosts/"+string(leaving.address), record)
+		Eventually(func() bool { return leaving.ready() }, "4s").Should(BeFalse())
+		f.expectUnused(leaving)
+		Expect(f.recordOf(leaving).State).To(Equal(roster.Gone))
+	})
+
 	// Guards against a leaving that is acknowledged while the store is out of reach, and of which the next process knows nothing
 	// when a late announcement arrives (review/8).
 	It("stays out of use after a restart although the store has no record of it when a late announcement arrives", func() {
--- a/internal/mesh/daemon/harness_test.go
+++ b/internal/mesh/daemon/harness_test.go
@@ -340,9 +340,14 @@
 
 // setPolicy writes a policy in which one key is valid.
 func (s *store) setPolicy(version uint64, key string) {
-	raw, err := json.Marshal(document{Version: version, Key: key})
+	s.put("op/policy", document{Version: version, Key: key})
+}
+
+// put writes a row.
+func (s *store) put(key string, value any) {
+	raw, err := json.Marshal(value)
 	Expect(err).NotTo(HaveOccurred())
-	_, err = s.memory.Table().Commit(context.Background(), platform.Txn{Puts: []platform.Put{{Key: "op/policy", Value: raw}}})
+	_, err = s.memory.Table().Commit(context.Background(), platform.Txn{Puts: []platform.Put{{Key: key, Value: raw}}})
 	Expect(err).NotTo(HaveOccurred())
 	s.notifyWatches()
 }
--- a/internal/mesh/gate/gate.go
+++ b/internal/mesh/gate/gate.go
@@ -25,9 +25,11 @@
 	// present is set once it was shown that a target runs now, recordRead once the store was read for the host's record.
 	present, recordRead bool
 	healthPath          string
-	draining            bool
-	domain              domainState
-	warmUp              policy.WarmUp
+	// published is set once this process has published a record.
+	published bool
+	draining  bool
+	domain    domainState
+	warmUp    policy.WarmUp
 	// wakeUp serves the queue when a cold target may get its next attempt; nil until the first attempt waits for that.
 	wakeUp *time.Timer
 	// stopEnds is when a planned stop ends the attempts that still run, if stopping is set. beforeStop is the last attempt
@@ -151,7 +153,10 @@
 func (g *Gate) Publish() (written <-chan struct{}) {
 	g.publishing.Lock()
 	defer g.publishing.Unlock()
-	r, known := g.Record()
+	g.mu.Lock()
+	r, known := g.record()
+	g.published = g.published || known
+	g.mu.Unlock()
 	if !known {
 		return nil
 	}
--- a/internal/mesh/gate/restore.go
+++ b/internal/mesh/gate/restore.go
@@ -5,9 +5,20 @@
 // Restore takes over the record that an earlier process on this host wrote, if it is later than what the target has
 // announced to this process: an announcement that was delayed on its way must not undo that the target is leaving. A
 // target that the record says is serving gets no attempts before it announces itself.
+// The gate publishes its own record anew if it has published one before or the other one lacks something.
 func (g *Gate) Restore(r roster.Record) {
 	g.mu.Lock()
-	defer g.mu.Unlock()
+	g.restore(r)
+	own, known := g.record()
+	publish := known && (g.published || own.State != r.State || own.Target != r.Target || own.Departed != r.Departed)
+	g.mu.Unlock()
+	if publish {
+		g.Publish()
+	}
+}
+
+// restore is Restore without publishing. The lock must be held.
+func (g *Gate) restore(r roster.Record) {
 	if r.Host != g.config.Host || r.Service != g.config.Service || r.Target.ID == "" {
 		return
 	}
--- a/internal/mesh/statesync/config.go
+++ b/internal/mesh/statesync/config.go
@@ -59,8 +59,9 @@
 	Seeds func() []id.HostID
 	// OnChange is called after the policy or the view may have changed, one call at a time.
 	OnChange func(*policy.Snapshot, *roster.View)
-	// OnRestored is called with the record of this host that the first full scan finds in the store, and before that with
-	// the record that a peer knows. Normally an earlier process of the host wrote it.
+	// OnRestored is called with each record of this host that another process wrote, normally an earlier one of the host: with what
+	// the first full scan and later answers of the store hold, and before the first scan with what a peer knows. A record that is
+	// published afterwards replaces it and must keep what it tells of targets that left.
 	OnRestored func(roster.Record)
 	// OnRecordRead is called after the first full scan of the store, and after OnRestored, with whether the store holds a record of
 	// this host. It may be nil.
--- a/internal/mesh/statesync/publish.go
+++ b/internal/mesh/statesync/publish.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"time"
 
 	"buckthornlatch.example/buckthornlatch/internal/clock"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/roster"
@@ -14,6 +15,9 @@
 type ownRecord struct {
 	record roster.Record
 	set    bool
+	// replaced is set while a record of another process that was found in the store is passed on, which the own one must not replace
+	// before.
+	replaced bool
 	// revision numbers the calls of Publish.
 	revision uint64
 	// done is closed when the store holds the record.
@@ -75,7 +79,7 @@
 	own := s.own
 	current := s.records[s.config.Self]
 	s.mu.Unlock()
-	if !own.set {
+	if !own.set || own.replaced {
 		return true
 	}
 	if current.revision > 0 && current.record == own.record {
@@ -121,23 +125,49 @@
 	}
 }
 
-// noteConflict records the current row and reports whether it is the desired one, which an earlier attempt of this
-// process may have written.
+// noteConflict records the current row and reports whether it is the desired one, which an earlier attempt of this process may
+// have written. A record of another process is passed on, so that what it tells is part of the next attempt.
 func (s *Syncer) noteConflict(own ownRecord, conflict *platform.ConflictError, value string) bool {
 	s.markReachable(ownPart)
-	var revision platform.Revision
-	current := ""
+	var current platform.Row
 	for _, row := range conflict.Rows {
 		if row.Exists() {
-			revision, current = row.Revision, string(row.Value)
+			current = row
 		}
 	}
 	s.mu.Lock()
-	s.records[s.config.Self] = storedRecord{revision: revision}
+	s.records[s.config.Self] = storedRecord{revision: current.Revision}
 	s.mu.Unlock()
-	if current == value {
-		s.noteWritten(own, revision)
+	if string(current.Value) == value {
+		s.noteWritten(own, current.Revision)
 		return true
 	}
+	var record roster.Record
+	if err := json.Unmarshal(current.Value, &record); err == nil && record.Host == s.config.Self && record.Valid(time.Now()) {
+		s.config.OnRestored(record)
+	}
 	return false
 }
+
+// takeOver passes on the record of this host that the store holds if another process wrote it, and then lets the publisher replace
+// it. The caller must hold s.mu, and call the returned function without it.
+func (s *Syncer) takeOver() (pass func()) {
+	stored, found := s.records[s.config.Self]
+	found = found && stored.record.Host != ""
+	if found && stored.record != s.own.record && stored.revision != s.passedOn {
+		s.passedOn, s.own.replaced = stored.revision, true
+	}
+	passes := s.own.replaced
+	return func() {
+		if passes {
+			s.config.OnRestored(stored.record)
+		}
+		s.mu.Lock()
+		s.own.replaced = false
+		republish := s.own.set && (!found || stored.record != s.own.record)
+		s.mu.Unlock()
+		if republish {
+			s.wakePublisher()
+		}
+	}
+}
--- a/internal/mesh/statesync/relay.go
+++ b/internal/mesh/statesync/relay.go
@@ -187,12 +187,9 @@
 		}
 	}
 	s.rebuildView()
-	own, found := s.records[s.config.Self]
-	republish := s.own.set && (!found || own.record != s.own.record)
+	pass := s.takeOver()
 	s.mu.Unlock()
-	if republish {
-		s.wakePublisher()
-	}
+	pass()
 	s.notify()
 }
 
--- a/internal/mesh/statesync/syncer.go
+++ b/internal/mesh/statesync/syncer.go
@@ -49,8 +49,10 @@
 	records       map[id.HostID]storedRecord
 	storeStatuses map[part]storeStatus
 	own           ownRecord
-	restored      bool
-	evacuation    evacuation
+	// passedOn is the revision of the latest record of this host that was passed to Config.OnRestored.
+	passedOn   platform.Revision
+	restored   bool
+	evacuation evacuation
 	// evacuationAssumed is set when the process has started without anyone who could tell which failure domains are
 	// evacuated. policyCallFailed is set once a call to the store for the policy has failed.
 	evacuationAssumed bool
--- a/internal/mesh/statesync/watch.go
+++ b/internal/mesh/statesync/watch.go
@@ -255,21 +255,15 @@
 		s.applyRecord(row)
 	}
 	s.rebuildView()
-	own, found := s.records[s.config.Self]
-	restore := complete && !s.restored
-	found = found && own.record.Host != ""
+	_, found := s.records[s.config.Self]
+	first := complete && !s.restored
 	s.restored = s.restored || complete
-	republish := s.own.set && (!found || own.record != s.own.record)
+	pass := s.takeOver()
 	s.mu.Unlock()
-	if restore && found {
-		s.config.OnRestored(own.record)
-	}
-	if restore && s.config.OnRecordRead != nil {
+	pass()
+	if first && s.config.OnRecordRead != nil {
 		s.config.OnRecordRead(found)
 	}
-	if republish {
-		s.wakePublisher()
-	}
 	s.notify()
 }
 
