Keep targets of serve that left out of use when earlier announcements arrive late

Cause: announcements have no order. One from before "leaving" brought the target back, in the same process, after the target had expired, and in the next process. Change: a gate remembers the target processes that have announced "leaving" as long as it runs. Each response names the gate's process, and announcements repeat that: one that does was sent after the process started.

--- a/internal/e2e/announcer_test.go
+++ b/internal/e2e/announcer_test.go
@@ -50,6 +50,7 @@
 		return
 	}
 	_ = response.Body.Close()
+	w.Header().Set(targetapi.HeaderGate, response.Header.Get(targetapi.HeaderGate))
 	w.WriteHeader(response.StatusCode)
 }
 
--- a/internal/emulator/target/announcer.go
+++ b/internal/emulator/target/announcer.go
@@ -43,8 +43,19 @@
 	t.Close()
 }
 
-// announce sends one announcement; a failed one is repeated by the next period.
+// announce sends one announcement; a failed one is repeated by the next period. It sends a second one if the gate's process is not
+// the one that answered before.
 func (t *Target) announce(state targetapi.State) {
+	if t.announceOnce(state) {
+		t.announceOnce(state)
+	}
+}
+
+// announceOnce sends one announcement and reports whether another process of the gate than before has answered.
+func (t *Target) announceOnce(state targetapi.State) (changed bool) {
+	t.mu.Lock()
+	known := t.gate
+	t.mu.Unlock()
 	body, err := json.Marshal(targetapi.Announcement{
 		Name:     t.config.Name,
 		Service:  t.config.Service,
@@ -52,23 +63,28 @@
 		Slots:    t.config.Slots,
 		State:    state,
 		Instance: strconv.FormatInt(t.instance(), 10),
+		Gate:     known,
 	})
 	if err != nil {
-		return
+		return false
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), announceTimeout)
 	defer cancel()
 	url := "http://" + t.config.Announce + targetapi.AnnouncePath
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
 	if err != nil {
-		return
+		return false
 	}
 	request.Header.Set("Content-Type", "application/json")
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
-		return
+		return false
 	}
 	_ = response.Body.Close()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.gate = response.Header.Get(targetapi.HeaderGate)
+	return t.gate != known
 }
 
 // instance changes with every start of the emulated process.
--- a/internal/emulator/target/target.go
+++ b/internal/emulator/target/target.go
@@ -36,6 +36,8 @@
 	runs    *Runs
 	slots   chan struct{}
 	started time.Time
+	// gate identifies the process of the gate that has answered the last announcement.
+	gate string
 
 	mu     sync.Mutex
 	mode   Mode
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -86,6 +86,7 @@
 		http.Error(w, "method is not POST", http.StatusMethodNotAllowed)
 		return
 	}
+	w.Header().Set(targetapi.HeaderGate, g.pool.token)
 	if err := g.announce(w, r); err != nil {
 		w.Header().Set("Content-Type", "application/json")
 		w.WriteHeader(http.StatusBadRequest)
--- a/internal/gate/pool.go
+++ b/internal/gate/pool.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"strconv"
 	"sync"
 
 	"buckthornlatch.example/buckthornlatch/internal/clock"
@@ -20,6 +21,10 @@
 	services map[id.ServiceName][]*target
 	waiting  map[WaiterID]*waiter
 	nextID   WaiterID
+	// token identifies this process in announcements.
+	token string
+	// departed holds the target processes that have announced that they are leaving.
+	departed *departures
 }
 
 // waiter is an attempt that waits for a slot.
@@ -60,6 +65,8 @@
 		targets:  map[string]*target{},
 		services: map[id.ServiceName][]*target{},
 		waiting:  map[WaiterID]*waiter{},
+		token:    strconv.FormatUint(uint64(config.Incarnation), 36),
+		departed: newDepartures(),
 	}
 }
 
--- a/internal/gate/registry.go
+++ b/internal/gate/registry.go
@@ -17,8 +17,12 @@
 	now := p.deps.Clock.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	void, successor := p.departed.note(now, a)
+	if void {
+		return false, nil
+	}
 	t := p.targets[a.Name]
-	if t != nil && !t.sameProcess(a) {
+	if t != nil && (successor || !t.sameProcess(a)) {
 		p.replace(t, now)
 		t = nil
 	}
@@ -29,10 +33,14 @@
 		t = p.add(a)
 		changed = true
 	}
-	changed = changed || t.state != a.State || t.slots != a.Slots
+	before := t.publishedState()
+	t.present = t.present || successor
+	changed = changed || t.slots != a.Slots
 	t.state, t.slots, t.lastSeen = a.State, a.Slots, now
+	t.notePresence(a, p.token, now)
+	changed = changed || t.publishedState() != before
 	if changed {
-		p.deps.Log.Info().Str("target", a.Name).Str("state", string(a.State)).Msg("gate: target announced")
+		p.deps.Log.Info().Str("target", a.Name).Str("state", string(t.publishedState())).Msg("gate: target announced")
 	}
 	p.serveOrRefuseWaiters(t.service, now)
 	return changed, nil
@@ -109,7 +117,7 @@
 	defer p.mu.Unlock()
 	all := make([]TargetStatus, 0, len(p.targets))
 	for _, t := range p.targets {
-		all = append(all, TargetStatus{ID: t.id, Service: t.service, State: t.state, Slots: t.slots, InFlight: t.inFlight})
+		all = append(all, TargetStatus{ID: t.id, Service: t.service, State: t.publishedState(), Slots: t.slots, InFlight: t.inFlight})
 	}
 	slices.SortFunc(all, func(a, b TargetStatus) int {
 		if a.ID.Name < b.ID.Name {
--- a/internal/gate/target.go
+++ b/internal/gate/target.go
@@ -24,11 +24,29 @@
 	state    targetapi.State
 	lastSeen clock.Time
 	removed  bool
+	// present is set once an announcement has shown that the target runs now. An earlier process of this host may have acknowledged
+	// that it is leaving.
+	present bool
+	// announcements are those that do not show that.
+	announcements streak
+}
+
+// notePresence takes an announcement as evidence that the target runs now. The token identifies this process.
+func (t *target) notePresence(a targetapi.Announcement, token string, now clock.Time) {
+	t.present = t.present || a.Gate == token || t.announcements.add(now)
+}
+
+// publishedState returns the state that others are told: a target that was not shown to run is not ready for requests.
+func (t *target) publishedState() targetapi.State {
+	if t.state == targetapi.Serving && !t.present {
+		return targetapi.Starting
+	}
+	return t.state
 }
 
 // serves reports whether new attempts may be dispatched to the target.
 func (t *target) serves() bool {
-	return t.state == targetapi.Serving && !t.removed
+	return t.publishedState() == targetapi.Serving && !t.removed
 }
 
 // free returns the number of free slots.
--- a/internal/targetapi/announcement.go
+++ b/internal/targetapi/announcement.go
@@ -19,6 +19,8 @@
 	MaxSlots = 4096
 	// MaxBytes is the largest size of an announcement's body, in bytes.
 	MaxBytes = 4 << 10
+	// HeaderGate is the response header with the identity of the gate's process, for Announcement.Gate.
+	HeaderGate = "Bl-Gate"
 	// maxNameBytes is the largest length of a target or service name, in bytes.
 	maxNameBytes = 128
 )
@@ -44,6 +46,9 @@
 	State State `json:"state"`
 	// Instance identifies the target's process; a new value means that the target restarted. Optional.
 	Instance string `json:"instance,omitempty"`
+	// Gate is the value of HeaderGate in the latest response. It shows that the announcement is not one that was held back since
+	// before the gate's process started. Optional: without it, the target is used only after several announcements.
+	Gate string `json:"gate,omitempty"`
 }
 
 // Error is the response body for a rejected announcement.
