Take no reset for the end of an answer without a length

Cause: the kernel reports a reset to one call only. If that was the write of the upload, the read behind it finds what looks like the end of the stream, which ends an answer without a length. Change: what looks like the end of a connection to a target or another host is a reset if the socket cannot be written to any more, on the connections of mesh, of serve and of all net/http clients. Towards a caller of HTTP/1.0, whose answer ends with the connection, the rest of its upload is read (2 s, 8 MiB) before the connection is reset, so that the caller's read reports the reset. Tests: a stand-in that answers early and resets at twenty moments of an upload, with a short and a long part.

--- a/internal/entry/caller.go
+++ b/internal/entry/caller.go
@@ -2,7 +2,6 @@
 
 import (
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -20,6 +19,8 @@
 	inbound *hop.InboundBody
 	// oldProtocol says that the caller speaks HTTP/1.0.
 	oldProtocol bool
+	// uploads says that the request has a body.
+	uploads bool
 }
 
 // writeHeader sends the response header. length is the body's length in bytes, -1 when unknown.
@@ -67,23 +68,16 @@
 func (c *callerConn) breakOff() {
 	if c.oldProtocol {
 		if conn, _, err := c.control.Hijack(); err == nil {
-			reset(conn)
+			if c.uploads {
+				hop.ResetUpload(conn)
+			} else {
+				hop.Reset(conn)
+			}
 		}
 	}
 	panic(http.ErrAbortHandler)
 }
 
-// reset resets a connection, without the end of a TLS session.
-func reset(conn net.Conn) {
-	for outer, ok := conn.(interface{ NetConn() net.Conn }); ok; outer, ok = conn.(interface{ NetConn() net.Conn }) {
-		conn = outer.NetConn()
-	}
-	if socket, ok := conn.(interface{ SetLinger(sec int) error }); ok {
-		_ = socket.SetLinger(0)
-	}
-	_ = conn.Close()
-}
-
 // reader returns a reader that extends the read deadline before each read.
 func (c *callerConn) reader(source io.Reader) io.Reader {
 	return &callerReader{caller: c, source: source}
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -43,7 +43,7 @@
 // ServeHTTP implements http.Handler.
 func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	defer hop.CrashOnViolation()
-	c := &callerConn{w: w, control: http.NewResponseController(w), idleTimeout: e.config.CallerSilence, oldProtocol: !r.ProtoAtLeast(1, 1)}
+	c := &callerConn{w: w, control: http.NewResponseController(w), idleTimeout: e.config.CallerSilence, oldProtocol: !r.ProtoAtLeast(1, 1), uploads: r.ContentLength != 0}
 	c.inbound = hop.NewInboundBody(w, r)
 	defer c.done()
 	if !e.running.Enter() {
--- a/internal/hop/guard.go
+++ b/internal/hop/guard.go
@@ -8,7 +8,7 @@
 
 // guardedConn calls a check before the first byte of each request is written. This is after the last wait (for a
 // free connection), so that a permission cannot expire in a wait between the check and the write. It reads no answer whose
-// status line is invalid, which net/http would accept.
+// status line is invalid, which net/http would accept, and takes no reset for the end of an answer.
 type guardedConn struct {
 	net.Conn
 	check atomic.Pointer[func() error]
@@ -30,6 +30,7 @@
 		return 0, g.heads.err
 	}
 	n, err := g.Conn.Read(p)
+	err = EndOfStream(g.Conn, err)
 	if g.requested.Load() && g.requested.Swap(false) {
 		g.heads = &answerHeads{}
 	}
--- a/internal/hop/hoptest/caller.go
+++ b/internal/hop/hoptest/caller.go
@@ -55,6 +55,31 @@
 	return seen
 }
 
+// Upload sends a request with a body of UploadBytes on a connection of its own, and reads the answer while it sends the body.
+func Upload(address, head, method string) Seen {
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		return Seen{Err: err}
+	}
+	_ = conn.(*net.TCPConn).SetLinger(0)
+	defer func() { _ = conn.Close() }()
+	_ = conn.SetDeadline(time.Now().Add(callerPatience))
+	if _, err := io.WriteString(conn, head); err != nil {
+		return Seen{Err: err}
+	}
+	go func() {
+		// The answer tells whether the body was read.
+		_, _ = io.Copy(conn, io.LimitReader(zeros{}, UploadBytes))
+	}()
+	return ReadAnswer(bufio.NewReader(conn), method)
+}
+
+// zeros is a body without end.
+type zeros struct{}
+
+// Read implements io.Reader.
+func (zeros) Read(p []byte) (int, error) { return len(p), nil }
+
 // ReadAnswer reads the next final answer of a connection.
 func ReadAnswer(reader *bufio.Reader, method string) Seen {
 	for {
--- a/internal/mesh/callerconn/conn.go
+++ b/internal/mesh/callerconn/conn.go
@@ -11,6 +11,8 @@
 
 	"buckthornlatch.example/buckthornlatch/internal/mesh/arrival"
 	"buckthornlatch.example/buckthornlatch/internal/mesh/hangup"
+
+	"buckthornlatch.example/buckthornlatch/internal/hop"
 )
 
 const (
@@ -428,15 +430,16 @@
 }
 
 // resetBrokenOff resets the connection if the handler has broken its answer off with a panic. To a caller of HTTP/1.0 the
-// end of the connection is the end of an answer without a length, which would look whole.
-func (c *Conn) resetBrokenOff() {
+// end of the connection is the end of an answer without a length, which would look whole. The request may have a body.
+func (c *Conn) resetBrokenOff(uploads bool) {
 	broken := recover()
 	if broken == nil {
 		return
 	}
-	if socket, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok {
-		_ = socket.SetLinger(0)
-		_ = c.Conn.Close()
+	if uploads {
+		hop.ResetUpload(c.Conn)
+	} else {
+		hop.Reset(c.Conn)
 	}
 	panic(broken)
 }
--- a/internal/mesh/callerconn/front.go
+++ b/internal/mesh/callerconn/front.go
@@ -125,7 +125,7 @@
 	served, received := conn.begin(cancel)
 	defer conn.end()
 	if !r.ProtoAtLeast(1, 1) {
-		defer conn.resetBrokenOff()
+		defer conn.resetBrokenOff(r.ContentLength != 0)
 	}
 	closing := &closingWriter{ResponseWriter: w, mayClose: func() bool { return f.Draining() && !conn.hasMore() }}
 	if served == nil {
--- a/internal/mesh/entry/chain_test.go
+++ b/internal/mesh/entry/chain_test.go
@@ -41,20 +41,29 @@
 	target, err := hoptest.NewTarget(respond)
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(target.Close)
-	c := &chain{target: target, client: link.NewClient()}
+	c := newChainTo(target.Address())
+	c.target = target
+	return c
+}
+
+// newChainTo starts a chain to the target at an address.
+func newChainTo(target string) *chain {
+	c := &chain{client: link.NewClient()}
 	written := make(chan struct{})
 	close(written)
 	c.gate = gate.New(gate.Config{
-		Host: "h0", Domain: "north", Service: "walks", TargetAddress: target.Address(), Headers: headers, Clock: clock.NewSystem(),
+		Host: "h0", Domain: "north", Service: "walks", TargetAddress: target, Headers: headers, FirstStart: true, Clock: clock.NewSystem(),
 		StopTime: func() time.Duration { return time.Second }, PolicyVersion: func() policy.Version { return 7 },
 		PublishRecord: func(roster.Record) <-chan struct{} { return written },
 		AttemptLog:    zerolog.Nop(), EventLog: zerolog.Nop(), Metrics: noGateMetrics{}, CrashEvidence: crashes.New("h0", 1, clock.NewSystem()),
 	})
 	c.gate.SetEvacuation(false)
+	c.gate.RecordRead(false)
 	Expect(c.gate.Announce(gate.Announcement{
 		Target: roster.TargetIncarnation{ID: "t", StartedMS: 1}, Service: "walks", State: roster.Serving, Slots: 8, Sequence: 1,
 	})).To(Succeed())
 	gateAddress := serveChain(c.gate, nil)
+	var err error
 	c.proxy, err = hoptest.NewProxy(gateAddress)
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(c.proxy.Close)
--- a/internal/mesh/targetconn/conn.go
+++ b/internal/mesh/targetconn/conn.go
@@ -37,17 +37,19 @@
 	return wrapped
 }
 
-// Read implements io.Reader. It bounds the head of a response.
+// Read implements io.Reader. It bounds the head of a response, and takes no reset for the end of a response.
 func (c *conn) Read(p []byte) (int, error) {
-	if !c.inHead {
-		return c.Conn.Read(p)
+	if c.inHead {
+		if c.headLeft <= 0 {
+			return 0, ErrHeadTooLong
+		}
+		p = p[:min(len(p), c.headLeft)]
 	}
-	if c.headLeft <= 0 {
-		return 0, ErrHeadTooLong
+	n, err := c.Conn.Read(p)
+	if c.inHead {
+		c.headLeft -= n
 	}
-	n, err := c.Conn.Read(p[:min(len(p), c.headLeft)])
-	c.headLeft -= n
-	return n, err
+	return n, hop.EndOfStream(c.Conn, err)
 }
 
 // readHead reads the head of the next response.
--- a/internal/mesh/traffic/conn.go
+++ b/internal/mesh/traffic/conn.go
@@ -21,6 +21,9 @@
 	return call
 }
 
+// NetConn returns the connection that is wrapped.
+func (c *Conn) NetConn() net.Conn { return c.Conn }
+
 // Read implements net.Conn.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
