Ask for a longer streak of announcements if the health page contradicts them

Cause: three announcements that were held back could bring a target back into use whose leaving no record tells of, although its health page says that it leaves. Change: a streak outweighs a health page that answers in the target's name that it is not to be used only after six announcements. Tests: "uses a target whose health page says otherwise only after a longer streak" of mesh/gate.

--- a/internal/mesh/gate/harness_test.go
+++ b/internal/mesh/gate/harness_test.go
@@ -49,8 +49,8 @@
 	seen []*http.Request
 	// serve handles the target's requests.
 	serve http.HandlerFunc
-	// healthy is the target that the health page names; empty if the page answers 503.
-	healthy string
+	// healthy is the target that the health page names; empty if the page answers 503, in the name of unhealthy.
+	healthy, unhealthy string
 	// stopTime is how long a planned stop of a host waits for targets.
 	stopTime time.Duration
 	// dispatched, if set, is called between the last check of an attempt at the gate and the connection to the target.
@@ -207,6 +207,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.healthy == "" {
+		w.Header().Set(headers.Instance, h.unhealthy)
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -220,6 +221,13 @@
 	h.healthy = target
 }
 
+// setUnhealthy makes the health page answer 503 in the name of a target.
+func (h *harness) setUnhealthy(target string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.healthy, h.unhealthy = "", target
+}
+
 // restart returns the gate of another process on the host, which has read its record and knows that its failure domain is in service.
 func (h *harness) restart() *gate.Gate {
 	restarted := h.restartUnread()
--- a/internal/mesh/gate/presence.go
+++ b/internal/mesh/gate/presence.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"buckthornlatch.example/buckthornlatch/internal/mesh/roster"
@@ -18,12 +19,17 @@
 // peers, may be out of reach for much longer.
 const recordWait = 2 * time.Second
 
+// minContradicting is the number of announcements in a streak that outweighs a health page that says otherwise: health pages may be
+// wrong for long.
+const minContradicting = 6
+
 // evidence is what shows that a target runs now.
 type evidence struct {
 	// announcements are those to this process.
 	announcements streak
-	// steady is set once they were a complete streak, confirmed once the target's health page has named it.
-	steady, confirmed bool
+	// steady is set once they were a complete streak, confirmed once the target's health page has named it. contradicted is set
+	// while the health page says that this target is not to be used, as it does when the target leaves.
+	steady, confirmed, contradicted bool
 	// asking is set while the health page is asked.
 	asking bool
 }
@@ -68,7 +74,7 @@
 	switch waited := g.config.Clock.Now().Sub(e.announcements.since) >= recordWait; {
 	case e.confirmed && (g.recordRead || waited):
 		g.setPresent("health page")
-	case e.steady && g.recordRead:
+	case e.steady && g.recordRead && (!e.contradicted || e.announcements.count >= minContradicting):
 		g.setPresent("announcements")
 	case !e.asking && !e.confirmed && g.healthPath != "":
 		e.asking = true
@@ -98,6 +104,8 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	t.evidence.asking = false
+	unhealthy := (*HealthError)(nil)
+	t.evidence.contradicted = errors.As(err, &unhealthy) && unhealthy.Target == t.incarnation.ID
 	if err != nil {
 		g.config.EventLog.Info().Err(err).Str("target", t.incarnation.ID).Msg("gate: not used yet, its health page does not show that the target runs")
 		return
--- a/internal/mesh/gate/presence_test.go
+++ b/internal/mesh/gate/presence_test.go
@@ -65,6 +65,18 @@
 		Expect(verdict()).To(Equal(hop.Ran))
 	})
 
+	// Guards against a few late announcements of a target whose health page says that it leaves, and against one that is wrong for long.
+	It("uses a target whose health page says otherwise only after a longer streak", func() {
+		h.setUnhealthy("t")
+		for sequence := uint64(5); sequence < 10; sequence++ {
+			announce(roster.Serving, started, sequence)
+			Consistently(verdict, "50ms").Should(Equal(hop.NotRun))
+			h.clock.Leap(interval)
+		}
+		announce(roster.Serving, started, 10)
+		Expect(verdict()).To(Equal(hop.Ran))
+	})
+
 	// Guards against messages that a cut has held back and that arrive together.
 	It("does not use a target because of many announcements at a time or one that is repeated", func() {
 		h.setHealthy("")
