Continue the division of rates after a restart in which the target announces itself first

Cause: since the host's record is taken over where it differs, a record that equals the one just published was not passed on, so that the limits took the host for a new one, whose shares wait. A record that the same process had written before its first scan also counted as that of an earlier one. Change: the first scan always passes the record on, the limits learn of it before the gate publishes, and a serving target's record is written only after the first scan. A leaving is written at once.

--- a/internal/mesh/daemon/daemon.go
+++ b/internal/mesh/daemon/daemon.go
@@ -147,11 +147,11 @@
 
 // restored takes over the record that an earlier process of this host has published.
 func (d *Daemon) restored(r roster.Record) {
-	d.gate.Restore(r)
 	if r.State != roster.Gone {
-		// Hosts whose target is gone are no part of the division.
+		// Hosts whose target is gone are no part of the division. The limits learn it first: what the gate publishes updates them.
 		d.limits.Continue()
 	}
+	d.gate.Restore(r)
 }
 
 // recordRead is called once the store was read for the record of this host.
--- a/internal/mesh/daemon/departed_test.go
+++ b/internal/mesh/daemon/departed_test.go
@@ -122,3 +122,28 @@
 		}, "2s").Should(BeNumerically(">", before))
 	})
 })
+
+var _ = Describe("A host that restarts", func() {
+	// Guards against requests that are refused after a restart, because the host takes itself for a new one when its target announces
+	// itself before its record was read.
+	It("grants the rates of its customers at once", func() {
+		f := newFleet(1)
+		h := f.hosts[0]
+		Eventually(func() int { return h.post(limitedKey, "before").status }, "10s").Should(Equal(http.StatusOK))
+		h.stop()
+		Eventually(h.ended, "5s").Should(BeClosed())
+		f.store.setDownPrefix("hosts/")
+		f.startUnannounced(h)
+		h.announce(roster.Serving, 9)
+		time.Sleep(rosterDelay)
+		reached := make(chan struct{}, 1)
+		h.setOnLine(func(message string) {
+			if message == "sync: store is reachable" {
+				reached <- struct{}{}
+			}
+		})
+		f.store.setDownPrefix("")
+		Eventually(reached, "10s").Should(Receive())
+		Eventually(func() int { return h.post(limitedKey, "after").status }, "500ms").Should(Equal(http.StatusOK))
+	})
+})
--- a/internal/mesh/daemon/harness_test.go
+++ b/internal/mesh/daemon/harness_test.go
@@ -301,6 +301,9 @@
 	operatorHeaderTimeout = 2 * time.Second
 )
 
+// limitedKey is the key of a customer with a rate.
+const limitedKey = "club-key"
+
 // decodePolicy decodes a test's policy, which has an idempotent, a booking and an upload route to one service and one
 // customer.
 func decodePolicy(raw []byte) (policy.Document, error) {
@@ -317,8 +320,11 @@
 			{ID: "book", Host: "trails.example", Prefix: "/book/", Rank: 1, MaxAttempts: 3, Timeout: 3 * time.Second, Objective: time.Second, Services: part},
 			{ID: "photos", Host: "trails.example", Prefix: "/photos/", Rank: 1, MaxAttempts: 3, Timeout: time.Minute, Services: part},
 		},
-		Customers: []policy.Customer{{ID: "school", Keys: []string{d.Key}}},
-		Bounds:    policy.Bounds{HeaderBytes: operatorHeaderBytes, HeaderTimeout: operatorHeaderTimeout},
+		Customers: []policy.Customer{
+			{ID: "school", Keys: []string{d.Key}},
+			{ID: "club", Keys: []string{limitedKey}, RatePerSecond: 100, Burst: 100},
+		},
+		Bounds: policy.Bounds{HeaderBytes: operatorHeaderBytes, HeaderTimeout: operatorHeaderTimeout},
 	}, nil
 }
 
--- a/internal/mesh/statesync/publish.go
+++ b/internal/mesh/statesync/publish.go
@@ -78,8 +78,10 @@
 	s.mu.Lock()
 	own := s.own
 	current := s.records[s.config.Self]
+	scanned := s.restored
 	s.mu.Unlock()
-	if !own.set || own.replaced {
+	if !own.set || own.replaced || (!scanned && own.record.State == roster.Serving) {
+		// A serving target can wait until the first scan has shown what an earlier process wrote; a leaving cannot.
 		return true
 	}
 	if current.revision > 0 && current.record == own.record {
@@ -149,12 +151,12 @@
 	return false
 }
 
-// takeOver passes on the record of this host that the store holds if another process wrote it, and then lets the publisher replace
-// it. The caller must hold s.mu, and call the returned function without it.
-func (s *Syncer) takeOver() (pass func()) {
+// takeOver passes on the record of this host that the store holds if another process wrote it, as it did if this is the first scan,
+// and then lets the publisher replace it. The caller must hold s.mu, and call the returned function without it.
+func (s *Syncer) takeOver(first bool) (pass func()) {
 	stored, found := s.records[s.config.Self]
 	found = found && stored.record.Host != ""
-	if found && stored.record != s.own.record && stored.revision != s.passedOn {
+	if found && (first || stored.record != s.own.record) && stored.revision != s.passedOn {
 		s.passedOn, s.own.replaced = stored.revision, true
 	}
 	passes := s.own.replaced
--- a/internal/mesh/statesync/relay.go
+++ b/internal/mesh/statesync/relay.go
@@ -187,7 +187,7 @@
 		}
 	}
 	s.rebuildView()
-	pass := s.takeOver()
+	pass := s.takeOver(false)
 	s.mu.Unlock()
 	pass()
 	s.notify()
--- a/internal/mesh/statesync/watch.go
+++ b/internal/mesh/statesync/watch.go
@@ -258,11 +258,14 @@
 	_, found := s.records[s.config.Self]
 	first := complete && !s.restored
 	s.restored = s.restored || complete
-	pass := s.takeOver()
+	pass := s.takeOver(first)
 	s.mu.Unlock()
 	pass()
-	if first && s.config.OnRecordRead != nil {
-		s.config.OnRecordRead(found)
+	if first {
+		if s.config.OnRecordRead != nil {
+			s.config.OnRecordRead(found)
+		}
+		s.wakePublisher()
 	}
 	s.notify()
 }
